--- /dev/null
+++ b/src/libbase/base.h
@@ -0,0 +1,10 @@
+#ifndef SRC_LIBBASE_BASE_H_
+#define SRC_LIBBASE_BASE_H_
+
+// Public header of libbase: strong ids, units, time and errors.
+
+#include "libbase/error.h"
+#include "libbase/ids.h"
+#include "libbase/units.h"
+
+#endif  // SRC_LIBBASE_BASE_H_
--- /dev/null
+++ b/src/libbase/error.h
@@ -0,0 +1,35 @@
+#ifndef SRC_LIBBASE_ERROR_H_
+#define SRC_LIBBASE_ERROR_H_
+
+#include <string>
+
+#include <tl/expected.hpp>
+
+namespace baobab {
+
+/** An error with the place where it arose. */
+struct Error {
+  /** What was being done, for example "append record". */
+  std::string step;
+  /** Node, address, file or sheet on the other side; empty if none. */
+  std::string peer;
+  /** What went wrong, in a short sentence. */
+  std::string message;
+
+  bool operator==(const Error&) const = default;
+};
+
+template <typename T>
+using Result = tl::expected<T, Error>;
+
+/** Text for people: "step (peer): message". */
+inline std::string ToString(const Error& error) {
+  if (error.peer.empty()) {
+    return error.step + ": " + error.message;
+  }
+  return error.step + " (" + error.peer + "): " + error.message;
+}
+
+}  // namespace baobab
+
+#endif  // SRC_LIBBASE_ERROR_H_
--- /dev/null
+++ b/src/libtelemetry/log.h
@@ -0,0 +1,30 @@
+#ifndef SRC_LIBTELEMETRY_LOG_H_
+#define SRC_LIBTELEMETRY_LOG_H_
+
+#include <string_view>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace baobab {
+
+enum class LogLevel { kDebug, kInfo, kWarning, kError };
+
+/** Lines below this level are dropped. Thread-safe. */
+void SetLogLevel(LogLevel level);
+
+/** Writes one line to standard error: time, level, part, message. `part` is a
+ * fixed prefix such as "front" or "peer". Thread-safe. */
+void WriteLog(LogLevel level, std::string_view part, std::string_view message);
+
+template <typename... Args>
+void Log(LogLevel level,
+         std::string_view part,
+         fmt::format_string<Args...> format,
+         Args&&... args) {
+  WriteLog(level, part, fmt::format(format, std::forward<Args>(args)...));
+}
+
+}  // namespace baobab
+
+#endif  // SRC_LIBTELEMETRY_LOG_H_
--- /dev/null
+++ b/src/libtelemetry/metrics.h
@@ -0,0 +1,36 @@
+#ifndef SRC_LIBTELEMETRY_METRICS_H_
+#define SRC_LIBTELEMETRY_METRICS_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace baobab {
+
+/** Counters and distributions of one process. Thread-safe. */
+class Metrics {
+ public:
+  Metrics();
+  ~Metrics();
+  Metrics(const Metrics&) = delete;
+  Metrics& operator=(const Metrics&) = delete;
+
+  /** Adds to a counter, which starts at 0. */
+  void Count(std::string_view name, std::int64_t n = 1);
+
+  /** Adds a sample; the name ends in its unit, such as "start_seconds". */
+  void Observe(std::string_view name, double sample);
+
+  /** All counters, and of each distribution count, mean, p50, p99 and max, in
+   * the Prometheus text format. */
+  std::string Text() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace baobab
+
+#endif  // SRC_LIBTELEMETRY_METRICS_H_
