--- a/src/libdecision/key_registry.h
+++ b/src/libdecision/key_registry.h
@@ -160,10 +160,12 @@
               const KeptAnswer& answer,
               Time now,
               Effects& effects);
-  void Release(Key& key);
-  void Keep(std::uint64_t number, const KeptAnswer& answer);
-  void DropAnswer(std::uint64_t number);
-  void Extend(std::uint64_t number, Time now);
+  static void Release(Key& key);
+  /** Keeps the answer and drops the oldest ones beyond kAllAnswers. */
+  void Keep(std::uint64_t number, Key& key, const KeptAnswer& answer);
+  void DropAnswer(std::uint64_t number, Key& key);
+  void Extend(std::uint64_t number, Key& key, Time now);
+  /** The key if it was issued by this process and has not expired. */
   Keys::iterator Find(const KeyName& name, Time now);
 
   NodeId node_;
@@ -174,7 +176,7 @@
   /** Order in which keys expire. */
   std::set<std::pair<Time, std::uint64_t>> expiry_;
   /** Keys with kept answers, oldest first. */
-  std::vector<std::uint64_t> answers_;
+  std::set<std::pair<Time, std::uint64_t>> answers_;
   Bytes answer_bytes_;
   std::map<RequestId, PendingClaim> pending_;
   std::map<RequestId, KeyName> held_;
--- a/src/libdecision/minion_health.h
+++ b/src/libdecision/minion_health.h
@@ -125,6 +125,8 @@
                const std::string& rule,
                Effects& effects);
   void Fail(Minion& minion, const std::string& cause, Effects& effects);
+  /** With enough proof, takes this node's own word of leaving back, and brings
+   * the minion back if no peer's word stands against it. */
   void Recover(Minion& minion, Effects& effects);
   void Notify(const Minion& minion, bool all, Effects& effects) const;
   Minion* FindListed(const MinionId& id);
--- a/src/libdecision/request_flow.h
+++ b/src/libdecision/request_flow.h
@@ -124,7 +124,7 @@
                const KeptAnswer& answer,
                Effects& effects);
   void End(Requests::iterator it, Ending ending, Time now, Effects& effects);
-  void Forget(Requests::iterator it, Outcome outcome, Effects& effects);
+  void Forget(Requests::iterator it, Outcome outcome);
   /** Emits the final answer of a request, unless it had one. */
   void Answer(RequestId id, Effect answer, Effects& effects);
   void Violate(RequestId id, const std::string& what, Effects& effects);
