--- /dev/null
+++ b/src/libdecision/log_fold.h
@@ -0,0 +1,135 @@
+#ifndef SRC_LIBDECISION_LOG_FOLD_H_
+#define SRC_LIBDECISION_LOG_FOLD_H_
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "libdecision/effect.h"
+#include "libdecision/fold_state.h"
+
+namespace baobab {
+
+enum class FoldOutcome {
+  kApplied,
+  /** Already applied: same writer and sequence, or same edit id. */
+  kDuplicate,
+  /** Breaks a rule and has no effect. */
+  kVoid,
+  /** Newer format or undecodable body; skipped and counted. */
+  kUnknownFormat,
+  /** Offset below the next one; nothing changed, not even counts. */
+  kOld,
+  /** Records before this one are missing; kept until a snapshot is whole. */
+  kWaitsForSnapshot,
+  /** Completed a snapshot that replaced the state. */
+  kAdopted,
+};
+
+struct FoldResult {
+  FoldOutcome outcome = FoldOutcome::kApplied;
+  /** Rule with its numbers; empty if applied. */
+  std::string reason;
+  std::vector<CellConflict> conflicts;
+  CellFaults faults;
+};
+
+/** The state derived from the log. Bounded memory: 256 edits and 8192 changes
+ * of history, 8192 cell authors, 1024 edit ids, 1024 writers, and 20,000
+ * records kept while a snapshot is awaited; the oldest are dropped first. */
+class LogFold {
+ public:
+  /** Folds one record. Records must come in ascending order of offset. */
+  FoldResult Apply(const LogEntry& entry);
+
+  /** Replaces the state by a newer one of a peer or snapshot. Errors: text
+   * does not decode or covers another offset, or it is not above the present
+   * offset, or below an offset heard from a peer; the state then stays. */
+  Result<void> Adopt(Offset covers, std::string_view text);
+
+  /** Notes that a peer has folded all records below this offset. */
+  void HearOffset(Offset offset);
+
+  /** Notes what a read of the log told: oldest offset and log end. */
+  void HearLog(Offset first, Offset next);
+
+  /** True once the state reached the log end of the first read and all offsets
+   * heard until then, or was adopted from a peer at those; it stays true.
+   * Before that the table may be older than one already in force. */
+  bool caught_up() const { return caught_up_; }
+
+  /** Records were dropped by retention and no snapshot bridged them yet. */
+  bool waits_for_snapshot() const { return missing_; }
+
+  const FoldState& state() const { return state_; }
+  const Table& table() const { return state_.table; }
+  TableVersion version() const { return state_.version; }
+  Offset next_offset() const { return state_.next_offset; }
+  const View& view() const { return state_.view; }
+  const PlannerLease& planner() const { return state_.planner; }
+
+  /** The verdict on an edit id, if one of its records was folded lately. */
+  std::optional<EditDecision> FindEdit(const EditId& id) const;
+
+  /** Cells that do not hold the old value of the edit, with who changed them.
+   */
+  std::vector<CellConflict> Conflicts(const TableEdit& edit) const;
+
+  /** Highest sequence read from this process; 0 if none. */
+  RecordSequence LastSequence(const WriterId& writer) const;
+
+  /** Highest offset heard from a peer. */
+  Offset heard() const { return heard_; }
+
+  std::uint64_t void_records() const;
+
+  /** Hash of the whole state; equal on all nodes at one offset. */
+  std::uint64_t Digest() const;
+
+ private:
+  /** Parts of one snapshot while records are missing. */
+  struct Collected {
+    Offset covers;
+    std::vector<std::string> parts;
+    std::size_t present = 0;
+  };
+
+  FoldResult Fold(const LogEntry& entry);
+  FoldResult FoldBody(const LogEntry& entry, const TableEdit& edit);
+  FoldResult FoldBody(const LogEntry& entry, const PlannerClaim& claim);
+  FoldResult FoldBody(const LogEntry& entry, const ViewChange& change);
+  FoldResult FoldBody(const LogEntry& entry, const VersionInForce& in_force);
+  FoldResult FoldBody(const LogEntry& entry, const SnapshotPart& part);
+  FoldResult FoldBody(const LogEntry& entry, const UnknownRecord& unknown);
+  FoldResult Void(const std::string& kind, std::string reason);
+  /** Reason why the record is not the planner's; empty if it is. */
+  std::string FencedReason(const LogEntry& entry, Term term) const;
+  bool NoteWriter(const LogEntry& entry);
+  void RecordEdit(const LogEntry& entry, const TableEdit& edit);
+  void Decide(const EditId& id, EditDecision decision);
+  FoldResult KeepForSnapshot(const LogEntry& entry);
+  std::optional<std::string> Collect(const LogEntry& entry);
+  void Replace(FoldState state);
+  void UpdateCaughtUp();
+
+  FoldState state_;
+  bool caught_up_ = false;
+  bool missing_ = false;
+  std::optional<Offset> log_end_;
+  Offset heard_;
+  std::deque<LogEntry> kept_;
+  std::map<std::string, Collected> collected_;
+};
+
+/** Explains what a record led to: edits, planner terms, views, voids. */
+void ExplainFold(const LogEntry& entry,
+                 const FoldResult& result,
+                 Effects& effects);
+
+}  // namespace baobab
+
+#endif  // SRC_LIBDECISION_LOG_FOLD_H_
--- /dev/null
+++ b/src/libdecision/planner.h
@@ -0,0 +1,115 @@
+#ifndef SRC_LIBDECISION_PLANNER_H_
+#define SRC_LIBDECISION_PLANNER_H_
+
+#include <cstddef>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "libdecision/log_fold.h"
+#include "libdecision/log_writer.h"
+#include "libdecision/membership.h"
+#include "libdecision/platform.h"
+
+namespace baobab {
+
+/** Silence of the planner after which another node claims its lease. */
+inline constexpr Duration kPlannerSilence = std::chrono::seconds(6);
+inline constexpr Duration kPlannerRenewal = std::chrono::seconds(2);
+/** A holder that read no record of its own for this long stops acting. */
+inline constexpr Duration kPlannerStop = std::chrono::seconds(5);
+/** Records after which a new snapshot is written. */
+inline constexpr std::uint64_t kSnapshotRecords = 1000;
+inline constexpr std::size_t kSnapshotPartBytes = 256 << 10;
+
+/** Claims the planner lease and, as its holder, appends view changes, versions
+ * in force and snapshots. Acts only on what LogFold read back. */
+class Planner {
+ public:
+  Planner(const NodeConfig& config, Time now);
+
+  void OnHostList(const HostList& list);
+
+  /** Call for each record after LogFold::Apply(). */
+  void OnFolded(const LogEntry& entry, const FoldResult& result, Time now);
+
+  /** Restarts the silence timer: an unreadable log proves nothing about the
+   * planner. */
+  void OnLogReadFailed(Time now);
+
+  void Tick(Time now,
+            std::int64_t wall_ms,
+            const LogFold& fold,
+            const Membership& membership,
+            LogWriter& writer,
+            Effects& effects);
+
+  /** A stopping node neither claims nor acts. */
+  void Stop() { stopping_ = true; }
+
+  /** True if this node holds the lease and read a record of its own lately. */
+  bool Acting(Time now, const LogFold& fold) const;
+
+ private:
+  /** A snapshot that is being appended part by part. */
+  struct Writing {
+    std::string id;
+    Offset covers;
+    std::string text;
+    std::uint32_t part = 0;
+    std::uint32_t parts = 0;
+  };
+
+  void Claim(Time now,
+             std::int64_t wall_ms,
+             const LogFold& fold,
+             LogWriter& writer,
+             Effects& effects);
+  void Renew(Time now,
+             std::int64_t wall_ms,
+             const LogFold& fold,
+             LogWriter& writer);
+  void Act(Time now,
+           std::int64_t wall_ms,
+           const LogFold& fold,
+           const Membership& membership,
+           LogWriter& writer,
+           Effects& effects);
+  void WriteSnapshot(Time now,
+                     std::int64_t wall_ms,
+                     const LogFold& fold,
+                     LogWriter& writer,
+                     Effects& effects);
+  void GiveUp(LogWriter& writer);
+  std::vector<ViewNode> WantedNodes(Time now,
+                                    const LogFold& fold,
+                                    const Membership& membership) const;
+  bool KeepsNode(const ViewNode& node,
+                 Time now,
+                 const View& view,
+                 const Membership& membership) const;
+  Duration Patience(const LogFold& fold) const;
+
+  NodeConfig config_;
+  WriterId self_;
+  bool stopping_ = false;
+  bool host_list_known_ = false;
+  std::set<NodeId> listed_;
+  Time silence_since_;
+  Time last_tick_;
+  std::optional<Time> own_read_at_;
+  Time renew_due_;
+  Time snapshot_seen_at_;
+  bool was_acting_ = false;
+  std::optional<RecordSequence> claim_;
+  std::optional<RecordSequence> renewal_;
+  std::optional<RecordSequence> view_change_;
+  std::optional<RecordSequence> in_force_;
+  std::optional<RecordSequence> snapshot_part_;
+  std::optional<Writing> writing_;
+};
+
+}  // namespace baobab
+
+#endif  // SRC_LIBDECISION_PLANNER_H_
