--- /dev/null
+++ b/src/libtable/rules.cc
@@ -0,0 +1,277 @@
+// Rules of the table: cells one by one, then across rows. A rule across rows
+// is skipped if a cell it needs already has a fault.
+
+#include <algorithm>
+#include <charconv>
+#include <set>
+
+#include "libtable/grid.h"
+
+namespace baobab {
+namespace {
+
+constexpr std::size_t kMaxIdLength = 64;
+constexpr std::int64_t kMaxWeight = 1000;
+// Far above any real fleet, yet low enough that sums cannot overflow.
+constexpr std::int64_t kMaxUnits = 1'000'000;
+constexpr std::int64_t kMaxHosts = 100'000;
+constexpr std::int64_t kMinDeadlineMs = 50;
+constexpr std::int64_t kMaxDeadlineMs = 86'400'000;
+
+bool IsId(std::string_view text) {
+  return !text.empty() && text.size() <= kMaxIdLength &&
+         std::all_of(text.begin(), text.end(), [](char c) {
+           return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') ||
+                  c == '.' || c == '_' || c == '-';
+         });
+}
+
+/** Decimal number without sign, space or leading zero. */
+std::optional<std::int64_t> ParseNumber(std::string_view text) {
+  if (text.empty() || text.front() == '-' ||
+      (text.size() > 1 && text.front() == '0')) {
+    return std::nullopt;
+  }
+  std::int64_t value = 0;
+  const auto [end, ec] =
+      std::from_chars(text.data(), text.data() + text.size(), value);
+  if (ec != std::errc() || end != text.data() + text.size()) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+/** Reads the cells of one row and notes their faults. */
+class RowReader {
+ public:
+  RowReader(Sheet sheet,
+            const std::string& key,
+            const RowCells& cells,
+            CellFaults& faults)
+      : sheet_(sheet), key_(key), cells_(cells), faults_(faults) {}
+
+  const std::string& Text(std::string_view column) const {
+    return cells_[*FindColumn(sheet_, column)];
+  }
+
+  std::string Id(std::string_view column) {
+    if (!IsId(Text(column))) {
+      Fault(column, ": 1 to 64 characters of a-z 0-9 . _ -");
+    }
+    return Text(column);
+  }
+
+  std::int64_t Number(std::string_view column,
+                      std::int64_t least,
+                      std::int64_t most) {
+    const auto value = ParseNumber(Text(column));
+    if (!value || *value < least || *value > most) {
+      Fault(column,
+            ": " + std::to_string(least) + " to " + std::to_string(most));
+      return least;
+    }
+    return *value;
+  }
+
+  std::string Reference(std::string_view column, const Grid& grid, Sheet to) {
+    if (!grid.Rows(to).contains(Text(column))) {
+      const auto& name = Schemas()[static_cast<std::size_t>(to)].name;
+      Fault(column, ": has a row in sheet " + std::string(name));
+    }
+    return Text(column);
+  }
+
+  void Fault(std::string_view column, const std::string& rule) {
+    ok_ = false;
+    faults_.push_back(
+        {{std::string(Schemas()[Index()].name), key_, std::string(column)},
+         Text(column),
+         std::string(column) + rule});
+  }
+
+  bool ok() const { return ok_; }
+
+ private:
+  std::size_t Index() const { return static_cast<std::size_t>(sheet_); }
+
+  Sheet sheet_;
+  const std::string& key_;
+  const RowCells& cells_;
+  CellFaults& faults_;
+  bool ok_ = true;
+};
+
+PoolRow ReadPool(RowReader& reader) {
+  return {PoolId(reader.Id("pool")),
+          Weight(reader.Number("weight", 1, kMaxWeight)),
+          HostCount(reader.Number("limit", 1, kMaxHosts)),
+          HostCount(reader.Number("min_hosts", 0, kMaxHosts)),
+          HostCount(reader.Number("availability_budget", 0, kMaxHosts))};
+}
+
+TeamRow ReadTeam(RowReader& reader) {
+  return {TeamId(reader.Id("team")),
+          Units(reader.Number("quota", 1, kMaxUnits))};
+}
+
+QueueRow ReadQueue(RowReader& reader, const Grid& grid) {
+  QueueRow row;
+  row.id = QueueId(reader.Id("queue"));
+  row.service = ServiceId(reader.Id("service"));
+  row.team = TeamId(reader.Reference("team", grid, Sheet::kTeams));
+  row.pool = PoolId(reader.Reference("pool", grid, Sheet::kPools));
+  const std::string& urgency = reader.Text("urgency");
+  if (urgency == "urgent") {
+    row.urgency = Urgency::kUrgent;
+  } else if (urgency != "batch") {
+    reader.Fault("urgency", ": urgent or batch");
+  }
+  row.weight = Weight(reader.Number("weight", 1, kMaxWeight));
+  row.limit = Units(reader.Number("limit", 1, kMaxUnits));
+  row.deadline = std::chrono::milliseconds(
+      reader.Number("deadline_ms", kMinDeadlineMs, kMaxDeadlineMs));
+  return row;
+}
+
+HostRow ReadHost(RowReader& reader, const Grid& grid) {
+  HostRow row;
+  row.id = HostId(reader.Id("host"));
+  row.rack = RackId(reader.Id("rack"));
+  row.data_centre = DataCentreId(reader.Id("data_centre"));
+  if (!reader.Text("pool").empty()) {
+    row.pool = PoolId(reader.Reference("pool", grid, Sheet::kPools));
+  }
+  const std::string& maintenance = reader.Text("maintenance");
+  if (maintenance == "wanted") {
+    row.maintenance = Maintenance::kWanted;
+  } else if (maintenance == "drain") {
+    row.maintenance = Maintenance::kDrain;
+  } else if (!maintenance.empty()) {
+    reader.Fault("maintenance", ": wanted, drain or empty");
+  }
+  return row;
+}
+
+/** Checks the rules across rows, on the rows that have no faults. */
+class CrossRules {
+ public:
+  CrossRules(const Table& table, bool all_rows_ok, CellFaults& faults)
+      : table_(table), all_rows_ok_(all_rows_ok), faults_(faults) {}
+
+  void Check() {
+    for (const auto& [id, pool] : table_.pools) {
+      CheckPool(pool);
+    }
+    // A faulty row is missing from the sums, so they would mislead.
+    if (all_rows_ok_) {
+      CheckMinHosts();
+    }
+  }
+
+ private:
+  void CheckPool(const PoolRow& pool) {
+    if (pool.limit < pool.min_hosts) {
+      Fault(pool, "limit", pool.limit,
+            "limit: at least min_hosts, which is " + Text(pool.min_hosts));
+    }
+    std::int64_t pinned = 0;
+    std::int64_t out = 0;
+    for (const auto& [id, host] : table_.hosts) {
+      if (host.pool == pool.id) {
+        ++pinned;
+        out += host.maintenance == Maintenance::kNone ? 0 : 1;
+      }
+    }
+    if (pinned > pool.limit.value()) {
+      Fault(
+          pool, "limit", pool.limit,
+          "limit: at least the number of hosts pinned to the pool, which is " +
+              std::to_string(pinned));
+    }
+    if (out > 0 && pool.availability_budget.value() == 0) {
+      Fault(pool, "availability_budget", pool.availability_budget,
+            "availability_budget: at least 1 while hosts pinned to the pool "
+            "have maintenance wanted or drain, now " +
+                std::to_string(out) + " of " + std::to_string(pinned));
+    }
+  }
+
+  void CheckMinHosts() {
+    std::int64_t sum = 0;
+    for (const auto& [id, pool] : table_.pools) {
+      sum += pool.min_hosts.value();
+    }
+    const auto hosts = static_cast<std::int64_t>(table_.hosts.size());
+    if (hosts > 0 && sum > hosts) {
+      // The fault has to name one cell; the largest share explains it best.
+      const auto most =
+          std::max_element(table_.pools.begin(), table_.pools.end(),
+                           [](const auto& a, const auto& b) {
+                             return a.second.min_hosts < b.second.min_hosts;
+                           });
+      Fault(most->second, "min_hosts", most->second.min_hosts,
+            "min_hosts: sum over all pools at most the number of hosts, now " +
+                std::to_string(sum) + " of " + std::to_string(hosts));
+    }
+  }
+
+  static std::string Text(HostCount count) {
+    return std::to_string(count.value());
+  }
+
+  void Fault(const PoolRow& pool,
+             const char* column,
+             HostCount value,
+             std::string rule) {
+    faults_.push_back(
+        {{"pools", pool.id.value(), column}, Text(value), std::move(rule)});
+  }
+
+  const Table& table_;
+  bool all_rows_ok_;
+  CellFaults& faults_;
+};
+
+template <typename Rows, typename Read>
+bool ReadSheet(const Grid& grid,
+               Sheet sheet,
+               Read read,
+               Rows& rows,
+               CellFaults& faults) {
+  bool all_ok = true;
+  for (const auto& [key, cells] : grid.Rows(sheet)) {
+    RowReader reader(sheet, key, cells, faults);
+    auto row = read(reader);
+    all_ok = all_ok && reader.ok();
+    if (reader.ok()) {
+      auto id = row.id;
+      rows.emplace(std::move(id), std::move(row));
+    }
+  }
+  return all_ok;
+}
+
+}  // namespace
+
+tl::expected<Table, CellFaults> CheckGrid(const Grid& grid, CellFaults faults) {
+  Table table;
+  const bool parsed_ok = faults.empty();
+  const bool pools_ok =
+      ReadSheet(grid, Sheet::kPools, ReadPool, table.pools, faults);
+  ReadSheet(grid, Sheet::kTeams, ReadTeam, table.teams, faults);
+  ReadSheet(
+      grid, Sheet::kQueues,
+      [&](RowReader& reader) { return ReadQueue(reader, grid); }, table.queues,
+      faults);
+  const bool hosts_ok = ReadSheet(
+      grid, Sheet::kHosts,
+      [&](RowReader& reader) { return ReadHost(reader, grid); }, table.hosts,
+      faults);
+  CrossRules(table, parsed_ok && pools_ok && hosts_ok, faults).Check();
+  if (!faults.empty()) {
+    return tl::make_unexpected(std::move(faults));
+  }
+  return table;
+}
+
+}  // namespace baobab
