--- a/src/libtable/grid.cc
+++ b/src/libtable/grid.cc
@@ -35,7 +35,7 @@
 }  // namespace
 
 const std::array<SheetSchema, kSheetCount>& Schemas() {
-  static const std::array<SheetSchema, kSheetCount> kSchemas = {{
+  static const std::array<SheetSchema, kSheetCount> schemas = {{
       {"pools",
        {"pool", "weight", "limit", "min_hosts", "availability_budget"}},
       {"teams", {"team", "quota"}},
@@ -44,7 +44,7 @@
         "deadline_ms"}},
       {"hosts", {"host", "rack", "data_centre", "pool", "maintenance"}},
   }};
-  return kSchemas;
+  return schemas;
 }
 
 std::optional<Sheet> FindSheet(std::string_view name) {
