wire: add codecs of records, peer messages, replies and platform reads

Cause: the log, the links between nodes and the control port need one codec. Change: nlohmann json behind wire.h; each struct has one list of its fields, used for JSON objects and MessagePack arrays.

--- /dev/null
+++ b/src/libwire/edit_codec.cc
@@ -0,0 +1,26 @@
+#include "libwire/record_shapes.h"
+#include "libwire/wire.h"
+
+namespace baobab {
+
+std::string EncodeEdit(const TableEdit& edit) {
+  return JsonText(Write<Style::kObject>(edit));
+}
+
+Result<TableEdit> DecodeEdit(std::string_view text) {
+  const auto json = ParseJson(text);
+  if (!json) {
+    return tl::unexpected(
+        Error{"decode edit", "", "not JSON, or too large or deep"});
+  }
+  TableEdit edit;
+  if (!Read<Style::kObject>(*json, edit)) {
+    return tl::unexpected(
+        Error{"decode edit", "",
+              "expected id, author, base and changes with cell (sheet, row, "
+              "column), old and new"});
+  }
+  return edit;
+}
+
+}  // namespace baobab
--- /dev/null
+++ b/src/libwire/peer_codec.cc
@@ -0,0 +1,100 @@
+#include <optional>
+#include <type_traits>
+#include <utility>
+#include <variant>
+
+#include "libwire/peer_shapes.h"
+#include "libwire/wire.h"
+
+namespace baobab {
+
+namespace {
+
+constexpr Style kStyle = Style::kArray;
+
+/** Elements before those of the message: protocol, from, incarnation, clock,
+ * tag. */
+constexpr std::size_t kHeaderSize = 5;
+
+tl::unexpected<Error> Malformed(const std::string& from, std::string message) {
+  return tl::unexpected(Error{"decode peer message", from, std::move(message)});
+}
+
+/** Sets `message` if `tag` is that of T. */
+template <typename T>
+bool ReadMessage(std::uint32_t tag,
+                 const Json& json,
+                 std::optional<PeerMessage>& message) {
+  if (tag != Shape<T>::kTag) {
+    return false;
+  }
+  T value;
+  if (ReadFields<kStyle>(json, value, kHeaderSize)) {
+    message = std::move(value);
+  }
+  return true;
+}
+
+template <std::size_t... I>
+bool ReadMessageOfTag(std::uint32_t tag,
+                      const Json& json,
+                      std::optional<PeerMessage>& message,
+                      std::index_sequence<I...>) {
+  return (ReadMessage<std::variant_alternative_t<I, PeerMessage>>(tag, json,
+                                                                  message) ||
+          ...);
+}
+
+}  // namespace
+
+std::string EncodePeer(const PeerEnvelope& envelope) {
+  Json json = Json::array({envelope.protocol, envelope.from.value(),
+                           envelope.incarnation.value(), envelope.clock});
+  std::visit(
+      [&json](const auto& message) {
+        json.push_back(Shape<std::decay_t<decltype(message)>>::kTag);
+        WriteFields<kStyle>(message, json);
+      },
+      envelope.message);
+  std::string data;
+  Json::to_msgpack(json, data);
+  return data;
+}
+
+Result<PeerEnvelope> DecodePeer(std::string_view data) {
+  const auto json = ParseMessagePack(data);
+  if (!json || !json->is_array()) {
+    return Malformed("", "not a MessagePack array, or too large or deep");
+  }
+  PeerEnvelope envelope;
+  if (json->empty() || !Read<kStyle>(json->at(0), envelope.protocol)) {
+    return Malformed("", "no protocol version");
+  }
+  if (envelope.protocol != kPeerProtocol) {
+    return Malformed("", "protocol " + std::to_string(envelope.protocol) +
+                             ", this release has " +
+                             std::to_string(kPeerProtocol));
+  }
+  std::uint32_t tag = 0;
+  if (json->size() < kHeaderSize || !Read<kStyle>(json->at(1), envelope.from) ||
+      !Read<kStyle>(json->at(2), envelope.incarnation) ||
+      !Read<kStyle>(json->at(3), envelope.clock) ||
+      !Read<kStyle>(json->at(4), tag)) {
+    return Malformed("", "malformed header");
+  }
+  std::optional<PeerMessage> message;
+  if (!ReadMessageOfTag(
+          tag, *json, message,
+          std::make_index_sequence<std::variant_size_v<PeerMessage>>())) {
+    return Malformed(envelope.from.value(),
+                     "unknown message type " + std::to_string(tag));
+  }
+  if (!message) {
+    return Malformed(envelope.from.value(),
+                     "malformed message of type " + std::to_string(tag));
+  }
+  envelope.message = *std::move(message);
+  return envelope;
+}
+
+}  // namespace baobab
--- /dev/null
+++ b/src/libwire/shape.h
@@ -0,0 +1,266 @@
+#ifndef SRC_LIBWIRE_SHAPE_H_
+#define SRC_LIBWIRE_SHAPE_H_
+
+#include <array>
+#include <chrono>
+#include <concepts>
+#include <cstddef>
+#include <cstdint>
+#include <limits>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <type_traits>
+#include <utility>
+#include <vector>
+
+#include "libbase/base.h"
+#include "libwire/bounded_dom.h"
+
+namespace baobab {
+
+/** One member of a struct and its JSON name. */
+template <typename Owner, typename Member>
+struct Field {
+  const char* name;
+  Member Owner::*member;
+  /** The string may hold any bytes. */
+  bool bytes = false;
+};
+
+template <typename Owner, typename Member>
+Field(const char*, Member Owner::*) -> Field<Owner, Member>;
+template <typename Owner, typename Member>
+Field(const char*, Member Owner::*, bool) -> Field<Owner, Member>;
+
+/** Specialised for each struct with kFields, a tuple of Field, and optionally
+ * with `static bool Valid(const T&)` for rules of its values. */
+template <typename T>
+struct Shape;
+
+/** Specialised for each enum with kNames, its values' JSON names in order. */
+template <typename T>
+struct EnumNames;
+
+/** JSON objects with named members, or arrays of the members in order. */
+enum class Style { kObject, kArray };
+
+template <typename T>
+concept Shaped = requires {
+  Shape<T>::kFields;
+};
+
+template <typename T>
+struct IsVector : std::false_type {};
+template <typename T>
+struct IsVector<std::vector<T>> : std::true_type {};
+
+template <typename T>
+struct IsQuantity : std::false_type {};
+template <typename Tag>
+struct IsQuantity<Quantity<Tag>> : std::true_type {};
+
+template <typename T>
+struct IsStrongId : std::false_type {};
+template <typename Tag, typename Rep>
+struct IsStrongId<StrongId<Tag, Rep>> : std::true_type {};
+
+/** Sums of decoded values must not overflow. */
+inline constexpr std::int64_t kMaxQuantity = 1'000'000'000;
+inline constexpr Duration kMaxDuration = std::chrono::hours(24 * 3650);
+
+/** Reads an integer; fails unless it fits into T. */
+template <std::integral T>
+bool ReadInteger(const Json& json, T& value) {
+  if (json.is_number_unsigned()) {
+    const auto found = json.get<std::uint64_t>();
+    if (!std::in_range<T>(found)) {
+      return false;
+    }
+    value = static_cast<T>(found);
+    return true;
+  }
+  if (!json.is_number_integer()) {
+    return false;
+  }
+  const auto found = json.get<std::int64_t>();
+  if (!std::in_range<T>(found)) {
+    return false;
+  }
+  value = static_cast<T>(found);
+  return true;
+}
+
+inline bool ReadText(const Json& json, std::string& value) {
+  if (!json.is_string() || !IsUtf8(json.get_ref<const std::string&>())) {
+    return false;
+  }
+  value = json.get_ref<const std::string&>();
+  return true;
+}
+
+/** Any bytes: binary in MessagePack; in JSON a string, or an object with one
+ * character U+0000 to U+00FF for each byte if they are not UTF-8. */
+Json WriteBytes(const std::string& value, Style style);
+bool ReadBytes(const Json& json, std::string& value);
+
+template <Style S, typename T>
+Json Write(const T& value);
+template <Style S, typename T>
+bool Read(const Json& json, T& value);
+
+template <Style S, typename T, typename M>
+Json WriteField(const Field<T, M>& field, const T& value) {
+  if constexpr (std::same_as<M, std::string>) {
+    if (field.bytes) {
+      return WriteBytes(value.*field.member, S);
+    }
+  }
+  return Write<S>(value.*field.member);
+}
+
+template <Style S, typename T, typename M>
+bool ReadField(const Field<T, M>& field, const Json& json, T& value) {
+  if constexpr (std::same_as<M, std::string>) {
+    if (field.bytes) {
+      return ReadBytes(json, value.*field.member);
+    }
+  }
+  return Read<S>(json, value.*field.member);
+}
+
+/** Adds the members to an object, or at the end of an array. */
+template <Style S, Shaped T>
+void WriteFields(const T& value, Json& json) {
+  std::apply(
+      [&](const auto&... field) {
+        if constexpr (S == Style::kObject) {
+          ((json[field.name] = WriteField<S>(field, value)), ...);
+        } else {
+          (json.push_back(WriteField<S>(field, value)), ...);
+        }
+      },
+      Shape<T>::kFields);
+}
+
+/** Reads the members of an object, or of an array from index `first`. An array
+ * must have no further elements; an object may have other members. */
+template <Style S, Shaped T>
+bool ReadFields(const Json& json, T& value, std::size_t first = 0) {
+  const bool ok = std::apply(
+      [&](const auto&... field) {
+        if constexpr (S == Style::kObject) {
+          return json.is_object() &&
+                 ((json.contains(field.name) &&
+                   ReadField<S>(field, json.at(field.name), value)) &&
+                  ...);
+        } else {
+          std::size_t n = first;
+          return json.is_array() && json.size() == first + sizeof...(field) &&
+                 (ReadField<S>(field, json.at(n++), value) && ...);
+        }
+      },
+      Shape<T>::kFields);
+  if constexpr (requires { Shape<T>::Valid(value); }) {
+    return ok && Shape<T>::Valid(value);
+  }
+  return ok;
+}
+
+template <Style S, typename T>
+Json Write(const T& value) {
+  if constexpr (Shaped<T>) {
+    Json json = S == Style::kObject ? Json::object() : Json::array();
+    WriteFields<S>(value, json);
+    return json;
+  } else if constexpr (IsVector<T>::value) {
+    Json json = Json::array();
+    for (const auto& it : value) {
+      json.push_back(Write<S>(it));
+    }
+    return json;
+  } else if constexpr (std::is_enum_v<T>) {
+    if constexpr (S == Style::kObject) {
+      return std::string(EnumNames<T>::kNames.at(static_cast<int>(value)));
+    } else {
+      return static_cast<std::uint64_t>(value);
+    }
+  } else if constexpr (std::same_as<T, Duration>) {
+    return value.count();
+  } else if constexpr (IsStrongId<T>::value || IsQuantity<T>::value) {
+    return value.value();
+  } else {
+    return value;
+  }
+}
+
+template <Style S, typename T>
+bool Read(const Json& json, T& value) {
+  if constexpr (Shaped<T>) {
+    return ReadFields<S>(json, value);
+  } else if constexpr (IsVector<T>::value) {
+    if (!json.is_array()) {
+      return false;
+    }
+    value.clear();
+    for (const auto& it : json) {
+      if (!Read<S>(it, value.emplace_back())) {
+        return false;
+      }
+    }
+    return true;
+  } else if constexpr (std::is_enum_v<T>) {
+    constexpr auto& names = EnumNames<T>::kNames;
+    std::size_t index = names.size();
+    if constexpr (S == Style::kObject) {
+      std::string text;
+      if (!ReadText(json, text)) {
+        return false;
+      }
+      for (index = 0; index < names.size() && names.at(index) != text;) {
+        ++index;
+      }
+    } else if (!ReadInteger(json, index)) {
+      return false;
+    }
+    value = static_cast<T>(index);
+    return index < names.size();
+  } else if constexpr (std::same_as<T, Duration>) {
+    std::int64_t count = 0;
+    if (!ReadInteger(json, count) || count > kMaxDuration.count() ||
+        count < -kMaxDuration.count()) {
+      return false;
+    }
+    value = Duration(count);
+    return true;
+  } else if constexpr (IsStrongId<T>::value) {
+    std::remove_cvref_t<decltype(value.value())> rep{};
+    if (!Read<S>(json, rep)) {
+      return false;
+    }
+    value = T(std::move(rep));
+    return true;
+  } else if constexpr (IsQuantity<T>::value) {
+    std::int64_t count = 0;
+    if (!ReadInteger(json, count) || count > kMaxQuantity ||
+        count < -kMaxQuantity) {
+      return false;
+    }
+    value = T(count);
+    return true;
+  } else if constexpr (std::same_as<T, bool>) {
+    if (!json.is_boolean()) {
+      return false;
+    }
+    value = json.get<bool>();
+    return true;
+  } else if constexpr (std::same_as<T, std::string>) {
+    return ReadText(json, value);
+  } else {
+    return ReadInteger(json, value);
+  }
+}
+
+}  // namespace baobab
+
+#endif  // SRC_LIBWIRE_SHAPE_H_
