decision: add the reducer, the state and the reading of the log

Cause: the parts had no common entry. Change: Reduce() passes each event to the parts it concerns; LogReading decides the read offset and asks peers.

--- /dev/null
+++ b/src/libdecision/reducer.cc
@@ -0,0 +1,317 @@
+#include "libdecision/reducer.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "libdecision/fold_codec.h"
+#include "libdecision/rendezvous.h"
+#include "libdecision/state.h"
+
+namespace baobab {
+
+namespace {
+
+/** Passes one event to the parts that it concerns. */
+class Reducer {
+ public:
+  Reducer(State& state, const Event& event)
+      : state_(state), now_(event.at), wall_ms_(event.wall_ms) {}
+
+  Effects Run(const EventBody& body) {
+    std::visit([this](const auto& it) { On(it); }, body);
+    Advance();
+    return std::move(effects_);
+  }
+
+ private:
+  void On(const Tick&) {
+    state_.reading.Tick(now_, state_.fold, effects_);
+    state_.membership.Tick(now_, Local(), effects_);
+    state_.minions.Advance(
+        now_, [this](const MinionId& it) { return Probes(it); }, effects_);
+    state_.scheduler.Tick(now_);
+    state_.commands.Tick(now_, state_.fold, state_.membership, state_.writer,
+                         effects_);
+    state_.planner.Tick(now_, wall_ms_, state_.fold, state_.membership,
+                        state_.writer, effects_);
+    state_.writer.Tick(now_, state_.fold, effects_);
+  }
+
+  void On(const RequestArrived& event) {
+    state_.requests.SetConfirmed(Confirmed());
+    state_.requests.OnArrived(event, now_, effects_);
+  }
+  void On(const RequestAbandoned& event) {
+    state_.requests.OnAbandoned(event, now_, effects_);
+  }
+  void On(const KeyRequested& event) {
+    state_.requests.OnKeyRequested(event, now_, effects_);
+  }
+  void On(const AttemptFinished& event) {
+    state_.requests.OnAttemptFinished(event, now_, effects_);
+  }
+  void On(const ProbeFinished& event) {
+    state_.minions.OnProbe(event, now_, effects_);
+  }
+
+  void On(const HostListRead& event) {
+    state_.minions.OnHostList(event.list, now_, effects_);
+    state_.scheduler.SetMinions(event.list.minions, now_);
+    state_.planner.OnHostList(event.list);
+  }
+
+  void On(const LogRead& event) {
+    state_.membership.OnLogRead(now_);
+    state_.reading.OnRead(
+        event, state_.fold,
+        [this](const LogEntry& entry, const FoldResult& result) {
+          ExplainFold(entry, result, effects_);
+          state_.planner.OnFolded(entry, result, now_);
+        });
+    FollowFold();
+  }
+  void On(const LogReadFailed&) { state_.planner.OnLogReadFailed(now_); }
+  void On(const AppendFinished& event) {
+    state_.writer.OnFinished(event, now_, effects_);
+  }
+
+  void On(const PeerMessageReceived& event) {
+    const PeerEnvelope& envelope = event.envelope;
+    const auto& peers = state_.membership.peers();
+    const auto it = peers.find(envelope.from);
+    if (!IsConfigured(envelope.from) ||
+        (it != peers.end() && envelope.incarnation < it->second.incarnation)) {
+      effects_.push_back(
+          Explain{{"peer-message-dropped", "node/" + envelope.from.value(), "",
+                   "sender is not configured, or an earlier process"}});
+      return;
+    }
+    std::visit([&](const auto& message) { OnPeer(envelope, message); },
+               envelope.message);
+  }
+  void On(const PeerLost& event) { state_.membership.OnPeerLost(event.peer); }
+
+  void On(const EditSubmitted& event) {
+    state_.commands.OnEdit(event, now_, wall_ms_, state_.fold, state_.writer,
+                           effects_);
+    state_.writer.Tick(now_, state_.fold, effects_);
+  }
+  void On(const TableRequested& event) {
+    state_.commands.OnTable(event, state_.fold, effects_);
+  }
+  void On(const HistoryRequested& event) {
+    state_.commands.OnHistory(event, state_.fold, effects_);
+  }
+  void On(const StatusRequested& event) {
+    effects_.push_back(AnswerCommand{event.command, MakeStatus(state_, now_)});
+  }
+  void On(const StopRequested&) {
+    state_.requests.OnStop(now_, effects_);
+    state_.planner.Stop();
+    state_.scheduler.ReturnAll(now_);
+  }
+
+  void OnPeer(const PeerEnvelope& envelope, const Heartbeat& message) {
+    const HeartbeatOutcome outcome = state_.membership.OnHeartbeat(
+        envelope.from, envelope.incarnation, message, now_);
+    if (outcome == HeartbeatOutcome::kOlderProcess) {
+      return;
+    }
+    state_.fold.HearOffset(message.next_offset);
+    state_.scheduler.SetPeerLoads(envelope.from, message.loads);
+    state_.minions.OnHeartbeat(envelope.from, message.leaving, now_, effects_);
+    FollowFold();
+  }
+  void OnPeer(const PeerEnvelope& envelope, const BorrowRequest& message) {
+    state_.scheduler.OnBorrow(envelope.from, envelope.incarnation, message,
+                              now_);
+  }
+  void OnPeer(const PeerEnvelope& envelope, const LoanGrant& message) {
+    state_.scheduler.OnGrant(envelope.from, envelope.incarnation, message,
+                             now_);
+  }
+  void OnPeer(const PeerEnvelope& envelope, const LoanReturn& message) {
+    state_.scheduler.OnReturn(envelope.from, envelope.incarnation, message,
+                              now_);
+  }
+  void OnPeer(const PeerEnvelope& envelope, const KeyClaim& message) {
+    state_.keys.OnClaim(envelope.from, envelope.incarnation, message, now_,
+                        effects_);
+  }
+  void OnPeer(const PeerEnvelope& envelope, const KeyClaimReply& message) {
+    state_.requests.OnKeyReply(envelope.from, envelope.incarnation, message,
+                               now_, effects_);
+  }
+  void OnPeer(const PeerEnvelope& envelope, const KeyOutcome& message) {
+    state_.keys.OnOutcome(envelope.from, envelope.incarnation, message, now_,
+                          effects_);
+  }
+  void OnPeer(const PeerEnvelope& envelope, const MinionNotice& message) {
+    state_.minions.OnNotice(envelope.from, message, now_, effects_);
+  }
+  void OnPeer(const PeerEnvelope& envelope, const StateRequest&) {
+    if (state_.fold.caught_up()) {
+      effects_.push_back(
+          SendPeer{envelope.from, StateReply{state_.fold.next_offset(),
+                                             EncodeFold(state_.fold.state())}});
+    }
+  }
+  void OnPeer(const PeerEnvelope& envelope, const StateReply& message) {
+    state_.reading.OnReply(envelope.from, message, state_.fold, effects_);
+    FollowFold();
+  }
+
+  /** Tells the other parts of a new table or view. A table that may be older
+   * than one in force is not used. */
+  void FollowFold() {
+    if (!state_.fold.caught_up()) {
+      return;
+    }
+    FollowTable();
+    FollowView();
+  }
+
+  void FollowTable() {
+    const auto version =
+        static_cast<std::int64_t>(state_.fold.version().value());
+    if (version == state_.table_in_use) {
+      return;
+    }
+    state_.table_in_use = version;
+    const Table& table = state_.fold.table();
+    state_.requests.SetQueues(table.queues);
+    state_.scheduler.SetTable(table, now_);
+    state_.minions.OnTable(table, now_, effects_);
+    effects_.push_back(
+        Explain{{"table-in-force", "table/" + std::to_string(version), "",
+                 "adopted by this node"}});
+  }
+
+  void FollowView() {
+    const View& view = state_.fold.view();
+    const auto number = static_cast<std::int64_t>(view.number.value());
+    std::set<NodeId> adopted;
+    for (const ViewNode& it : view.nodes) {
+      if (it.id == state_.config.id ||
+          state_.membership.Adopted(it.id, view.number)) {
+        adopted.insert(it.id);
+      }
+    }
+    if (number == state_.view_in_use && adopted == state_.adopted) {
+      return;
+    }
+    state_.view_in_use = number;
+    state_.adopted = std::move(adopted);
+    state_.scheduler.SetView(view.number, view.nodes, state_.adopted, now_);
+  }
+
+  /** Lets requests start and end, and collects what the scheduler sends. */
+  void Advance() {
+    state_.requests.SetConfirmed(Confirmed());
+    state_.requests.Advance(now_, effects_);
+    for (SendPeer& it : state_.scheduler.TakeMessages()) {
+      effects_.push_back(std::move(it));
+    }
+    for (const Error& it : state_.scheduler.TakeViolations()) {
+      ++state_.violations;
+      effects_.push_back(Explain{{"invariant-violated",
+                                  it.peer.empty() ? "" : "node/" + it.peer,
+                                  it.step, it.message}});
+    }
+    SayFarewell();
+  }
+
+  /** Sends the last heartbeat before the process stops. */
+  void SayFarewell() {
+    const bool stops =
+        std::any_of(effects_.begin(), effects_.end(), [](const Effect& it) {
+          return std::holds_alternative<StopProcess>(it);
+        });
+    if (!stops) {
+      return;
+    }
+    Effects last;
+    state_.membership.SendFinal(now_, Local(), last);
+    effects_.insert(effects_.begin(), last.begin(), last.end());
+  }
+
+  LocalStatus Local() const {
+    LocalStatus local;
+    local.view = state_.scheduler.AnnouncedView(now_);
+    local.next_offset = state_.fold.next_offset();
+    local.version = state_.fold.version();
+    local.stopping = state_.requests.stopping();
+    local.loads = state_.scheduler.Loads();
+    local.leaving = state_.minions.Leaving();
+    return local;
+  }
+
+  bool Confirmed() const {
+    return state_.fold.caught_up() &&
+           state_.membership.Confirmed(now_, state_.fold.view());
+  }
+
+  bool IsConfigured(const NodeId& node) const {
+    const auto& peers = state_.config.peers;
+    return std::any_of(peers.begin(), peers.end(),
+                       [&](const PeerConfig& it) { return it.id == node; });
+  }
+
+  /** One node of the minion's data centre probes it: the owner of unit 0 among
+   * the nodes that this node hears. */
+  bool Probes(const MinionId& minion) const {
+    const MinionEntry* entry = state_.minions.Find(minion);
+    if (entry == nullptr) {
+      return false;
+    }
+    std::vector<std::uint64_t> near;
+    std::vector<std::uint64_t> all;
+    for (const ViewNode& it : state_.fold.view().nodes) {
+      const bool self = it.id == state_.config.id;
+      if (!self && !state_.membership.Hears(it.id, now_)) {
+        continue;
+      }
+      const std::uint64_t hash = StableHash(it.id.value());
+      all.push_back(hash);
+      if (it.data_centre == entry->data_centre) {
+        near.push_back(hash);
+      }
+    }
+    const std::vector<std::uint64_t>& nodes = near.empty() ? all : near;
+    if (nodes.empty()) {
+      return true;
+    }
+    const std::uint64_t resource =
+        StableHash(ResourceId{ResourceKind::kMinionSlots, minion.value()});
+    return nodes[RendezvousOwner(resource, 0, nodes)] ==
+           StableHash(state_.config.id.value());
+  }
+
+  State& state_;
+  const Time now_;
+  const std::int64_t wall_ms_;
+  Effects effects_;
+};
+
+}  // namespace
+
+Effects Reduce(State& state, const Event& event) {
+  return Reducer(state, event).Run(event.body);
+}
+
+std::shared_ptr<State> MakeState(const NodeConfig& config, Time now) {
+  return std::make_shared<State>(config, now);
+}
+
+Offset NextLogOffset(const State& state) {
+  return state.reading.next_offset();
+}
+
+bool IsReady(const State& state, Time now) {
+  return state.fold.caught_up() && !state.requests.stopping() &&
+         state.membership.Confirmed(now, state.fold.view());
+}
+
+}  // namespace baobab
--- a/src/libdecision/reducer.h
+++ b/src/libdecision/reducer.h
@@ -19,6 +19,12 @@
 /** A fresh state, for a node that starts at `now`. */
 std::shared_ptr<State> MakeState(const NodeConfig& config, Time now);
 
+/** Offset from which the shell reads the log next; it may go back. */
+Offset NextLogOffset(const State& state);
+
+/** True if the balancer may send requests to this node. */
+bool IsReady(const State& state, Time now);
+
 }  // namespace baobab
 
 #endif  // SRC_LIBDECISION_REDUCER_H_
--- /dev/null
+++ b/src/libdecision/state.h
@@ -0,0 +1,58 @@
+#ifndef SRC_LIBDECISION_STATE_H_
+#define SRC_LIBDECISION_STATE_H_
+
+#include <map>
+#include <set>
+
+#include "libdecision/event.h"
+#include "libdecision/fair_scheduler.h"
+#include "libdecision/key_registry.h"
+#include "libdecision/log_fold.h"
+#include "libdecision/log_reading.h"
+#include "libdecision/log_writer.h"
+#include "libdecision/membership.h"
+#include "libdecision/minion_health.h"
+#include "libdecision/node_config.h"
+#include "libdecision/planner.h"
+#include "libdecision/reducer.h"
+#include "libdecision/request_flow.h"
+#include "libdecision/table_commands.h"
+
+namespace baobab {
+
+/** All state of one node, one part for each job. The handlers in reducer.cc
+ * pass each event to the parts that it concerns. */
+class State {
+ public:
+  State(const NodeConfig& config, Time now);
+  State(const State&) = delete;
+  State& operator=(const State&) = delete;
+
+  const NodeConfig config;
+
+  LogFold fold;
+  LogReading reading;
+  LogWriter writer;
+  Membership membership;
+  TableCommands commands;
+  Planner planner;
+
+  FairScheduler scheduler;
+  KeyRegistry keys;
+  MinionHealth minions;
+  RequestFlow requests;
+
+  /** Version which the other parts were told of; -1 before the first. */
+  std::int64_t table_in_use = -1;
+  /** Nodes known to have adopted the view in use. */
+  std::set<NodeId> adopted;
+  std::int64_t view_in_use = -1;
+  std::uint64_t violations = 0;
+};
+
+/** The report for StatusRequested. */
+StatusReport MakeStatus(const State& state, Time now);
+
+}  // namespace baobab
+
+#endif  // SRC_LIBDECISION_STATE_H_
