--- /dev/null
+++ b/src/libtelemetry/log.cc
@@ -0,0 +1,66 @@
+#include "libtelemetry/log.h"
+
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
+#include <cerrno>
+#include <chrono>
+#include <cstddef>
+#include <ctime>
+#include <iterator>
+#include <string>
+
+namespace baobab {
+
+namespace {
+
+constexpr std::array<std::string_view, 4> kLevelNames = {"debug", "info",
+                                                         "warning", "error"};
+
+std::atomic<LogLevel> lowest_level = LogLevel::kInfo;
+
+/** UTC time as "2026-12-04T09:30:00.123Z". */
+std::string UtcTime() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  const auto ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+  const std::time_t seconds = ms / 1000;
+  std::tm parts{};
+  gmtime_r(&seconds, &parts);
+  return fmt::format("{:04}-{:02}-{:02}T{:02}:{:02}:{:02}.{:03}Z",
+                     parts.tm_year + 1900, parts.tm_mon + 1, parts.tm_mday,
+                     parts.tm_hour, parts.tm_min, parts.tm_sec, ms % 1000);
+}
+
+/** Appends the text with control characters replaced, so that a message with
+ * text from outside stays in one line. */
+void AppendOneLine(std::string& line, std::string_view text) {
+  for (const char c : text) {
+    const auto byte = static_cast<unsigned char>(c);
+    line += byte < 0x20 || byte == 0x7F ? '?' : c;
+  }
+}
+
+}  // namespace
+
+void SetLogLevel(LogLevel level) {
+  lowest_level = level;
+}
+
+void WriteLog(LogLevel level, std::string_view part, std::string_view message) {
+  if (level < lowest_level) {
+    return;
+  }
+  std::string line =
+      fmt::format("{} {:<7} {}: ", UtcTime(),
+                  kLevelNames.at(static_cast<std::size_t>(level)), part);
+  AppendOneLine(line, message);
+  line += '\n';
+  // One write for each line, so that lines of threads do not mix. There is
+  // nowhere to report a failed write.
+  while (write(STDERR_FILENO, line.data(), line.size()) < 0 && errno == EINTR) {
+  }
+}
+
+}  // namespace baobab
--- /dev/null
+++ b/src/libtelemetry/timeline.cc
@@ -0,0 +1,212 @@
+#include "libtelemetry/timeline.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cerrno>
+#include <chrono>
+#include <condition_variable>
+#include <cstddef>
+#include <cstring>
+#include <mutex>
+#include <string_view>
+#include <thread>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "libtelemetry/log.h"
+
+namespace baobab {
+
+namespace {
+
+constexpr std::chrono::seconds kFlushInterval{1};
+/** Buffered bytes that wake the writer before the interval ends. */
+constexpr std::size_t kFlushBytes = 64 * 1024;
+/** Buffered bytes above which entries are dropped, so that a full or stalled
+ * disk does not use up the memory of the node. */
+constexpr std::size_t kMaxBuffer = 1024 * 1024;
+
+}  // namespace
+
+class Timeline::Impl {
+ public:
+  Impl(const std::string& path, const NodeId& node, Incarnation incarnation)
+      : path_(path), node_(node), incarnation_(incarnation) {
+    if (path.empty()) {
+      return;
+    }
+    file_ = open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    if (file_ < 0) {
+      Log(LogLevel::kError, "node", "time line {} cannot be opened: {}", path,
+          std::strerror(errno));
+      return;
+    }
+    writer_ = std::thread([this] { RunWriter(); });
+  }
+
+  ~Impl() {
+    if (file_ < 0) {
+      return;
+    }
+    {
+      const std::lock_guard lock(mutex_);
+      stopping_ = true;
+    }
+    wake_.notify_one();
+    writer_.join();
+    close(file_);
+  }
+
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  void Write(const TimelineEntry& entry, std::int64_t wall_ms) {
+    bool wake = false;
+    {
+      const std::lock_guard lock(mutex_);
+      ++clock_;
+      if (path_.empty()) {
+        return;
+      }
+      if (file_ < 0 || buffer_.size() >= kMaxBuffer) {
+        ++dropped_;
+        ++dropped_unreported_;
+        return;
+      }
+      if (dropped_unreported_ > 0) {
+        Append({"entries-dropped", "node/" + node_.value(), "",
+                std::to_string(dropped_unreported_) +
+                    " entries were dropped because the file could not be "
+                    "written"},
+               wall_ms);
+        dropped_unreported_ = 0;
+        ++clock_;
+      }
+      Append(entry, wall_ms);
+      wake = buffer_.size() >= kFlushBytes;
+    }
+    if (wake) {
+      wake_.notify_one();
+    }
+  }
+
+  void Witness(std::uint64_t clock) {
+    const std::lock_guard lock(mutex_);
+    clock_ = std::max(clock_, clock);
+  }
+
+  std::uint64_t clock() const {
+    const std::lock_guard lock(mutex_);
+    return clock_;
+  }
+
+  std::uint64_t dropped() const {
+    const std::lock_guard lock(mutex_);
+    return dropped_;
+  }
+
+ private:
+  void Append(const TimelineEntry& entry, std::int64_t wall_ms) {
+    nlohmann::ordered_json json = {
+        {"node", node_.value()},    {"incarnation", incarnation_.value()},
+        {"sequence", ++sequence_},  {"clock", clock_},
+        {"wall_ms", wall_ms},       {"kind", entry.kind},
+        {"subject", entry.subject}, {"cause", entry.cause},
+        {"detail", entry.detail}};
+    buffer_ += json.dump(-1, ' ', false,
+                         nlohmann::ordered_json::error_handler_t::replace);
+    buffer_ += '\n';
+  }
+
+  void RunWriter() {
+    std::unique_lock lock(mutex_);
+    for (bool last = false; !last;) {
+      wake_.wait_for(lock, kFlushInterval, [this] {
+        return stopping_ || (!failing_ && buffer_.size() >= kFlushBytes);
+      });
+      last = stopping_;
+      const std::string data = buffer_;
+      lock.unlock();
+      const std::size_t written = WriteAll(data);
+      lock.lock();
+      // What was not written stays, so that no line is cut: the rest of a line
+      // follows when the disk has space again.
+      buffer_.erase(0, written);
+    }
+    const auto lost = std::count(buffer_.begin(), buffer_.end(), '\n');
+    if (lost > 0) {
+      dropped_ += lost;
+      Log(LogLevel::kError, "node", "time line {} lost {} entries at exit",
+          path_, lost);
+    }
+  }
+
+  /** Returns the number of bytes written. */
+  std::size_t WriteAll(std::string_view data) {
+    std::size_t written = 0;
+    while (written < data.size()) {
+      const ssize_t n =
+          write(file_, data.data() + written, data.size() - written);
+      if (n < 0 && errno == EINTR) {
+        continue;
+      }
+      if (n < 0) {
+        if (!failing_.exchange(true)) {
+          Log(LogLevel::kWarning, "node", "time line {} cannot be written: {}",
+              path_, std::strerror(errno));
+        }
+        return written;
+      }
+      written += static_cast<std::size_t>(n);
+    }
+    if (!data.empty()) {
+      failing_ = false;
+    }
+    return written;
+  }
+
+  const std::string path_;
+  const NodeId node_;
+  const Incarnation incarnation_;
+  int file_ = -1;
+  std::thread writer_;
+  std::atomic<bool> failing_ = false;
+
+  mutable std::mutex mutex_;
+  std::condition_variable wake_;
+  bool stopping_ = false;
+  std::string buffer_;
+  std::uint64_t clock_ = 0;
+  std::uint64_t sequence_ = 0;
+  std::uint64_t dropped_ = 0;
+  std::uint64_t dropped_unreported_ = 0;
+};
+
+Timeline::Timeline(const std::string& path,
+                   const NodeId& node,
+                   Incarnation incarnation)
+    : impl_(std::make_unique<Impl>(path, node, incarnation)) {}
+
+Timeline::~Timeline() = default;
+
+void Timeline::Write(const TimelineEntry& entry, std::int64_t wall_ms) {
+  impl_->Write(entry, wall_ms);
+}
+
+void Timeline::Witness(std::uint64_t clock) {
+  impl_->Witness(clock);
+}
+
+std::uint64_t Timeline::clock() const {
+  return impl_->clock();
+}
+
+std::uint64_t Timeline::dropped() const {
+  return impl_->dropped();
+}
+
+}  // namespace baobab
--- a/src/libtelemetry/timeline.h
+++ b/src/libtelemetry/timeline.h
@@ -29,6 +29,9 @@
   /** The clock to send with a message. */
   std::uint64_t clock() const;
 
+  /** Entries that were not kept because the file could not be written. */
+  std::uint64_t dropped() const;
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
