settings: load and check a node's INI settings

Cause: a node must refuse faulty settings with all faults in one run. Change: inih behind LoadSettings(); each fault has file, line, key, found and allowed. Unknown and repeated keys and sections, host names, units, ranges, shared addresses and the own id among the peers are faults. inih reports one faulty line only and splits long lines, so lines are fed to it one by one. ParseAddress() and ToString(Address) are new in the header.

--- /dev/null
+++ b/src/libsettings/ini_file.cc
@@ -0,0 +1,135 @@
+#include "libsettings/ini_file.h"
+
+#include <ini.h>
+
+#include <algorithm>
+#include <cstring>
+#include <filesystem>
+#include <fstream>
+#include <system_error>
+#include <utility>
+
+namespace baobab {
+
+namespace {
+
+/** A file with more faulty lines is no settings file; each costs a parse. */
+constexpr std::size_t kMaxFaultyLines = 50;
+constexpr std::size_t kMaxFileBytes = 1 << 20;
+
+/** Feeds lines to inih and knows the number of the last one, which inih does
+ * not pass to its handler. */
+class LineFeeder {
+ public:
+  LineFeeder(const std::vector<std::string>& lines, IniFile& file)
+      : lines_(lines), file_(file) {}
+
+  int line() const { return static_cast<int>(next_); }
+  int longest() const { return longest_; }
+
+  static char* Read(char* buf, int size, void* feeder) {
+    return static_cast<LineFeeder*>(feeder)->ReadLine(buf, size);
+  }
+
+  static int Handle(void* feeder,
+                    const char* section,
+                    const char* name,
+                    const char* value) {
+    auto& it = *static_cast<LineFeeder*>(feeder);
+    it.file_.entries.push_back({section, name, value, it.line()});
+    return 1;
+  }
+
+ private:
+  char* ReadLine(char* buf, int size) {
+    if (next_ == lines_.size()) {
+      return nullptr;
+    }
+    // inih splits a line that does not fit into its buffer and takes the rest
+    // for another line.
+    longest_ = size - 2;
+    std::string text = lines_[next_++];
+    if (text.size() > static_cast<std::size_t>(longest_)) {
+      text = "longer than the buffer";
+    }
+    text += '\n';
+    std::memcpy(buf, text.c_str(), text.size() + 1);
+    return buf;
+  }
+
+  const std::vector<std::string>& lines_;
+  IniFile& file_;
+  std::size_t next_ = 0;
+  int longest_ = 0;
+};
+
+std::vector<IniSection> FindSections(const std::vector<std::string>& lines) {
+  std::vector<IniSection> sections;
+  for (std::size_t n = 0; n < lines.size(); ++n) {
+    const auto open = lines[n].find_first_not_of(" \t");
+    const auto close = lines[n].find(']');
+    if (open != std::string::npos && lines[n][open] == '[' &&
+        close != std::string::npos) {
+      sections.push_back({lines[n].substr(open + 1, close - open - 1),
+                          static_cast<int>(n) + 1});
+    }
+  }
+  return sections;
+}
+
+/** Parses the lines; returns the number of the first faulty one or 0. */
+int ParseOnce(const std::vector<std::string>& lines,
+              IniFile& file,
+              int& longest) {
+  file.entries.clear();
+  LineFeeder feeder(lines, file);
+  const int faulty =
+      ini_parse_stream(LineFeeder::Read, &feeder, LineFeeder::Handle, &feeder);
+  longest = feeder.longest();
+  return std::max(faulty, 0);
+}
+
+}  // namespace
+
+std::optional<IniFile> ReadIniFile(const std::string& path) {
+  std::error_code ec;
+  if (!std::filesystem::is_regular_file(path, ec)) {
+    return std::nullopt;
+  }
+  std::ifstream stream(path, std::ios::binary);
+  std::vector<std::string> lines;
+  std::size_t bytes = 0;
+  for (std::string line; std::getline(stream, line);) {
+    bytes += line.size() + 1;
+    if (bytes > kMaxFileBytes) {
+      return std::nullopt;
+    }
+    // inih works on C strings, which a zero byte would cut.
+    std::replace(line.begin(), line.end(), '\0', '?');
+    lines.push_back(std::move(line));
+  }
+  if (stream.bad() || (lines.empty() && !stream.eof())) {
+    return std::nullopt;
+  }
+  IniFile file;
+  // inih reports only the first faulty line, so that line is blanked and the
+  // file parsed again.
+  int longest = 0;
+  for (int faulty = ParseOnce(lines, file, longest); faulty > 0;
+       faulty = ParseOnce(lines, file, longest)) {
+    std::string& line = lines[static_cast<std::size_t>(faulty) - 1];
+    const bool too_long = line.size() > static_cast<std::size_t>(longest);
+    file.faults.push_back(
+        {path, faulty, "", line.substr(0, 60),
+         too_long ? "at most " + std::to_string(longest) + " bytes in a line"
+                  : "[section], key = value, or a comment after # or ;"});
+    line.clear();
+    if (file.faults.size() == kMaxFaultyLines) {
+      break;
+    }
+  }
+  file.sections = FindSections(lines);
+  return file;
+}
+
+}  // namespace baobab
--- a/src/libsettings/settings.h
+++ b/src/libsettings/settings.h
@@ -3,7 +3,9 @@
 
 // Public header of libsettings: a node's INI settings, checked.
 
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <tl/expected.hpp>
@@ -20,6 +22,13 @@
   bool operator==(const Address&) const = default;
 };
 
+/** Parses "1.2.3.4:80" or "[::1]:80"; empty if the text is anything else, such
+ * as a host name or a port outside 1 to 65535. */
+std::optional<Address> ParseAddress(std::string_view text);
+
+/** Text that ParseAddress() accepts. */
+std::string ToString(const Address& address);
+
 struct PeerSettings {
   NodeId id;
   DataCentreId data_centre;
