--- a/src/libdecision/minion_health.cc
+++ b/src/libdecision/minion_health.cc
@@ -161,6 +161,7 @@
   const std::string cause = "probe/" + probe.minion.value();
   if (probe.leaving) {
     minion->sign = true;
+    minion->clean_probes = 0;
     MarkLeaving(*minion, cause, "its own sign", effects);
   }
   if (!minion->probe_sent) {
@@ -191,6 +192,7 @@
   const std::string cause = "attempt/" + id.value();
   if (leaving) {
     minion->sign = true;
+    minion->clean_probes = 0;
     MarkLeaving(*minion, cause, "its own sign", effects);
   }
   switch (result) {
@@ -288,11 +290,9 @@
                                Effects& effects) {
   // Repeated hearsay does not undo own proof: two nodes which both saw a sign
   // would otherwise wait for each other for ever.
-  if (!minion.leaving || minion.FirstHand()) {
-    minion.clean_probes = 0;
-  }
   if (!minion.leaving) {
     minion.leaving = true;
+    minion.clean_probes = 0;
     Note(effects, "minion-leaving", minion.entry.id, cause, rule);
   }
   // Nobody repeats what a peer has announced to all nodes; heartbeats cover
