--- a/src/libwire/shape.h
+++ b/src/libwire/shape.h
@@ -210,21 +210,21 @@
     }
     return true;
   } else if constexpr (std::is_enum_v<T>) {
-    constexpr auto& names = EnumNames<T>::kNames;
-    std::size_t index = names.size();
+    constexpr auto& kNames = EnumNames<T>::kNames;
+    std::size_t index = kNames.size();
     if constexpr (S == Style::kObject) {
       std::string text;
       if (!ReadText(json, text)) {
         return false;
       }
-      for (index = 0; index < names.size() && names.at(index) != text;) {
+      for (index = 0; index < kNames.size() && kNames.at(index) != text;) {
         ++index;
       }
     } else if (!ReadInteger(json, index)) {
       return false;
     }
     value = static_cast<T>(index);
-    return index < names.size();
+    return index < kNames.size();
   } else if constexpr (std::same_as<T, Duration>) {
     std::int64_t count = 0;
     if (!ReadInteger(json, count) || count > kMaxDuration.count() ||
