--- a/src/libdecision/log_fold.h
+++ b/src/libdecision/log_fold.h
@@ -32,7 +32,8 @@
 
 struct FoldResult {
   FoldOutcome outcome = FoldOutcome::kApplied;
-  /** Rule with its numbers; empty if applied. */
+  /** Rule with its numbers; empty if applied, but "renewal" for a planner's
+   * claim of its own term. */
   std::string reason;
   std::vector<CellConflict> conflicts;
   CellFaults faults;
--- a/src/libdecision/log_writer.h
+++ b/src/libdecision/log_writer.h
@@ -46,15 +46,14 @@
   struct Waiting {
     Record record;
     std::uint32_t attempts = 0;
-    bool in_flight = false;
     /** The log took it; it only waits to be read back. */
     bool appended = false;
     /** An attempt ended without an answer, so that a copy may exist. */
     bool copy_possible = false;
     Time due;
-    Time sent;
   };
 
+  std::deque<Waiting>::iterator Find(RecordSequence sequence);
   Duration Backoff(const Waiting& waiting) const;
   void Fail(Waiting& waiting, Time now, const char* why, Effects& effects);
 
@@ -62,7 +61,9 @@
   Duration spacing_;
   std::uint64_t next_sequence_ = 1;
   std::deque<Waiting> queue_;
-  std::optional<RecordSequence> withdrawn_in_flight_;
+  /** At most one append; it may be of a record that was withdrawn since. */
+  std::optional<RecordSequence> in_flight_;
+  Time sent_at_;
   Time next_append_;
   bool unreachable_ = false;
 };
--- /dev/null
+++ b/src/libdecision/membership.cc
@@ -0,0 +1,225 @@
+#include "libdecision/membership.h"
+
+#include <algorithm>
+#include <string>
+#include <tuple>
+#include <utility>
+
+#include <xxhash.h>
+
+namespace baobab {
+namespace {
+
+// A confirmation has to be recent: two heartbeats of the peer plus a delay.
+constexpr Duration kReportFreshNear = std::chrono::seconds(3);
+constexpr Duration kReportFreshFar = std::chrono::seconds(12);
+
+/** Spreads the first heartbeats of all pairs over the interval. */
+Duration Stagger(const NodeId& from, const NodeId& to, Duration interval) {
+  const std::string key = from.value() + ">" + to.value();
+  const auto part = XXH3_64bits(key.data(), key.size()) %
+                    static_cast<std::uint64_t>(interval.count());
+  return Duration(static_cast<std::int64_t>(part));
+}
+
+}  // namespace
+
+Membership::Membership(const NodeConfig& config, Time now)
+    : config_(config), last_tick_(now) {
+  for (const auto& it : config_.peers) {
+    if (it.id == config_.id) {
+      continue;
+    }
+    targets_[it.id] = it.data_centre;
+    due_[it.id] =
+        now + Stagger(config_.id, it.id,
+                      IsNear(it.data_centre) ? kHeartbeatNear : kHeartbeatFar);
+  }
+}
+
+bool Membership::IsNear(const DataCentreId& data_centre) const {
+  return data_centre == config_.data_centre;
+}
+
+HeartbeatOutcome Membership::OnHeartbeat(const NodeId& from,
+                                         Incarnation incarnation,
+                                         const Heartbeat& heartbeat,
+                                         Time now) {
+  const auto it = peers_.find(from);
+  if (it != peers_.end() && incarnation < it->second.incarnation) {
+    return HeartbeatOutcome::kOlderProcess;
+  }
+  auto outcome = HeartbeatOutcome::kTaken;
+  if (it == peers_.end()) {
+    outcome = HeartbeatOutcome::kNewPeer;
+  } else if (incarnation > it->second.incarnation) {
+    outcome = HeartbeatOutcome::kRestarted;
+  }
+  const Time known_since =
+      outcome == HeartbeatOutcome::kTaken ? it->second.known_since : now;
+  peers_[from] = {heartbeat.data_centre, incarnation, now,      now,
+                  known_since,           false,       heartbeat};
+  if (outcome != HeartbeatOutcome::kTaken && targets_.contains(from)) {
+    // The process knows nothing of its peers yet.
+    due_[from] = now;
+  }
+  return outcome;
+}
+
+void Membership::OnPeerLost(const NodeId& peer) {
+  const auto it = peers_.find(peer);
+  if (it != peers_.end()) {
+    it->second.link_lost = true;
+  }
+}
+
+void Membership::OnLogRead(Time now) {
+  log_read_at_ = now;
+  log_ever_read_ = true;
+}
+
+bool Membership::LogFresh(Time now) const {
+  return log_ever_read_ && now - log_read_at_ < kLogFresh;
+}
+
+Heartbeat Membership::Make(Time now,
+                           const LocalStatus& local,
+                           bool near) const {
+  Heartbeat it;
+  it.data_centre = config_.data_centre;
+  it.view = local.view;
+  it.next_offset = local.next_offset;
+  it.version = local.version;
+  it.log_fresh = LogFresh(now);
+  it.stopping = local.stopping;
+  for (const auto& [id, peer] : peers_) {
+    if (Hears(id, now)) {
+      it.hears.push_back(id);
+    }
+  }
+  if (near) {
+    it.loads = local.loads;
+  }
+  it.leaving = local.leaving;
+  return it;
+}
+
+void Membership::ForgivePause(Time now) {
+  const Duration gap = now - last_tick_;
+  last_tick_ = now;
+  if (gap <= kPause) {
+    return;
+  }
+  for (auto& [id, peer] : peers_) {
+    peer.silent_since = std::min(now, peer.silent_since + gap);
+  }
+}
+
+void Membership::Tick(Time now, const LocalStatus& local, Effects& effects) {
+  ForgivePause(now);
+  const bool at_once =
+      local.version > sent_version_ || (local.stopping && !sent_stopping_);
+  sent_version_ = std::max(sent_version_, local.version);
+  sent_stopping_ = local.stopping;
+  for (const auto& [id, data_centre] : targets_) {
+    auto& due = due_[id];
+    if (now < due && !at_once) {
+      continue;
+    }
+    const bool near = IsNear(data_centre);
+    const Duration interval = near ? kHeartbeatNear : kHeartbeatFar;
+    effects.push_back(SendPeer{id, Make(now, local, near)});
+    // Keeps the phase of the schedule, but sends no burst after a pause.
+    while (due <= now) {
+      due += interval;
+    }
+  }
+}
+
+void Membership::SendFinal(Time now,
+                           const LocalStatus& local,
+                           Effects& effects) {
+  for (const auto& [id, data_centre] : targets_) {
+    effects.push_back(SendPeer{id, Make(now, local, IsNear(data_centre))});
+  }
+}
+
+bool Membership::Hears(const NodeId& peer, Time now) const {
+  const auto it = peers_.find(peer);
+  return it != peers_.end() &&
+         now - it->second.silent_since <
+             (IsNear(it->second.data_centre) ? kSilenceNear : kSilenceFar);
+}
+
+bool Membership::ConfirmsSelf(const NodeId& peer,
+                              Time now,
+                              ViewNumber view) const {
+  const auto it = peers_.find(peer);
+  if (it == peers_.end()) {
+    return false;
+  }
+  const PeerState& state = it->second;
+  const Duration fresh =
+      IsNear(state.data_centre) ? kReportFreshNear : kReportFreshFar;
+  const auto& hears = state.last.hears;
+  return now - state.heard_at < fresh && state.last.view <= view &&
+         std::find(hears.begin(), hears.end(), config_.id) != hears.end();
+}
+
+bool Membership::Confirmed(Time now, const View& view) const {
+  if (LogFresh(now)) {
+    return true;
+  }
+  const auto count = [&](bool near_only) {
+    std::pair<std::size_t, std::size_t> confirming_of_all;
+    for (const auto& it : view.nodes) {
+      if (it.id != config_.id && (!near_only || IsNear(it.data_centre))) {
+        confirming_of_all.first +=
+            ConfirmsSelf(it.id, now, view.number) ? 1 : 0;
+        ++confirming_of_all.second;
+      }
+    }
+    return confirming_of_all;
+  };
+  auto [confirming, all] = count(true);
+  if (all == 0) {
+    std::tie(confirming, all) = count(false);
+  }
+  if (all == 0) {
+    // Others may have left this node out of a newer view.
+    return targets_.empty() && !view.nodes.empty();
+  }
+  return 2 * confirming >= all;
+}
+
+std::vector<NodeId> Membership::Lacking(TableVersion version,
+                                        const View& view) const {
+  std::vector<NodeId> lacking;
+  for (const auto& it : view.nodes) {
+    if (it.id == config_.id) {
+      continue;
+    }
+    const auto peer = peers_.find(it.id);
+    if (peer == peers_.end() || peer->second.last.version < version) {
+      lacking.push_back(it.id);
+    }
+  }
+  return lacking;
+}
+
+bool Membership::Adopted(const NodeId& node, ViewNumber view) const {
+  const auto it = peers_.find(node);
+  return it != peers_.end() && it->second.last.view >= view;
+}
+
+std::set<MinionId> Membership::LeavingMinions(Time now) const {
+  std::set<MinionId> leaving;
+  for (const auto& [id, peer] : peers_) {
+    if (Hears(id, now)) {
+      leaving.insert(peer.last.leaving.begin(), peer.last.leaving.end());
+    }
+  }
+  return leaving;
+}
+
+}  // namespace baobab
--- a/src/libdecision/membership.h
+++ b/src/libdecision/membership.h
@@ -20,6 +20,10 @@
 /** A node counts as confirmed for this long after it read the log. */
 inline constexpr Duration kLogFresh = std::chrono::seconds(10);
 
+/** The shell ticks every 50 ms; a longer gap means that the process was paused
+ * and its picture of log and peers is old. */
+inline constexpr Duration kPause = std::chrono::seconds(1);
+
 /** What this node reports of itself in heartbeats. */
 struct LocalStatus {
   ViewNumber view;
@@ -35,6 +39,10 @@
   DataCentreId data_centre;
   Incarnation incarnation;
   Time heard_at;
+  /** Start of its silence; later than heard_at if this node was paused. */
+  Time silent_since;
+  /** When this process of the peer was first heard. */
+  Time known_since;
   /** The link broke after the last heartbeat. */
   bool link_lost = false;
   Heartbeat last;
@@ -92,6 +100,8 @@
   const NodeConfig& config() const { return config_; }
 
  private:
+  /** A paused node heard nobody, which says nothing about its peers. */
+  void ForgivePause(Time now);
   Heartbeat Make(Time now, const LocalStatus& local, bool near) const;
   bool IsNear(const DataCentreId& data_centre) const;
   /** The peer said within two of its heartbeats that it hears this node. */
@@ -103,6 +113,7 @@
   std::map<NodeId, PeerState> peers_;
   Time log_read_at_;
   bool log_ever_read_ = false;
+  Time last_tick_;
   TableVersion sent_version_;
   bool sent_stopping_ = false;
 };
--- /dev/null
+++ b/src/libdecision/planner.cc
@@ -0,0 +1,226 @@
+// The lease of the planner, and what its holder appends. Snapshots are in
+// planner_snapshot.cc, the nodes of a view in planner_view.cc.
+
+#include "libdecision/planner.h"
+
+#include <algorithm>
+
+namespace baobab {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Nodes claim one after another, so that one claim is read before the next.
+constexpr Duration kRankStep = milliseconds(300);
+
+}  // namespace
+
+Planner::Planner(const NodeConfig& config, Time now)
+    : config_(config),
+      self_{config.id, config.incarnation},
+      silence_since_(now),
+      last_tick_(now),
+      watching_since_(now),
+      renew_due_(now),
+      snapshot_seen_at_(now) {}
+
+void Planner::OnHostList(const HostList& list) {
+  listed_.clear();
+  for (const auto& it : list.entry_hosts) {
+    listed_.insert(it.id);
+  }
+  // An empty list is a fault of the list, not a fleet without nodes.
+  host_list_known_ = !listed_.empty();
+}
+
+void Planner::OnFolded(const LogEntry& entry,
+                       const FoldResult& result,
+                       Time now) {
+  if (result.outcome == FoldOutcome::kAdopted) {
+    silence_since_ = now;
+    return;
+  }
+  if (result.outcome != FoldOutcome::kApplied ||
+      std::holds_alternative<TableEdit>(entry.record.body)) {
+    return;
+  }
+  // All other records apply only if they are the holder's.
+  silence_since_ = now;
+  if (entry.record.writer == self_) {
+    own_read_at_ = now;
+  }
+  const auto* part = std::get_if<SnapshotPart>(&entry.record.body);
+  if (part != nullptr && part->part + 1 == part->parts) {
+    snapshot_seen_at_ = now;
+  }
+}
+
+void Planner::OnLogReadFailed(Time now) {
+  silence_since_ = now;
+}
+
+bool Planner::Acting(Time now, const LogFold& fold) const {
+  return !stopping_ && fold.planner().holder == self_ && own_read_at_ &&
+         now - *own_read_at_ < kPlannerStop;
+}
+
+Duration Planner::Patience(const LogFold& fold) const {
+  const auto& nodes = fold.view().nodes;
+  std::int64_t rank = 0;
+  bool in_view = false;
+  for (const auto& it : nodes) {
+    in_view = in_view || it.id == config_.id;
+    rank += it.id < config_.id ? 1 : 0;
+  }
+  if (!in_view) {
+    // Nodes of the view come first, since others may be misconfigured.
+    rank = static_cast<std::int64_t>(nodes.size()) +
+           std::count_if(config_.peers.begin(), config_.peers.end(),
+                         [&](const auto& it) { return it.id < config_.id; });
+  }
+  return kPlannerSilence + kRankStep * rank;
+}
+
+void Planner::Tick(Time now,
+                   std::int64_t wall_ms,
+                   const LogFold& fold,
+                   const Membership& membership,
+                   LogWriter& writer,
+                   Effects& effects) {
+  if (now - last_tick_ > kPause) {
+    silence_since_ = now;
+    watching_since_ = now;
+  }
+  last_tick_ = now;
+  for (auto* it :
+       {&claim_, &renewal_, &view_change_, &in_force_, &snapshot_part_}) {
+    if (*it && !writer.Pending(**it, fold)) {
+      it->reset();
+    }
+  }
+  const bool acting = Acting(now, fold);
+  if (acting != was_acting_) {
+    was_acting_ = acting;
+    const auto& lease = fold.planner();
+    effects.push_back(Explain{
+        {acting ? "planner-elected" : "planner-lost",
+         "term/" + std::to_string(lease.term.value()), "",
+         acting ? "this node holds the term and read a record of its own"
+                : "holder is " + lease.holder.node.value() +
+                      "; a holder stops after 5 s without a record of its "
+                      "own"}});
+  }
+  if (!acting) {
+    GiveUp(writer);
+  }
+  if (stopping_ || !fold.caught_up() || fold.waits_for_snapshot()) {
+    return;
+  }
+  if (fold.planner().holder == self_) {
+    Renew(now, wall_ms, fold, writer);
+  } else {
+    Claim(now, wall_ms, fold, writer, effects);
+  }
+  if (acting) {
+    Act(now, wall_ms, fold, membership, writer, effects);
+  }
+}
+
+void Planner::GiveUp(LogWriter& writer) {
+  // A copy that comes into the log later is judged there by its term.
+  for (auto* it : {&view_change_, &in_force_, &snapshot_part_}) {
+    if (*it) {
+      writer.Withdraw(**it);
+      it->reset();
+    }
+  }
+  writing_.reset();
+}
+
+void Planner::Claim(Time now,
+                    std::int64_t wall_ms,
+                    const LogFold& fold,
+                    LogWriter& writer,
+                    Effects& effects) {
+  if (renewal_) {
+    writer.Withdraw(*renewal_);
+    renewal_.reset();
+  }
+  const Duration silent = now - silence_since_;
+  const Duration patience = Patience(fold);
+  if (claim_ && silent < kPlannerSilence) {
+    // Another node was faster; a late copy of the claim is void by its term.
+    writer.Withdraw(*claim_);
+    claim_.reset();
+  }
+  if (claim_ || silent < patience) {
+    return;
+  }
+  const Term term(fold.planner().term.value() + 1);
+  const auto sequence = writer.Submit(PlannerClaim{term}, wall_ms);
+  if (!sequence) {
+    return;
+  }
+  claim_ = *sequence;
+  effects.push_back(Explain{
+      {"planner-claiming", "term/" + std::to_string(term.value()), "",
+       "no planner record for " +
+           std::to_string(
+               std::chrono::duration_cast<milliseconds>(silent).count()) +
+           " ms, own limit is " +
+           std::to_string(
+               std::chrono::duration_cast<milliseconds>(patience).count()) +
+           " ms"}});
+}
+
+void Planner::Renew(Time now,
+                    std::int64_t wall_ms,
+                    const LogFold& fold,
+                    LogWriter& writer) {
+  if (renewal_ || now < renew_due_) {
+    return;
+  }
+  const auto sequence =
+      writer.Submit(PlannerClaim{fold.planner().term}, wall_ms);
+  if (sequence) {
+    renewal_ = *sequence;
+    renew_due_ = now + kPlannerRenewal;
+  }
+}
+
+void Planner::Act(Time now,
+                  std::int64_t wall_ms,
+                  const LogFold& fold,
+                  const Membership& membership,
+                  LogWriter& writer,
+                  Effects& effects) {
+  const Term term = fold.planner().term;
+  if (!view_change_) {
+    auto nodes = WantedNodes(now, fold, membership);
+    if (!nodes.empty() && nodes != fold.view().nodes) {
+      const ViewNumber number(fold.view().number.value() + 1);
+      const auto reason = DescribeChange(fold.view().nodes, nodes);
+      const auto sequence =
+          writer.Submit(ViewChange{term, number, std::move(nodes)}, wall_ms);
+      if (sequence) {
+        view_change_ = *sequence;
+        effects.push_back(
+            Explain{{"view-changing", "view/" + std::to_string(number.value()),
+                     "term/" + std::to_string(term.value()), reason}});
+      }
+    }
+  }
+  const TableVersion version = fold.version();
+  if (!in_force_ && version > fold.state().in_force &&
+      !fold.view().nodes.empty() &&
+      membership.Lacking(version, fold.view()).empty()) {
+    const auto sequence =
+        writer.Submit(VersionInForce{term, version, wall_ms}, wall_ms);
+    if (sequence) {
+      in_force_ = *sequence;
+    }
+  }
+  WriteSnapshot(now, wall_ms, fold, writer, effects);
+}
+
+}  // namespace baobab
--- a/src/libdecision/planner.h
+++ b/src/libdecision/planner.h
@@ -89,6 +89,9 @@
                  Time now,
                  const View& view,
                  const Membership& membership) const;
+  /** Names of the nodes that a view change adds and removes. */
+  static std::string DescribeChange(const std::vector<ViewNode>& from,
+                                    const std::vector<ViewNode>& to);
   Duration Patience(const LogFold& fold) const;
 
   NodeConfig config_;
@@ -98,6 +101,8 @@
   std::set<NodeId> listed_;
   Time silence_since_;
   Time last_tick_;
+  /** Start of the process or end of its last pause. */
+  Time watching_since_;
   std::optional<Time> own_read_at_;
   Time renew_due_;
   Time snapshot_seen_at_;
--- a/src/libdecision/table_commands.h
+++ b/src/libdecision/table_commands.h
@@ -1,6 +1,7 @@
 #ifndef SRC_LIBDECISION_TABLE_COMMANDS_H_
 #define SRC_LIBDECISION_TABLE_COMMANDS_H_
 
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -53,7 +54,7 @@
   };
 
   /** The answer to a waiting edit, or none if it has to wait on. */
-  std::optional<EditReply> Answer(Waiting& waiting,
+  std::optional<EditReply> Answer(const Waiting& waiting,
                                   Time now,
                                   const LogFold& fold,
                                   const Membership& membership,
@@ -64,6 +65,9 @@
                                            LogWriter& writer);
 
   std::vector<Waiting> waiting_;
+  /** Edits answered kUnknown whose records may still come into the log. One
+   * ends when a record of this process from it on is read. */
+  std::map<EditId, RecordSequence> unresolved_;
 };
 
 }  // namespace baobab
