--- /dev/null
+++ b/src/libdecision/fair_queue.cc
@@ -0,0 +1,48 @@
+#include "libdecision/fair_queue.h"
+
+#include <algorithm>
+
+namespace baobab {
+namespace {
+
+/** Charged while nothing is measured; corrected when the request ends. */
+constexpr Duration kUnmeasuredSlotTime = std::chrono::milliseconds(100);
+
+/** Samples over which the mean moves. */
+constexpr std::int64_t kMeanSamples = 32;
+
+constexpr Duration kPeakWindow = std::chrono::seconds(1);
+
+/** Keeps weights of up to 1000 distinguishable for slot times of 1 ms. */
+constexpr std::int64_t kVirtualScale = 256;
+
+}  // namespace
+
+Duration FairQueue::ExpectedSlotTime() const {
+  return samples == 0 ? kUnmeasuredSlotTime : mean;
+}
+
+void FairQueue::AddSample(Duration slot_time) {
+  samples = std::min(samples + 1, kMeanSamples);
+  mean += (slot_time - mean) / samples;
+}
+
+void FairQueue::NoteInFlight(Time now) {
+  if (now - window_start >= kPeakWindow) {
+    last_peak = now - window_start < 2 * kPeakWindow ? peak : 0;
+    peak = 0;
+    window_start = now;
+  }
+  peak = std::max(peak, in_flight);
+}
+
+void FairQueue::Charge(Duration slot_time) {
+  tag += VirtualTime(slot_time);
+}
+
+std::int64_t FairQueue::VirtualTime(Duration slot_time) const {
+  return slot_time.count() * kVirtualScale /
+         std::max<std::int64_t>(row.weight.value(), 1);
+}
+
+}  // namespace baobab
