--- a/src/libdecision/fair_queue.h
+++ b/src/libdecision/fair_queue.h
@@ -61,8 +61,8 @@
   bool active = false;
   Shortage shortage = Shortage::kNone;
 
-  /** Own slots in use or lent for this queue. */
-  std::int64_t own_slots_held = 0;
+  /** Own slots in use by local requests. */
+  std::int64_t own_slots = 0;
   bool is_long = false;
 
   /** Mean slot time, valid with at least one sample. */
@@ -73,7 +73,9 @@
   std::int64_t peak = 0;
   std::int64_t last_peak = 0;
 
-  /** Loans of other nodes for this queue. */
+  /** Loans to other nodes, which may have ended. */
+  std::map<NodeId, std::set<LoanId>> given;
+  /** Loans of other nodes for this queue, which may have ended. */
   std::set<LoanKey> loans;
   Time next_ask;
   Shortage asked_for = Shortage::kNone;
--- a/src/libdecision/fair_scheduler.h
+++ b/src/libdecision/fair_scheduler.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <vector>
@@ -102,6 +103,7 @@
     MinionEntry entry;
     ResourceId resource;
     std::int64_t own_free = 0;
+    std::int64_t own_usable = 0;
   };
   /** A minion by free own units, most first. */
   using FreeKey = std::pair<std::int64_t, MinionId>;
@@ -120,15 +122,14 @@
     /** Own slots that long-running batch queues may hold, and hold now. */
     std::int64_t long_limit = 0;
     std::int64_t long_held = 0;
+    /** Positions of queues with units to lend to other nodes. */
+    std::set<std::size_t> remote;
     /** Units by owner over the minions of the service. */
     std::map<NodeId, Units> owners;
     std::int64_t own_usable = 0;
     /** Spare slots of peers as they last told. */
     std::map<NodeId, Units> peer_spare;
   };
-  struct WaitingRequest {
-    QueuedRequest request;
-  };
   struct RunningRequest {
     QueueId queue;
     MinionId minion;
@@ -140,28 +141,29 @@
     MinionId minion;
     std::optional<LoanKey> loan;
   };
-  struct Grants;
+  /** Loans made in one run of a service, by queue and borrower. */
+  using Grants = std::map<std::pair<QueueId, NodeId>, LoanId>;
 
   FairQueue* FindQueue(const QueueId& id);
   Service* ServiceOf(const FairQueue& queue);
   void Rebuild(Time now);
+  void RebuildQueues(Time now);
+  void RebuildServices();
+  void DropQueue(FairQueue& queue, Time now);
   void RefreshMinion(const MinionId& id);
-  void RefreshOwners(Time now);
+  void RefreshUnits();
   void Refresh(const std::vector<ResourceId>& freed);
-  void UpdateActive(FairQueue& queue, Time now);
-  void SetTag(Service& service, FairQueue& queue, std::int64_t tag);
-  void ChargeQueue(FairQueue& queue, Duration slot_time);
-  void UpdateLong(Service& service, FairQueue& queue);
-  void HoldOwnSlots(FairQueue& queue, std::int64_t change);
+  void MarkQuotaDirty(const ResourceId& quota);
+  void UpdateActive(Service& service, FairQueue& queue);
+  void Charge(Service& service, FairQueue& queue, Duration slot_time);
+  void UpdateLong(const Service& service, FairQueue& queue);
   void RemoveWaiting(FairQueue& queue, const QueuedRequest& request);
-
-  /** Refusal if the request cannot start by its latest start. */
-  std::optional<Refusal> EstimateRefusal(const FairQueue& queue,
+  std::optional<Refusal> EstimateRefusal(const Service& service,
+                                         const FairQueue& queue,
                                          const QueuedRequest& request,
-                                         Time now);
+                                         Time now) const;
 
-  void RunService(const ServiceId& id,
-                  Service& service,
+  void RunService(Service& service,
                   Time now,
                   const UsableMinion& usable,
                   std::vector<RequestStart>& starts);
@@ -176,12 +178,8 @@
                       Time now,
                       const UsableMinion& usable,
                       std::vector<RequestStart>& starts);
-  Shortage GrantRemote(Service& service,
-                       FairQueue& queue,
-                       const NodeId& borrower,
-                       Time now,
-                       const UsableMinion& usable,
-                       Grants& grants);
+  bool TakeUnits(RunningRequest& run, Time now);
+  void ReleaseUnits(const RunningRequest& run);
   std::optional<UnitSource> FindUnit(const FairQueue& queue,
                                      const ResourceId& resource,
                                      Time now) const;
@@ -194,10 +192,34 @@
                           const FairQueue& queue,
                           const std::vector<MinionId>& avoid,
                           const UsableMinion& usable) const;
-  void LendSpareCaps(FairQueue& queue, Time now, Grants& grants);
-  bool MayRenew(const Service& service, const FairQueue& queue) const;
-  void SendGrants(FairQueue& queue, Grants& grants, Time now);
+  void NoteServed(Service& service, FairQueue& queue, Duration slot_time);
+
+  Shortage LendSlot(Service& service,
+                    FairQueue& queue,
+                    const NodeId& borrower,
+                    Time now,
+                    const UsableMinion& usable,
+                    Grants& grants);
+  void LendCaps(FairQueue& queue, Time now, Grants& grants);
+  bool LendUnits(FairQueue& queue,
+                 const NodeId& borrower,
+                 const ResourceUnits& units,
+                 Time now,
+                 Grants& grants);
+  bool MayRenew(const Service& service,
+                const FairQueue& queue,
+                Units held,
+                Time remote_start_by) const;
+  void ChargeLoan(Service& service,
+                  FairQueue& queue,
+                  GivenLoan& loan,
+                  Units slots,
+                  Time now);
+  void SendGrants(const Grants& grants, Time now);
   void ReturnIdle(FairQueue& queue, Time now);
+  Units CapFree(const FairQueue& queue,
+                const ResourceId& resource,
+                Time now) const;
   void Ask(const Service& service, FairQueue& queue, Time now);
 
   NodeConfig config_;
@@ -208,6 +230,7 @@
   Table table_;
   std::map<QueueId, std::unique_ptr<FairQueue>> queues_;
   std::map<ServiceId, Service> services_;
+  std::vector<MinionEntry> minion_list_;
   std::map<MinionId, Minion> minions_;
   /** Queues which compete for the quota, by quota. */
   std::map<ResourceId, std::set<ServiceId>> quota_services_;
@@ -218,6 +241,7 @@
   std::set<ServiceId> dirty_;
   std::uint64_t rotation_ = 0;
   std::vector<SendPeer> messages_;
+  std::vector<Error> violations_;
 };
 
 }  // namespace baobab
--- /dev/null
+++ b/src/libdecision/fair_scheduler_loans.cc
@@ -0,0 +1,410 @@
+// The part of FairScheduler that lends units to peers and borrows from them.
+
+#include <algorithm>
+
+#include "libdecision/fair_scheduler.h"
+
+namespace baobab {
+namespace {
+
+/** A queue with waiting requests asks anew this often, which also renews its
+ * loans well before their term ends. */
+constexpr Duration kAskInterval = std::chrono::milliseconds(300);
+
+/** A borrow request counts this long. A later grant would leave less than half
+ * of the loan term, which runs from when the request was sent. */
+constexpr Duration kDemandLife = std::chrono::milliseconds(500);
+
+/** Bounds the messages of one ask; the next ask turns to other peers. */
+constexpr std::size_t kMostLenders = 8;
+
+/** Most units asked for at once. */
+constexpr std::int64_t kMostAsked = 64;
+
+/** Most slots in one loan; a loan is renewed or not as a whole. */
+constexpr Units kSlotsPerLoan{4};
+
+struct Wanted {
+  std::int64_t slots = 0;
+  std::int64_t limit_units = 0;
+  std::int64_t quota_units = 0;
+};
+
+/** Spreads `need` units over the owners: first over those with known spare
+ * units, the rest evenly over some of the others, in turns. */
+void Spread(std::int64_t need,
+            const std::map<NodeId, Units>& owners,
+            const std::map<NodeId, Units>& spare,
+            const NodeId& self,
+            std::size_t rotation,
+            std::map<NodeId, Wanted>& wanted,
+            std::int64_t Wanted::*kind) {
+  std::vector<std::pair<NodeId, std::int64_t>> others;
+  std::size_t lenders = 0;
+  for (const auto& [node, units] : owners) {
+    if (node == self) {
+      continue;
+    }
+    const auto it = spare.find(node);
+    if (it == spare.end() || it->second <= Units() || need <= 0) {
+      others.emplace_back(node, units.value());
+      continue;
+    }
+    const std::int64_t part = std::min(need, it->second.value());
+    wanted[node].*kind += part;
+    need -= part;
+    ++lenders;
+  }
+  if (need <= 0 || others.empty()) {
+    return;
+  }
+  const std::size_t most =
+      std::min(others.size(), kMostLenders - std::min(kMostLenders, lenders));
+  for (std::size_t n = 0; n < most && need > 0; ++n) {
+    const auto& [node, units] = others[(rotation + n) % others.size()];
+    const auto left = static_cast<std::int64_t>(most - n);
+    const std::int64_t part = std::min(units, (need + left - 1) / left);
+    wanted[node].*kind += part;
+    need -= part;
+  }
+}
+
+}  // namespace
+
+void FairScheduler::OnBorrow(const NodeId& from,
+                             Incarnation incarnation,
+                             const BorrowRequest& message,
+                             Time now) {
+  FairQueue* found = FindQueue(message.queue);
+  if (found == nullptr || stopping_) {
+    return;
+  }
+  FairQueue& queue = *found;
+  Service& service = *ServiceOf(queue);
+  const auto known = queue.remote.find(from);
+  if (known != queue.remote.end() && known->second.borrow >= message.id) {
+    return;
+  }
+  const Time start_by = now + message.deadline_in;
+  Units slots;
+  Units limit_units;
+  Units quota_units;
+  std::set<LoanId>& loans = queue.given[from];
+  for (auto it = loans.begin(); it != loans.end();) {
+    GivenLoan* loan = ledger_.FindGiven(*it);
+    if (loan == nullptr) {
+      it = loans.erase(it);
+      continue;
+    }
+    const LoanId id = *it++;
+    if (loan->incarnation != incarnation) {
+      continue;
+    }
+    const Units held =
+        SlotLedger::Outstanding(*loan, ResourceKind::kMinionSlots);
+    slots += held;
+    limit_units += SlotLedger::Outstanding(*loan, ResourceKind::kQueueLimit);
+    quota_units += SlotLedger::Outstanding(*loan, ResourceKind::kTeamQuota);
+    if (slots > message.slots || limit_units > message.limit_units ||
+        quota_units > message.quota_units) {
+      continue;
+    }
+    const std::int64_t tag = queue.tag;
+    ChargeLoan(service, queue, *loan, held, now);
+    if (MayRenew(service, queue, held, start_by)) {
+      messages_.push_back({from, *ledger_.Grant(id, message.id, now)});
+      if (held > Units()) {
+        // Like a start: a queue that uses idle slots must not owe them to a
+        // queue that comes later.
+        service.virtual_time = std::max(service.virtual_time, tag);
+      }
+    }
+  }
+  queue.remote[from] = {incarnation,
+                        message.id,
+                        std::max(Units(), message.slots - slots),
+                        std::max(Units(), message.limit_units - limit_units),
+                        std::max(Units(), message.quota_units - quota_units),
+                        start_by,
+                        now + kDemandLife};
+  service.remote.insert(queue.position);
+  UpdateActive(service, queue);
+  dirty_.insert(queue.row.service);
+}
+
+void FairScheduler::OnGrant(const NodeId& from,
+                            Incarnation /*incarnation*/,
+                            const LoanGrant& message,
+                            Time now) {
+  const auto key = ledger_.OnGrant(from, message, now);
+  if (!key) {
+    return;
+  }
+  FairQueue* queue = FindQueue(message.queue);
+  if (queue == nullptr || stopping_) {
+    ledger_.ReturnIdle(*key, now);
+    return;
+  }
+  queue->loans.insert(*key);
+  dirty_.insert(queue->row.service);
+}
+
+void FairScheduler::OnReturn(const NodeId& from,
+                             Incarnation incarnation,
+                             const LoanReturn& message,
+                             Time now) {
+  GivenLoan* loan = ledger_.FindGiven(message.loan);
+  if (loan == nullptr) {
+    return;
+  }
+  FairQueue* queue = FindQueue(loan->queue);
+  const Units before =
+      SlotLedger::Outstanding(*loan, ResourceKind::kMinionSlots);
+  const GivenLoan copy = *loan;
+  const auto freed = ledger_.OnReturn(from, incarnation, message);
+  loan = ledger_.FindGiven(message.loan);
+  const Units after = loan == nullptr ? Units()
+                                      : SlotLedger::Outstanding(
+                                            *loan, ResourceKind::kMinionSlots);
+  if (queue != nullptr && before > after) {
+    GivenLoan charged = copy;
+    ChargeLoan(*ServiceOf(*queue), *queue, charged, before - after, now);
+  }
+  Refresh(freed);
+}
+
+void FairScheduler::SetPeerLoads(const NodeId& peer,
+                                 const std::vector<ServiceLoad>& loads) {
+  for (auto& [id, service] : services_) {
+    service.peer_spare.erase(peer);
+  }
+  for (const ServiceLoad& it : loads) {
+    const auto service = services_.find(it.service);
+    if (service != services_.end() && it.spare > Units()) {
+      service->second.peer_spare[peer] = it.spare;
+    }
+  }
+}
+
+void FairScheduler::ReturnAll(Time now) {
+  stopping_ = true;
+  for (auto& [id, queue] : queues_) {
+    ReturnIdle(*queue, now);
+    queue->remote.clear();
+    UpdateActive(*ServiceOf(*queue), *queue);
+  }
+  for (auto& [id, service] : services_) {
+    service.remote.clear();
+  }
+}
+
+Shortage FairScheduler::LendSlot(Service& service,
+                                 FairQueue& queue,
+                                 const NodeId& borrower,
+                                 Time now,
+                                 const UsableMinion& usable,
+                                 Grants& grants) {
+  const Minion* minion = ChooseOwn(service, queue, {}, usable);
+  if (minion == nullptr) {
+    return Shortage::kSlots;
+  }
+  const MinionId id = minion->entry.id;
+  if (!LendUnits(queue, borrower, {minion->resource, Units(1)}, now, grants)) {
+    return Shortage::kSlots;
+  }
+  RefreshMinion(id);
+  if (queue.is_long) {
+    ++service.long_held;
+  }
+  RemoteDemand& demand = queue.remote.at(borrower);
+  demand.slots -= Units(1);
+  // Only the most urgent request of the borrower is known; the next one is
+  // assumed to be a little less urgent, so that borrowers take turns.
+  demand.start_by += queue.ExpectedSlotTime();
+  NoteServed(service, queue, queue.ExpectedSlotTime());
+  UpdateActive(service, queue);
+  return Shortage::kNone;
+}
+
+void FairScheduler::LendCaps(FairQueue& queue, Time now, Grants& grants) {
+  const auto waiting = static_cast<std::int64_t>(queue.waiting.size());
+  const auto lend = [&](const NodeId& node, const RemoteDemand& demand,
+                        const ResourceId& resource, Units& wanted) {
+    const std::int64_t free = ledger_.OwnFree(resource).value();
+    std::int64_t units = std::min(wanted.value(), free - waiting);
+    // Local requests keep what they can use, unless a remote one is more
+    // urgent.
+    if (units <= 0 && free > 0 && wanted > Units() && waiting > 0 &&
+        demand.start_by < queue.waiting.begin()->first) {
+      units = 1;
+    }
+    if (units > 0 &&
+        LendUnits(queue, node, {resource, Units(units)}, now, grants)) {
+      wanted -= Units(units);
+    }
+  };
+  for (auto& [node, demand] : queue.remote) {
+    lend(node, demand, queue.limit, demand.limit_units);
+    lend(node, demand, queue.quota, demand.quota_units);
+  }
+}
+
+bool FairScheduler::LendUnits(FairQueue& queue,
+                              const NodeId& borrower,
+                              const ResourceUnits& units,
+                              Time now,
+                              Grants& grants) {
+  const std::pair key(queue.row.id, borrower);
+  const auto it = grants.find(key);
+  if (it != grants.end()) {
+    const GivenLoan* loan = ledger_.FindGiven(it->second);
+    if (loan != nullptr &&
+        SlotLedger::Outstanding(*loan, ResourceKind::kMinionSlots) <
+            kSlotsPerLoan) {
+      return ledger_.Extend(it->second, units);
+    }
+    SendGrants({*it}, now);
+    grants.erase(it);
+  }
+  const auto loan =
+      ledger_.Lend(borrower, queue.remote.at(borrower).incarnation,
+                   queue.row.id, units, now);
+  if (!loan) {
+    return false;
+  }
+  // The expected slot time was charged when the slot was chosen.
+  ledger_.FindGiven(*loan)->charged_until = now + queue.ExpectedSlotTime();
+  queue.given[borrower].insert(*loan);
+  grants[key] = *loan;
+  return true;
+}
+
+bool FairScheduler::MayRenew(const Service& service,
+                             const FairQueue& queue,
+                             Units held,
+                             Time remote_start_by) const {
+  if (!queue.waiting.empty() &&
+      queue.waiting.begin()->first < remote_start_by) {
+    return false;
+  }
+  if (held == Units()) {
+    return true;
+  }
+  if (queue.is_long && service.long_held > service.long_limit) {
+    return false;
+  }
+  const std::int64_t slack = queue.VirtualTime(queue.ExpectedSlotTime());
+  for (const auto& [tag, position] : service.active) {
+    const FairQueue& other = *service.queues[position];
+    if (tag + slack >= queue.tag) {
+      return true;
+    }
+    // A queue at its limit could not use the slots.
+    if (&other != &queue && other.shortage != Shortage::kLimit &&
+        other.shortage != Shortage::kQuota) {
+      return false;
+    }
+  }
+  return true;
+}
+
+void FairScheduler::ChargeLoan(Service& service,
+                               FairQueue& queue,
+                               GivenLoan& loan,
+                               Units slots,
+                               Time now) {
+  Charge(service, queue, (now - loan.charged_until) * slots.value());
+  loan.charged_until = now;
+}
+
+void FairScheduler::SendGrants(const Grants& grants, Time now) {
+  for (const auto& [key, loan] : grants) {
+    const auto& [queue, borrower] = key;
+    const auto demand = queues_.at(queue)->remote.find(borrower);
+    if (demand == queues_.at(queue)->remote.end()) {
+      continue;
+    }
+    if (auto grant = ledger_.Grant(loan, demand->second.borrow, now)) {
+      messages_.push_back({borrower, std::move(*grant)});
+    }
+  }
+}
+
+void FairScheduler::ReturnIdle(FairQueue& queue, Time now) {
+  for (auto it = queue.loans.begin(); it != queue.loans.end();) {
+    ledger_.ReturnIdle(*it, now);
+    const auto loan = ledger_.taken().find(*it);
+    const bool over = loan == ledger_.taken().end() || loan->second.ended;
+    it = over ? queue.loans.erase(it) : std::next(it);
+  }
+}
+
+Units FairScheduler::CapFree(const FairQueue& queue,
+                             const ResourceId& resource,
+                             Time now) const {
+  Units free = ledger_.OwnFree(resource);
+  for (const LoanKey& it : queue.loans) {
+    free += ledger_.TakenFree(it, resource, now);
+  }
+  return free;
+}
+
+void FairScheduler::Ask(const Service& service, FairQueue& queue, Time now) {
+  std::map<NodeId, Wanted> wanted;
+  for (auto it = queue.loans.begin(); it != queue.loans.end();) {
+    const auto loan = ledger_.taken().find(*it);
+    if (loan == ledger_.taken().end() || loan->second.ended) {
+      it = queue.loans.erase(it);
+      continue;
+    }
+    Wanted& held = wanted[it->lender];
+    for (const auto& [resource, units] : loan->second.units) {
+      const auto returned = loan->second.returned.find(resource);
+      const std::int64_t out =
+          units.value() - (returned == loan->second.returned.end()
+                               ? 0
+                               : returned->second.value());
+      switch (resource.kind) {
+        case ResourceKind::kMinionSlots:
+          held.slots += out;
+          break;
+        case ResourceKind::kQueueLimit:
+          held.limit_units += out;
+          break;
+        case ResourceKind::kTeamQuota:
+          held.quota_units += out;
+          break;
+      }
+    }
+    ++it;
+  }
+  const std::int64_t want = std::min<std::int64_t>(
+      static_cast<std::int64_t>(queue.waiting.size()), kMostAsked);
+  const auto spread_cap = [&](const ResourceId& resource,
+                              std::int64_t Wanted::*kind) {
+    const std::int64_t need = want - CapFree(queue, resource, now).value();
+    const Ownership* ownership = ledger_.OwnershipOf(resource);
+    if (need > 0 && ownership != nullptr) {
+      Spread(need, ownership->by_node, {}, config_.id, queue.ask_rotation,
+             wanted, kind);
+    }
+  };
+  spread_cap(queue.limit, &Wanted::limit_units);
+  spread_cap(queue.quota, &Wanted::quota_units);
+  if (queue.shortage == Shortage::kSlots) {
+    Spread(want, service.owners, service.peer_spare, config_.id,
+           queue.ask_rotation, wanted, &Wanted::slots);
+  }
+  for (const auto& [node, units] : wanted) {
+    messages_.push_back(
+        {node, BorrowRequest{ledger_.NextBorrow(node, queue.row.id, now),
+                             queue.row.id, Units(units.slots),
+                             Units(units.limit_units), Units(units.quota_units),
+                             queue.waiting.begin()->first - now}});
+  }
+  queue.ask_rotation += kMostLenders;
+  queue.asked_for = queue.shortage;
+  queue.next_ask = now + kAskInterval;
+}
+
+}  // namespace baobab
--- /dev/null
+++ b/src/libdecision/fair_scheduler_starts.cc
@@ -0,0 +1,298 @@
+// The part of FairScheduler that gives units to waiting requests.
+
+#include <algorithm>
+
+#include "libdecision/fair_scheduler.h"
+
+namespace baobab {
+namespace {
+
+/** A queue that could not use its share for a while may catch up this much
+ * slot time at once. */
+constexpr Duration kMostCredit = std::chrono::seconds(1);
+
+bool Contains(const std::vector<MinionId>& minions, const MinionId& id) {
+  return std::find(minions.begin(), minions.end(), id) != minions.end();
+}
+
+}  // namespace
+
+std::vector<RequestStart> FairScheduler::TakeStarts(
+    Time now,
+    const UsableMinion& usable) {
+  std::vector<RequestStart> starts;
+  std::vector<ServiceId> run(dirty_.begin(), dirty_.end());
+  dirty_.clear();
+  // Services that share a quota take turns in being first.
+  if (!run.empty()) {
+    const auto first = static_cast<std::ptrdiff_t>(rotation_++ % run.size());
+    std::rotate(run.begin(), run.begin() + first, run.end());
+  }
+  for (const ServiceId& id : run) {
+    const auto it = services_.find(id);
+    if (it != services_.end()) {
+      RunService(it->second, now, usable, starts);
+    }
+  }
+  return starts;
+}
+
+void FairScheduler::RunService(Service& service,
+                               Time now,
+                               const UsableMinion& usable,
+                               std::vector<RequestStart>& starts) {
+  Grants grants;
+  service.long_held = 0;
+  for (const FairQueue* queue : service.queues) {
+    if (queue->is_long) {
+      service.long_held +=
+          queue->own_slots + ledger_.LentSlots(queue->row.id).value();
+    }
+  }
+  const std::vector<std::size_t> remote(service.remote.begin(),
+                                        service.remote.end());
+  for (const std::size_t position : remote) {
+    FairQueue& queue = *service.queues[position];
+    std::erase_if(queue.remote, [&](const auto& it) {
+      return it.second.valid_until <= now || it.second.Empty();
+    });
+    if (!stopping_) {
+      LendCaps(queue, now, grants);
+    }
+    UpdateActive(service, queue);
+    if (queue.remote.empty()) {
+      service.remote.erase(position);
+    }
+  }
+  // Queues that cannot start anything are set aside for the rest of the run.
+  std::vector<std::pair<std::int64_t, std::size_t>> aside;
+  while (!service.active.empty()) {
+    const auto first = *service.active.begin();
+    FairQueue& queue = *service.queues[first.second];
+    const Shortage shortage =
+        Serve(service, queue, now, usable, starts, grants);
+    if (shortage != Shortage::kNone) {
+      queue.shortage = shortage;
+      aside.push_back({queue.tag, first.second});
+      service.active.erase({queue.tag, first.second});
+    }
+  }
+  service.active.insert(aside.begin(), aside.end());
+  SendGrants(grants, now);
+  for (FairQueue* queue : service.queues) {
+    if (!queue->loans.empty() &&
+        (queue->waiting.empty() || queue->shortage == Shortage::kLimit ||
+         queue->shortage == Shortage::kQuota)) {
+      ReturnIdle(*queue, now);
+    }
+    if (!queue->waiting.empty() && !stopping_ &&
+        (now >= queue->next_ask || queue->asked_for != queue->shortage)) {
+      Ask(service, *queue, now);
+    }
+  }
+}
+
+Shortage FairScheduler::Serve(Service& service,
+                              FairQueue& queue,
+                              Time now,
+                              const UsableMinion& usable,
+                              std::vector<RequestStart>& starts,
+                              Grants& grants) {
+  if (service.own_free == 0 && queue.loans.empty()) {
+    return Shortage::kSlots;
+  }
+  // Local and remote requests compete by deadline.
+  std::vector<std::pair<Time, NodeId>> order;
+  for (const auto& [node, demand] : queue.remote) {
+    if (demand.slots > Units() && !stopping_) {
+      order.emplace_back(demand.start_by, node);
+    }
+  }
+  std::sort(order.begin(), order.end());
+  const bool has_local = !queue.waiting.empty();
+  Shortage local = Shortage::kNone;
+  bool tried_local = !has_local;
+  const auto try_local = [&] {
+    tried_local = true;
+    local = StartLocal(service, queue, now, usable, starts);
+    return local == Shortage::kNone;
+  };
+  for (const auto& [start_by, node] : order) {
+    if (!tried_local && queue.waiting.begin()->first <= start_by &&
+        try_local()) {
+      return Shortage::kNone;
+    }
+    if (LendSlot(service, queue, node, now, usable, grants) ==
+        Shortage::kNone) {
+      return Shortage::kNone;
+    }
+  }
+  if (!tried_local && try_local()) {
+    return Shortage::kNone;
+  }
+  return has_local ? local : Shortage::kSlots;
+}
+
+Shortage FairScheduler::StartLocal(Service& service,
+                                   FairQueue& queue,
+                                   Time now,
+                                   const UsableMinion& usable,
+                                   std::vector<RequestStart>& starts) {
+  const QueuedRequest request = waiting_.at(queue.waiting.begin()->second);
+  const auto limit = FindUnit(queue, queue.limit, now);
+  if (!limit) {
+    return Shortage::kLimit;
+  }
+  const auto quota = FindUnit(queue, queue.quota, now);
+  if (!quota) {
+    return Shortage::kQuota;
+  }
+  const auto slot = ChooseSlot(service, queue, request.avoid, now, usable);
+  if (!slot) {
+    return Shortage::kSlots;
+  }
+  const ResourceId& resource = minions_.at(slot->minion).resource;
+  RunningRequest run{queue.row.id,
+                     slot->minion,
+                     now,
+                     queue.ExpectedSlotTime(),
+                     {{resource, slot->loan}, *limit, *quota}};
+  if (!TakeUnits(run, now)) {
+    return Shortage::kSlots;
+  }
+  if (!slot->loan) {
+    ++queue.own_slots;
+    if (queue.is_long) {
+      ++service.long_held;
+    }
+  }
+  ++queue.in_flight;
+  queue.NoteInFlight(now);
+  queue.shortage = Shortage::kNone;
+  starts.push_back({request.id, request.queue, slot->minion});
+  NoteServed(service, queue, run.charged);
+  running_.emplace(request.id, std::move(run));
+  RemoveWaiting(queue, request);
+  return Shortage::kNone;
+}
+
+bool FairScheduler::TakeUnits(RunningRequest& run, Time now) {
+  for (std::size_t n = 0; n < run.sources.size(); ++n) {
+    if (!ledger_.Use(run.sources[n], now)) {
+      run.sources.resize(n);
+      ReleaseUnits(run);
+      return false;
+    }
+  }
+  RefreshMinion(run.minion);
+  return true;
+}
+
+void FairScheduler::ReleaseUnits(const RunningRequest& run) {
+  for (const UnitSource& it : run.sources) {
+    ledger_.Release(it);
+    Refresh({it.resource});
+  }
+}
+
+std::optional<UnitSource> FairScheduler::FindUnit(const FairQueue& queue,
+                                                  const ResourceId& resource,
+                                                  Time now) const {
+  for (const LoanKey& it : queue.loans) {
+    if (ledger_.TakenFree(it, resource, now) > Units()) {
+      return UnitSource{resource, it};
+    }
+  }
+  if (ledger_.OwnFree(resource) > Units()) {
+    return UnitSource{resource, std::nullopt};
+  }
+  return std::nullopt;
+}
+
+std::optional<FairScheduler::SlotChoice> FairScheduler::ChooseSlot(
+    const Service& service,
+    const FairQueue& queue,
+    const std::vector<MinionId>& avoid,
+    Time now,
+    const UsableMinion& usable) const {
+  std::optional<SlotChoice> best;
+  std::int64_t best_free = 0;
+  bool best_avoided = true;
+  for (const LoanKey& key : queue.loans) {
+    const auto loan = ledger_.taken().find(key);
+    if (loan == ledger_.taken().end() || loan->second.ended) {
+      continue;
+    }
+    for (const auto& [resource, units] : loan->second.units) {
+      if (resource.kind != ResourceKind::kMinionSlots) {
+        continue;
+      }
+      const Units lent = ledger_.TakenFree(key, resource, now);
+      const auto minion = minions_.find(MinionId(resource.name));
+      if (lent <= Units() || minion == minions_.end() ||
+          minion->second.entry.leaving || !usable(minion->first)) {
+        continue;
+      }
+      const std::int64_t free = lent.value() + minion->second.own_free;
+      const bool avoided = Contains(avoid, minion->first);
+      if (!best ||
+          std::pair(!avoided, free) > std::pair(!best_avoided, best_free)) {
+        best = SlotChoice{minion->first, key};
+        best_free = free;
+        best_avoided = avoided;
+      }
+    }
+  }
+  const Minion* own = ChooseOwn(service, queue, avoid, usable);
+  if (own != nullptr) {
+    const bool avoided = Contains(avoid, own->entry.id);
+    if (!best || std::pair(!avoided, own->own_free) >
+                     std::pair(!best_avoided, best_free)) {
+      best = SlotChoice{own->entry.id, std::nullopt};
+    }
+  }
+  return best;
+}
+
+const FairScheduler::Minion* FairScheduler::ChooseOwn(
+    const Service& service,
+    const FairQueue& queue,
+    const std::vector<MinionId>& avoid,
+    const UsableMinion& usable) const {
+  // A long-running batch queue could not release the idle share of urgent
+  // queues in time.
+  if (queue.is_long && service.long_held >= service.long_limit) {
+    return nullptr;
+  }
+  const Minion* avoided = nullptr;
+  for (const auto& [free, id] : service.free) {
+    if (!usable(id)) {
+      continue;
+    }
+    const Minion& minion = minions_.at(id);
+    if (!Contains(avoid, id)) {
+      return &minion;
+    }
+    if (avoided == nullptr) {
+      avoided = &minion;
+    }
+  }
+  return avoided;
+}
+
+void FairScheduler::NoteServed(Service& service,
+                               FairQueue& queue,
+                               Duration slot_time) {
+  const std::int64_t credit = queue.VirtualTime(kMostCredit);
+  const std::int64_t behind = service.virtual_time - credit - queue.tag;
+  service.virtual_time = std::max(service.virtual_time, queue.tag);
+  if (queue.active) {
+    service.active.erase({queue.tag, queue.position});
+  }
+  queue.tag += std::max<std::int64_t>(behind, 0) + queue.VirtualTime(slot_time);
+  if (queue.active) {
+    service.active.insert({queue.tag, queue.position});
+  }
+}
+
+}  // namespace baobab
--- a/src/libdecision/slot_ledger.h
+++ b/src/libdecision/slot_ledger.h
@@ -1,6 +1,7 @@
 #ifndef SRC_LIBDECISION_SLOT_LEDGER_H_
 #define SRC_LIBDECISION_SLOT_LEDGER_H_
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -57,6 +58,8 @@
    * which the borrow request was sent, so that the age of the grant message
    * does not prolong the loan. */
   Time expires;
+  /** All units were given back; a later grant does not revive the loan. */
+  bool ended = false;
 };
 
 /** Which units of minion slots, queue limits and team quotas this node may use
@@ -103,15 +106,19 @@
   void Release(const UnitSource& source);
 
   /** Lends free own units for requests of `queue`; empty and a violation if
-   * they are not free. */
-  std::optional<LoanGrant> Lend(NodeId borrower,
-                                Incarnation incarnation,
-                                BorrowId borrow,
-                                const QueueId& queue,
-                                const std::vector<ResourceUnits>& units,
-                                Time now);
-  /** Prolongs a loan; empty if it is unknown or all returned. */
-  std::optional<LoanGrant> Renew(LoanId loan, BorrowId borrow, Time now);
+   * they are not free. Grant() makes the message. */
+  std::optional<LoanId> Lend(const NodeId& borrower,
+                             Incarnation incarnation,
+                             const QueueId& queue,
+                             const ResourceUnits& units,
+                             Time now);
+  /** Adds units to a loan for which no message was made yet. */
+  bool Extend(LoanId loan, const ResourceUnits& units);
+  /** The message for a new loan, or for a loan that is prolonged from now;
+   * empty if it is unknown or all returned. */
+  std::optional<LoanGrant> Grant(LoanId loan, BorrowId borrow, Time now);
+  /** Minion slots lent for requests of the queue. */
+  Units LentSlots(const QueueId& queue) const;
   /** Takes units back; returns resources with more free units than before.
    * Messages of another incarnation than the loan's are ignored: requests of
    * the earlier process may still run on the units. */
@@ -120,6 +127,8 @@
                                    const LoanReturn& message);
   const std::map<LoanId, GivenLoan>& given() const { return given_; }
   GivenLoan* FindGiven(LoanId loan);
+  /** Units of a given loan that are not returned, of one kind. */
+  static Units Outstanding(const GivenLoan& loan, ResourceKind kind);
 
   /** Number for the next borrow request; remembers when it was sent. */
   BorrowId NextBorrow(const NodeId& lender, const QueueId& queue, Time now);
@@ -134,7 +143,7 @@
                   const ResourceId& resource,
                   Time now) const;
   /** Gives back all units of the loan that are not in use. */
-  void ReturnIdle(const LoanKey& loan);
+  void ReturnIdle(const LoanKey& loan, Time now);
 
   /** LoanReturn messages that wait to be sent. */
   std::vector<SendPeer> TakeMessages();
@@ -152,6 +161,8 @@
     Units own_in_use;
     Units borrowed_in_use;
     Units lent;
+    /** Nothing is usable until then: the minion changed its data centre. */
+    Time blocked_until;
   };
   struct SentBorrow {
     NodeId lender;
@@ -160,7 +171,12 @@
   };
 
   void Recompute(const ResourceId& resource, Account& account, Time now);
+  void UpdateUsable(const ResourceId& resource, Account& account, Time now);
+  void UpdateDraining(const ResourceId& resource, const Account& account);
   static Units Free(const Account& account);
+  void ChangeLent(const GivenLoan& loan, const ResourceUnits& change);
+  void SendReturn(const LoanKey& key,
+                  const std::map<ResourceId, Units>& returned);
   void Violate(const char* step, const NodeId& peer, std::string what);
   void EndGiven(std::map<LoanId, GivenLoan>::iterator it,
                 std::vector<ResourceId>& freed);
@@ -176,7 +192,13 @@
   ViewNumber announced_;
   std::map<LoanId, GivenLoan> given_;
   std::set<std::pair<Time, LoanId>> given_ends_;
+  std::map<QueueId, Units> lent_slots_;
+  /** Includes ended loans, which are kept for a while. */
   std::map<LoanKey, TakenLoan> taken_;
+  std::deque<std::pair<LoanKey, Time>> ended_;
+  /** Highest loan of each lender that ended and was forgotten. A lower one that
+   * is not in taken_ is over, whatever messages arrive later. */
+  std::map<NodeId, LoanId> ended_floor_;
   std::map<BorrowId, SentBorrow> sent_;
   std::uint64_t next_loan_;
   std::uint64_t next_borrow_;
