decision: test the slot ledger with lost, repeated and late messages

Cause: a unit used by two nodes overruns a minion or a limit. Change: tables of loan faults and view changes; a property over several ledgers whose oracle counts the units truly in use.

--- /dev/null
+++ b/tests/slot_ledger_test.cc
@@ -0,0 +1,584 @@
+#include "libdecision/slot_ledger.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "libdecision/rendezvous.h"
+
+namespace baobab {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const ResourceId kMinion{ResourceKind::kMinionSlots, "m1"};
+const ResourceId kLimit{ResourceKind::kQueueLimit, "booking"};
+const QueueId kQueue("booking");
+constexpr Duration kRequestTime = seconds(30);
+
+NodeId Node(std::size_t n) {
+  return NodeId("n" + std::to_string(n));
+}
+
+NodeConfig Config(std::size_t n, std::uint64_t incarnation) {
+  NodeConfig config;
+  config.id = Node(n);
+  config.incarnation = Incarnation(incarnation);
+  config.request_timeout = kRequestTime;
+  return config;
+}
+
+std::vector<ViewNode> Nodes(const std::vector<std::size_t>& members) {
+  std::vector<ViewNode> nodes;
+  for (const std::size_t n : members) {
+    nodes.push_back({Node(n), DataCentreId("dc")});
+  }
+  return nodes;
+}
+
+Time At(double seconds_since_start) {
+  return Time() + std::chrono::duration_cast<Duration>(
+                      std::chrono::duration<double>(seconds_since_start));
+}
+
+// Guards against owners that differ between processes or releases: two nodes
+// would both take a unit as theirs.
+TEST(Rendezvous, HashesAreFixed) {
+  EXPECT_EQ(StableHash(std::string_view("n1")), 5894824055016522919ULL);
+  EXPECT_EQ(RendezvousOwner(StableHash(kMinion), 3, {1, 2, 3, 4}), 1U);
+}
+
+// Guards against units that move although their owner stays.
+RC_GTEST_PROP(Rendezvous,
+              RemovedNodeMovesOnlyItsOwnUnits,
+              (std::uint64_t key)) {
+  std::vector<std::uint64_t> nodes;
+  for (std::uint64_t n = 0; n < 9; ++n) {
+    nodes.push_back(StableHash("n" + std::to_string(n)));
+  }
+  const std::vector<std::uint64_t> fewer(nodes.begin(), nodes.end() - 1);
+  for (std::uint64_t unit = 0; unit < 1000; unit += 7) {
+    const std::size_t before = RendezvousOwner(key, unit, nodes);
+    const std::size_t after = RendezvousOwner(key, unit, fewer);
+    RC_ASSERT(before == after || before == 8U);
+    RC_ASSERT(UnitGroup(unit) <= unit && unit < NextUnitGroup(unit));
+  }
+}
+
+/** A ledger that was alone in view 1 from the start of the fleet. */
+SlotLedger LoneLedger(std::size_t n) {
+  SlotLedger ledger(Config(n, 1'000'000 * (n + 1)), Time());
+  ledger.SetResource(kMinion, Units(8), DataCentreId("dc"), Units(), Time());
+  ledger.SetView(ViewNumber(0), {}, {}, Time());
+  ledger.SetView(ViewNumber(1), Nodes({n}), {}, Time());
+  return ledger;
+}
+
+struct LoanFault {
+  const char* name;
+  /** What the borrower and the network do before the check. */
+  bool returns = false;
+  int return_copies = 1;
+  Incarnation returning{2'000'000};
+  double check_at = 0;
+  /** Own units free at the lender then, of 8 with 2 lent. */
+  std::int64_t free = 0;
+};
+
+class LoanFaultTest : public testing::TestWithParam<LoanFault> {};
+
+// Guards against a lender that uses a lent unit which may still be in use, or
+// never gets it back.
+TEST_P(LoanFaultTest, LenderCountsUnitsOut) {
+  const LoanFault& fault = GetParam();
+  SlotLedger lender = LoneLedger(0);
+  const Incarnation borrower(2'000'000);
+  const auto loan =
+      lender.Lend(Node(1), borrower, kQueue, {kMinion, Units(2)}, Time());
+  ASSERT_TRUE(loan);
+  ASSERT_TRUE(lender.Grant(*loan, BorrowId(2'000'001), Time()));
+  EXPECT_EQ(lender.OwnFree(kMinion), Units(6));
+  for (int n = 0; fault.returns && n < fault.return_copies; ++n) {
+    lender.OnReturn(Node(1), fault.returning, {*loan, {{kMinion, Units(1)}}});
+  }
+  lender.Advance(At(fault.check_at));
+  EXPECT_EQ(lender.OwnFree(kMinion), Units(fault.free));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Faults,
+    LoanFaultTest,
+    testing::Values(
+        LoanFault{"loan term is over, requests may run", false, 1,
+                  Incarnation(2'000'000), 30.9, 6},
+        LoanFault{"silent borrower", false, 1, Incarnation(2'000'000), 31, 8},
+        LoanFault{"one unit returned", true, 1, Incarnation(2'000'000), 1, 7},
+        LoanFault{"duplicated return", true, 3, Incarnation(2'000'000), 1, 7},
+        LoanFault{"return of a restarted borrower", true, 1,
+                  Incarnation(2'500'000), 1, 6}),
+    [](const auto& it) { return "Case" + std::to_string(it.index); });
+
+// Guards against a late grant that revives a returned loan, and against a loan
+// prolonged by the time its grant travelled.
+TEST(SlotLedger, LateGrantsGiveNothing) {
+  SlotLedger borrower = LoneLedger(1);
+  const BorrowId first = borrower.NextBorrow(Node(0), kQueue, At(0));
+  const LoanGrant grant{
+      first, LoanId(7), kQueue, {{kMinion, Units(1)}}, kLoanTerm};
+  const auto key = borrower.OnGrant(Node(0), grant, At(0.9));
+  ASSERT_TRUE(key);
+  EXPECT_EQ(borrower.TakenFree(*key, kMinion, At(0.95)), Units(1));
+  EXPECT_EQ(borrower.TakenFree(*key, kMinion, At(1)), Units(0));
+  EXPECT_FALSE(borrower.Use({kMinion, *key}, At(1)));
+  EXPECT_EQ(borrower.TakeViolations().size(), 1U);
+  borrower.ReturnIdle(*key, At(0.95));
+  EXPECT_EQ(borrower.TakeMessages().size(), 1U);
+  EXPECT_FALSE(borrower.OnGrant(Node(0), grant, At(0.96)));
+  EXPECT_EQ(borrower.TakenFree(*key, kMinion, At(0.96)), Units(0));
+  borrower.Advance(At(10));
+  const BorrowId second = borrower.NextBorrow(Node(0), kQueue, At(10));
+  EXPECT_FALSE(borrower.OnGrant(
+      Node(0), {second, LoanId(7), kQueue, {{kMinion, Units(1)}}, kLoanTerm},
+      At(10)));
+  EXPECT_FALSE(borrower.OnGrant(
+      Node(0),
+      {BorrowId(5), LoanId(8), kQueue, {{kMinion, Units(1)}}, kLoanTerm},
+      At(10)));
+}
+
+struct ViewCase {
+  const char* name;
+  /** Number of the first view, 0 for a log that never held one. */
+  std::uint64_t first = 0;
+  bool in_first = false;
+  bool former_adopted = false;
+  /** The first view that contains the node; `first` + 1 has no gap. */
+  std::uint64_t joins = 1;
+  double usable_before = 0;
+  double usable_at = 0;
+};
+
+class ViewTest : public testing::TestWithParam<ViewCase> {};
+
+// Guards against a new owner that uses a unit while the former owner, a node
+// that left unheard, or an earlier process of itself may still use it.
+TEST_P(ViewTest, GainedUnitsWait) {
+  const ViewCase& view = GetParam();
+  SlotLedger ledger(Config(0, 1'000'000), Time());
+  ledger.SetResource(kMinion, Units(8), DataCentreId("dc"), Units(), Time());
+  const std::set<NodeId> adopted =
+      view.former_adopted ? std::set{Node(1)} : std::set<NodeId>{};
+  std::vector<ViewNode> nodes;
+  if (view.first > 0) {
+    nodes = view.in_first ? Nodes({0}) : Nodes({1});
+  }
+  ledger.SetView(ViewNumber(view.first), nodes, adopted, Time());
+  ledger.SetView(ViewNumber(view.joins), Nodes({0}), adopted, Time());
+  ledger.Advance(At(view.usable_before));
+  EXPECT_EQ(ledger.OwnFree(kMinion), Units(0)) << view.name;
+  EXPECT_FALSE(ledger.Use({kMinion, std::nullopt}, At(view.usable_before)));
+  EXPECT_EQ(ledger.TakeViolations().size(), 1U);
+  ledger.Advance(At(view.usable_at));
+  EXPECT_EQ(ledger.OwnFree(kMinion), Units(8)) << view.name;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Views,
+    ViewTest,
+    testing::Values(
+        ViewCase{"restart within the view", 3, true, false, 3, 44.9, 45},
+        ViewCase{"joins, former owner unheard", 3, false, false, 4, 44.9, 45},
+        ViewCase{"joins, former owner adopted", 3, false, true, 4, 30.9, 31},
+        ViewCase{"views missed", 3, false, true, 6, 44.9, 45}),
+    [](const auto& it) { return "Case" + std::to_string(it.index); });
+
+// Guards against a fleet that starts and serves nothing for 45 s.
+TEST(SlotLedger, FirstViewOfAllIsUsableAtOnce) {
+  EXPECT_EQ(LoneLedger(0).OwnFree(kMinion), Units(8));
+}
+
+// Guards against a former owner that announces a view while it still uses or
+// lends units it lost.
+TEST(SlotLedger, AnnouncesViewOnlyWhenLostUnitsAreOver) {
+  SlotLedger ledger = LoneLedger(0);
+  for (int n = 0; n < 7; ++n) {
+    ASSERT_TRUE(ledger.Use({kMinion, std::nullopt}, Time()));
+  }
+  const auto loan =
+      ledger.Lend(Node(2), Incarnation(9), kQueue, {kMinion, Units(1)}, Time());
+  ledger.SetView(ViewNumber(2), Nodes({1}), {Node(1)}, At(1));
+  EXPECT_EQ(ledger.AnnouncedView(At(1)), ViewNumber(1));
+  for (int n = 0; n < 7; ++n) {
+    ledger.Release({kMinion, std::nullopt});
+    EXPECT_EQ(ledger.OwnFree(kMinion), Units(0));
+  }
+  EXPECT_EQ(ledger.AnnouncedView(At(2)), ViewNumber(1));
+  ledger.OnReturn(Node(2), Incarnation(9), {*loan, {{kMinion, Units(1)}}});
+  EXPECT_EQ(ledger.AnnouncedView(At(2)), ViewNumber(2));
+}
+
+/** Ledgers of several nodes over a network that loses, repeats, delays and
+ * reorders messages. Uses run on when their process dies. */
+class World {
+ public:
+  static constexpr std::size_t kNodes = 4;
+
+  World() : nodes_(kNodes) {
+    views_.push_back({Nodes({0, 1, 2}), now_});
+    for (std::size_t n = 0; n < kNodes; ++n) {
+      Start(n);
+      nodes_[n].ledger->SetView(ViewNumber(0), {}, {}, now_);
+    }
+  }
+
+  /** One step; the numbers choose what happens. */
+  void Do(std::uint32_t kind, std::uint32_t a, std::uint32_t b) {
+    const std::size_t n = a % kNodes;
+    Node& node = nodes_[n];
+    const bool awake = node.ledger && node.paused_until <= now_;
+    switch (kind % 16) {
+      case 0:
+        Pass(milliseconds(b % 400));
+        break;
+      case 1:
+        Pass(seconds(b % 3) + milliseconds(b % 977));
+        break;
+      case 2:
+        Pass(b % 4 == 0 ? seconds(b % 40) : milliseconds(b % 100));
+        break;
+      case 3:
+        if (b % 3 == 0) {
+          node.ledger.reset();
+        }
+        break;
+      case 4:
+        if (!node.ledger) {
+          Start(n);
+        }
+        break;
+      case 5:
+        node.paused_until = now_ + milliseconds(b % 9000);
+        break;
+      case 6:
+        if (b % 2 == 0) {
+          ChangeView(b / 2);
+        }
+        break;
+      case 7:
+      case 8:
+        if (awake) {
+          Adopt(node);
+        }
+        break;
+      case 9:
+      case 10:
+        if (awake) {
+          UseOwn(n, b);
+        }
+        break;
+      case 11:
+      case 12:
+        if (awake) {
+          Ask(n, b);
+        }
+        break;
+      case 13:
+        if (awake) {
+          UseBorrowed(n, b);
+        }
+        break;
+      case 14:
+        if (awake) {
+          Return(node, b);
+        }
+        break;
+      default:
+        Heartbeat(n, b);
+        break;
+    }
+  }
+
+ private:
+  struct Node {
+    std::unique_ptr<SlotLedger> ledger;
+    Incarnation incarnation;
+    /** Views adopted, of views_. */
+    std::size_t view = 0;
+    std::map<NodeId, std::uint64_t> heard;
+    Time paused_until;
+  };
+  struct Use {
+    std::size_t node = 0;
+    Incarnation incarnation;
+    UnitSource source;
+    Time ends;
+  };
+  struct HeartbeatView {
+    std::uint64_t view = 0;
+  };
+  struct Message {
+    Time at;
+    std::size_t from = 0;
+    std::size_t to = 0;
+    Incarnation incarnation;
+    std::variant<HeartbeatView, BorrowRequest, LoanGrant, LoanReturn> body;
+  };
+
+  void Start(std::size_t n) {
+    Node& node = nodes_[n];
+    node = {};
+    node.incarnation =
+        Incarnation(static_cast<std::uint64_t>((now_ - Time()).count()) +
+                    1'000'000 + starts_++);
+    node.ledger =
+        std::make_unique<SlotLedger>(Config(n, node.incarnation.value()), now_);
+    node.ledger->SetResource(kMinion, Units(8), DataCentreId("dc"), Units(),
+                             now_);
+    node.ledger->SetResource(kLimit, Units(5), DataCentreId(), Units(), now_);
+    if (now_ > Time()) {
+      // A process that starts later reads the log and sees the newest view.
+      node.view = views_.size();
+      node.ledger->SetView(ViewNumber(node.view), views_.back().first, {},
+                           now_);
+    }
+  }
+
+  void ChangeView(std::uint32_t choice) {
+    std::vector<std::size_t> members;
+    for (std::size_t n = 0; n < kNodes; ++n) {
+      if (((choice >> n) & 1U) != 0) {
+        members.push_back(n);
+      }
+    }
+    if (!members.empty()) {
+      views_.push_back({Nodes(members), now_});
+    }
+  }
+
+  void Adopt(Node& node) {
+    do {
+      node.view = std::min(node.view + 1, views_.size());
+      std::set<NodeId> adopted;
+      for (const auto& [id, view] : node.heard) {
+        if (view >= node.view) {
+          adopted.insert(id);
+        }
+      }
+      node.ledger->SetView(ViewNumber(node.view), views_[node.view - 1].first,
+                           adopted, now_);
+    } while (node.view < views_.size());
+  }
+
+  /** Units are used only within 10 s of the last proof that the view is
+   * current, as Membership ensures. */
+  bool Confirmed(const Node& node) const {
+    return node.view == views_.size() ||
+           now_ < views_[node.view].second + seconds(10);
+  }
+
+  void UseOwn(std::size_t n, std::uint32_t b) {
+    Node& node = nodes_[n];
+    const ResourceId& resource = b % 3 == 0 ? kLimit : kMinion;
+    while (Confirmed(node) && node.ledger->OwnFree(resource) > Units()) {
+      Begin(n, {resource, std::nullopt}, b);
+      if (b % 2 == 0) {
+        break;
+      }
+    }
+  }
+
+  void UseBorrowed(std::size_t n, std::uint32_t b) {
+    Node& node = nodes_[n];
+    for (const auto& [key, loan] : node.ledger->taken()) {
+      for (const auto& [resource, units] : loan.units) {
+        if (node.ledger->TakenFree(key, resource, now_) > Units()) {
+          Begin(n, {resource, key}, b);
+          return;
+        }
+      }
+    }
+  }
+
+  void Begin(std::size_t n, const UnitSource& source, std::uint32_t b) {
+    RC_ASSERT(nodes_[n].ledger->Use(source, now_));
+    const Duration length = b % 5 == 0 ? kRequestTime : milliseconds(b % 3000);
+    uses_.push_back({n, nodes_[n].incarnation, source, now_ + length});
+    const auto used =
+        std::count_if(uses_.begin(), uses_.end(), [&](const Use& it) {
+          return it.source.resource == source.resource && it.ends > now_;
+        });
+    RC_ASSERT(used <= (source.resource == kMinion ? 8 : 5));
+  }
+
+  void Ask(std::size_t n, std::uint32_t b) {
+    const std::size_t lender = (n + 1 + b % (kNodes - 1)) % kNodes;
+    BorrowRequest ask;
+    ask.id = nodes_[n].ledger->NextBorrow(NodeIdOf(lender), kQueue, now_);
+    ask.queue = kQueue;
+    ask.slots = Units(1 + b % 3);
+    Send(n, lender, ask, b);
+  }
+
+  void Return(Node& node, std::uint32_t b) {
+    for (const auto& [key, loan] : node.ledger->taken()) {
+      if (b % 2 == 0 || !loan.in_use.empty()) {
+        node.ledger->ReturnIdle(key, now_);
+        break;
+      }
+    }
+    Flush(static_cast<std::size_t>(&node - nodes_.data()), b);
+  }
+
+  void Heartbeat(std::size_t n, std::uint32_t b) {
+    Node& node = nodes_[n];
+    if (!node.ledger || node.paused_until > now_) {
+      return;
+    }
+    const std::uint64_t view = node.ledger->AnnouncedView(now_).value();
+    for (std::size_t to = 0; to < kNodes; ++to) {
+      Send(n, to, HeartbeatView{view}, b + static_cast<std::uint32_t>(to));
+    }
+  }
+
+  template <typename Body>
+  void Send(std::size_t from,
+            std::size_t to,
+            const Body& body,
+            std::uint32_t b) {
+    if (b % 7 == 3) {
+      return;
+    }
+    const Duration delay =
+        b % 4 == 0 ? milliseconds(b % 2500) : milliseconds(1);
+    messages_.push_back(
+        {now_ + delay, from, to, nodes_[from].incarnation, body});
+    if (b % 5 == 1) {
+      messages_.push_back({now_ + delay + milliseconds(b % 1900), from, to,
+                           nodes_[from].incarnation, body});
+    }
+  }
+
+  void Flush(std::size_t n, std::uint32_t b) {
+    for (SendPeer& it : nodes_[n].ledger->TakeMessages()) {
+      if (const auto* back = std::get_if<LoanReturn>(&it.message)) {
+        Send(n, IndexOf(it.to), *back, b);
+      }
+    }
+  }
+
+  void Pass(Duration duration) {
+    const Time until = now_ + duration;
+    while (now_ < until) {
+      now_ = std::min(until, now_ + milliseconds(50));
+      EndUses();
+      const std::vector<Message> all = std::exchange(messages_, {});
+      for (const Message& it : all) {
+        Node& to = nodes_[it.to];
+        if (it.at > now_ || (to.ledger && to.paused_until > now_)) {
+          messages_.push_back(it);
+        } else if (to.ledger) {
+          Receive(it);
+        }
+      }
+      for (std::size_t n = 0; n < kNodes; ++n) {
+        if (nodes_[n].ledger && nodes_[n].paused_until <= now_) {
+          nodes_[n].ledger->Advance(now_);
+          Flush(n, 0);
+          RC_ASSERT(nodes_[n].ledger->TakeViolations().empty());
+        }
+      }
+    }
+  }
+
+  void EndUses() {
+    std::erase_if(uses_, [&](const Use& it) {
+      Node& node = nodes_[it.node];
+      const bool same = node.ledger && node.incarnation == it.incarnation;
+      if (it.ends > now_ || (same && node.paused_until > now_)) {
+        return false;
+      }
+      if (same) {
+        node.ledger->Release(it.source);
+      }
+      return true;
+    });
+  }
+
+  void Receive(const Message& message) {
+    Node& node = nodes_[message.to];
+    SlotLedger& ledger = *node.ledger;
+    const baobab::NodeId from = NodeIdOf(message.from);
+    if (const auto* view = std::get_if<HeartbeatView>(&message.body)) {
+      auto& heard = node.heard[from];
+      heard = std::max(heard, view->view);
+      if (node.view > 0 && heard >= node.view) {
+        ledger.SetView(ViewNumber(node.view), views_[node.view - 1].first,
+                       {from}, now_);
+      }
+    } else if (const auto* ask = std::get_if<BorrowRequest>(&message.body)) {
+      Lend(message, *ask);
+    } else if (const auto* loan = std::get_if<LoanGrant>(&message.body)) {
+      ledger.OnGrant(from, *loan, now_);
+    } else if (const auto* back = std::get_if<LoanReturn>(&message.body)) {
+      ledger.OnReturn(from, message.incarnation, *back);
+    }
+    Flush(message.to, static_cast<std::uint32_t>(messages_.size()));
+  }
+
+  void Lend(const Message& message, const BorrowRequest& ask) {
+    Node& node = nodes_[message.to];
+    SlotLedger& ledger = *node.ledger;
+    if (!Confirmed(node)) {
+      return;
+    }
+    const auto b =
+        static_cast<std::uint32_t>(ask.id.value() + messages_.size());
+    const baobab::NodeId from = NodeIdOf(message.from);
+    const auto given = ledger.given();
+    for (const auto& [id, loan] : given) {
+      if (loan.borrower == from && loan.incarnation == message.incarnation) {
+        Send(message.to, message.from, *ledger.Grant(id, ask.id, now_), b);
+      }
+    }
+    const ResourceId& resource = b % 3 == 0 ? kLimit : kMinion;
+    const Units units = std::min(ask.slots, ledger.OwnFree(resource));
+    if (units > Units()) {
+      const auto loan = ledger.Lend(from, message.incarnation, kQueue,
+                                    {resource, units}, now_);
+      Send(message.to, message.from, *ledger.Grant(*loan, ask.id, now_), b + 1);
+    }
+  }
+
+  static baobab::NodeId NodeIdOf(std::size_t n) {
+    return baobab::NodeId("n" + std::to_string(n));
+  }
+  static std::size_t IndexOf(const baobab::NodeId& id) {
+    return static_cast<std::size_t>(id.value().at(1) - '0');
+  }
+
+  Time now_;
+  std::vector<Node> nodes_;
+  std::vector<std::pair<std::vector<ViewNode>, Time>> views_;
+  std::vector<Use> uses_;
+  std::vector<Message> messages_;
+  std::uint64_t starts_ = 0;
+};
+
+// Guards against more requests on a minion or under a limit than it has units,
+// whatever happens to messages, processes and views.
+TEST(SlotLedger, UnitsAreNeverUsedTwice) {
+  EXPECT_TRUE(rc::check("units are never used twice", [] {
+    const auto steps = *rc::gen::container<
+        std::vector<std::tuple<std::uint32_t, std::uint32_t, std::uint32_t>>>(
+        400,
+        rc::gen::tuple(rc::gen::inRange(0U, 16U), rc::gen::inRange(0U, 64U),
+                       rc::gen::inRange(0U, 100000U)));
+    World world;
+    for (const auto& [kind, a, b] : steps) {
+      world.Do(kind, a, b);
+    }
+  }));
+}
+
+}  // namespace
+}  // namespace baobab
