decision: let the reducer use StateFetch and the scheduler interface

Cause: the log part has its own fetch of a peer's state, and RequestFlow depends on RequestScheduler. Change: LogReading only decides the offset; FairScheduler implements RequestScheduler. Conclusion: libdecision compiles as a whole.

--- a/src/libdecision/fair_scheduler.h
+++ b/src/libdecision/fair_scheduler.h
@@ -34,27 +34,29 @@
 /** Decides which queued request starts next and on which minion: start-time
  * fair queueing by weight over slot time among the queues of a service,
  * earliest deadline first inside a queue, within the units of SlotLedger. */
-class FairScheduler {
+class FairScheduler : public RequestScheduler {
  public:
   FairScheduler(const NodeConfig& config, Time started);
-  ~FairScheduler();
+  ~FairScheduler() override;
   FairScheduler(const FairScheduler&) = delete;
   FairScheduler& operator=(const FairScheduler&) = delete;
 
   /** Queues a request. Refusals: kNoTable, kUnknownQueue, kStopping, kNoMinion,
    * kOverLimit, kOverQuota, kBacklogFull, kDeadlinePassed and
    * kCannotStartInTime. The id must not be in the scheduler. */
-  tl::expected<void, Refusal> Admit(const QueuedRequest& request, Time now);
+  tl::expected<void, Refusal> Admit(const QueuedRequest& request,
+                                    Time now) override;
   /** Drops a waiting request; does nothing if it has started or is unknown. */
-  void Withdraw(RequestId id);
+  void Withdraw(RequestId id) override;
   /** Starts what may start now, gives loans and asks peers for units. To be
    * called after every event, but only while the node may use its units. */
-  std::vector<RequestStart> TakeStarts(Time now, const UsableMinion& usable);
+  std::vector<RequestStart> TakeStarts(Time now,
+                                       const UsableMinion& usable) override;
   /** Removes waiting requests that are past their start_by, or whose queue has
    * left the table. */
-  std::vector<RefusedRequest> TakeExpired(Time now);
+  std::vector<RefusedRequest> TakeExpired(Time now) override;
   /** The attempt that TakeStarts() started has ended. */
-  void Finish(RequestId id, Time now);
+  void Finish(RequestId id, Time now) override;
 
   void SetTable(const Table& table, Time now);
   void SetMinions(const std::vector<MinionEntry>& minions, Time now);
--- a/src/libdecision/reducer.cc
+++ b/src/libdecision/reducer.cc
@@ -5,7 +5,6 @@
 #include <utility>
 #include <variant>
 
-#include "libdecision/fold_codec.h"
 #include "libdecision/rendezvous.h"
 #include "libdecision/state.h"
 
@@ -27,7 +26,7 @@
 
  private:
   void On(const Tick&) {
-    state_.reading.Tick(now_, state_.fold, effects_);
+    state_.fetch.Tick(now_, state_.fold, state_.membership, effects_);
     state_.membership.Tick(now_, Local(), effects_);
     state_.minions.Advance(
         now_, [this](const MinionId& it) { return Probes(it); }, effects_);
@@ -64,6 +63,7 @@
 
   void On(const LogRead& event) {
     state_.membership.OnLogRead(now_);
+    state_.fetch.OnLogRead();
     state_.reading.OnRead(
         event, state_.fold,
         [this](const LogEntry& entry, const FoldResult& result) {
@@ -72,7 +72,10 @@
         });
     FollowFold();
   }
-  void On(const LogReadFailed&) { state_.planner.OnLogReadFailed(now_); }
+  void On(const LogReadFailed&) {
+    state_.fetch.OnLogReadFailed();
+    state_.planner.OnLogReadFailed(now_);
+  }
   void On(const AppendFinished& event) {
     state_.writer.OnFinished(event, now_, effects_);
   }
@@ -152,14 +155,12 @@
     state_.minions.OnNotice(envelope.from, message, now_, effects_);
   }
   void OnPeer(const PeerEnvelope& envelope, const StateRequest&) {
-    if (state_.fold.caught_up()) {
-      effects_.push_back(
-          SendPeer{envelope.from, StateReply{state_.fold.next_offset(),
-                                             EncodeFold(state_.fold.state())}});
-    }
+    StateFetch::OnRequest(envelope.from, state_.fold, effects_);
   }
   void OnPeer(const PeerEnvelope& envelope, const StateReply& message) {
-    state_.reading.OnReply(envelope.from, message, state_.fold, effects_);
+    state_.fetch.OnReply(envelope.from, message, now_, state_.membership,
+                         state_.fold, effects_);
+    state_.reading.OnAdopted(state_.fold);
     FollowFold();
   }
 
--- a/src/libdecision/state.cc
+++ b/src/libdecision/state.cc
@@ -41,7 +41,7 @@
 
 State::State(const NodeConfig& node_config, Time now)
     : config(node_config),
-      reading(node_config),
+      fetch(now),
       writer({node_config.id, node_config.incarnation},
              node_config.peers.size() + 1),
       membership(node_config, now),
--- a/src/libdecision/state.h
+++ b/src/libdecision/state.h
@@ -16,6 +16,7 @@
 #include "libdecision/planner.h"
 #include "libdecision/reducer.h"
 #include "libdecision/request_flow.h"
+#include "libdecision/state_fetch.h"
 #include "libdecision/table_commands.h"
 
 namespace baobab {
@@ -32,6 +33,7 @@
 
   LogFold fold;
   LogReading reading;
+  StateFetch fetch;
   LogWriter writer;
   Membership membership;
   TableCommands commands;
