--- a/src/bench/main.cc
+++ b/src/bench/main.cc
@@ -1,7 +1,7 @@
 #include <fmt/format.h>
 #include <CLI/CLI.hpp>
 
-#include "bench/flood.h"
+#include "libbench/flood.h"
 
 namespace baobab {
 namespace {
--- /dev/null
+++ b/src/libbench/bench.h
@@ -0,0 +1,9 @@
+#ifndef SRC_LIBBENCH_BENCH_H_
+#define SRC_LIBBENCH_BENCH_H_
+
+// Public header of libbench: measurements of the decisions, in one process.
+
+#include "libbench/control_plane.h"
+#include "libbench/flood.h"
+
+#endif  // SRC_LIBBENCH_BENCH_H_
--- a/src/bench/flood.cc
+++ b/src/libbench/flood.cc
@@ -1,4 +1,4 @@
-#include "bench/flood.h"
+#include "libbench/flood.h"
 
 #include <algorithm>
 #include <limits>
@@ -6,7 +6,7 @@
 #include <random>
 #include <unordered_map>
 
-#include "bench/node_policy.h"
+#include "libbench/node_policy.h"
 
 namespace baobab {
 namespace {
--- a/src/bench/flood.h
+++ b/src/libbench/flood.h
@@ -1,5 +1,5 @@
-#ifndef SRC_BENCH_FLOOD_H_
-#define SRC_BENCH_FLOOD_H_
+#ifndef SRC_LIBBENCH_FLOOD_H_
+#define SRC_LIBBENCH_FLOOD_H_
 
 #include <cstdint>
 #include <string>
@@ -82,4 +82,4 @@
 
 }  // namespace baobab
 
-#endif  // SRC_BENCH_FLOOD_H_
+#endif  // SRC_LIBBENCH_FLOOD_H_
--- a/src/bench/node_policy.cc
+++ b/src/libbench/node_policy.cc
@@ -1,4 +1,4 @@
-#include "bench/node_policy.h"
+#include "libbench/node_policy.h"
 
 #include <algorithm>
 #include <unordered_map>
--- a/src/bench/node_policy.h
+++ b/src/libbench/node_policy.h
@@ -1,5 +1,5 @@
-#ifndef SRC_BENCH_NODE_POLICY_H_
-#define SRC_BENCH_NODE_POLICY_H_
+#ifndef SRC_LIBBENCH_NODE_POLICY_H_
+#define SRC_LIBBENCH_NODE_POLICY_H_
 
 #include <deque>
 #include <map>
@@ -7,7 +7,7 @@
 #include <random>
 #include <vector>
 
-#include "bench/flood.h"
+#include "libbench/flood.h"
 #include "libdecision/fair_scheduler.h"
 
 namespace baobab {
@@ -47,4 +47,4 @@
 
 }  // namespace baobab
 
-#endif  // SRC_BENCH_NODE_POLICY_H_
+#endif  // SRC_LIBBENCH_NODE_POLICY_H_
