--- a/src/libdecision/log_fold.cc
+++ b/src/libdecision/log_fold.cc
@@ -5,9 +5,8 @@
 
 #include <algorithm>
 
-#include <xxhash.h>
-
 #include "libdecision/fold_codec.h"
+#include "libdecision/text_hash.h"
 
 namespace baobab {
 namespace {
@@ -233,7 +232,7 @@
 
 std::uint64_t LogFold::Digest() const {
   const std::string text = EncodeFold(state_);
-  return XXH3_64bits(text.data(), text.size());
+  return HashText(text);
 }
 
 }  // namespace baobab
--- a/src/libdecision/log_writer.cc
+++ b/src/libdecision/log_writer.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <string>
 
-#include <xxhash.h>
+#include "libdecision/text_hash.h"
 
 namespace baobab {
 namespace {
@@ -125,8 +125,7 @@
   const std::string key = self_.node.value() + "/" +
                           std::to_string(waiting.record.sequence.value()) +
                           "/" + std::to_string(waiting.attempts);
-  const auto part =
-      static_cast<std::int64_t>(XXH3_64bits(key.data(), key.size()) % 1000);
+  const auto part = static_cast<std::int64_t>(HashText(key) % 1000);
   return backoff / 2 + backoff / 2 * part / 1000;
 }
 
--- a/src/libdecision/membership.cc
+++ b/src/libdecision/membership.cc
@@ -2,10 +2,11 @@
 
 #include <algorithm>
 #include <string>
+
 #include <tuple>
 #include <utility>
 
-#include <xxhash.h>
+#include "libdecision/text_hash.h"
 
 namespace baobab {
 namespace {
@@ -14,11 +15,11 @@
 constexpr Duration kReportFreshNear = std::chrono::seconds(3);
 constexpr Duration kReportFreshFar = std::chrono::seconds(12);
 
-/** Spreads the first heartbeats of all pairs over the interval. */
+/** Same part of the interval for a pair of nodes in each process. */
 Duration Stagger(const NodeId& from, const NodeId& to, Duration interval) {
   const std::string key = from.value() + ">" + to.value();
-  const auto part = XXH3_64bits(key.data(), key.size()) %
-                    static_cast<std::uint64_t>(interval.count());
+  const auto part =
+      HashText(key) % static_cast<std::uint64_t>(interval.count());
   return Duration(static_cast<std::int64_t>(part));
 }
 
@@ -31,9 +32,11 @@
       continue;
     }
     targets_[it.id] = it.data_centre;
-    due_[it.id] =
-        now + Stagger(config_.id, it.id,
-                      IsNear(it.data_centre) ? kHeartbeatNear : kHeartbeatFar);
+    const Duration interval =
+        IsNear(it.data_centre) ? kHeartbeatNear : kHeartbeatFar;
+    phase_[it.id] = now + Stagger(config_.id, it.id, interval);
+    // A new process makes itself known to all within a second.
+    due_[it.id] = now + Stagger(config_.id, it.id, kHeartbeatNear);
   }
 }
 
@@ -129,9 +132,10 @@
     const bool near = IsNear(data_centre);
     const Duration interval = near ? kHeartbeatNear : kHeartbeatFar;
     effects.push_back(SendPeer{id, Make(now, local, near)});
-    // Keeps the phase of the schedule, but sends no burst after a pause.
-    while (due <= now) {
-      due += interval;
+    // Keeps the phase, and sends no burst after a pause.
+    due = phase_[id];
+    if (due <= now) {
+      due += interval * ((now - due) / interval + 1);
     }
   }
 }
--- a/src/libdecision/membership.h
+++ b/src/libdecision/membership.h
@@ -109,6 +109,8 @@
 
   NodeConfig config_;
   std::map<NodeId, DataCentreId> targets_;
+  /** Spreads the heartbeats of all pairs over the interval. */
+  std::map<NodeId, Time> phase_;
   std::map<NodeId, Time> due_;
   std::map<NodeId, PeerState> peers_;
   Time log_read_at_;
--- /dev/null
+++ b/src/libdecision/text_hash.cc
@@ -0,0 +1,13 @@
+#include "libdecision/text_hash.h"
+
+// Inline, so that the library needs no link to libxxhash.
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace baobab {
+
+std::uint64_t HashText(std::string_view text) {
+  return XXH3_64bits(text.data(), text.size());
+}
+
+}  // namespace baobab
