--- a/src/libbench/control_plane.cc
+++ b/src/libbench/control_plane.cc
@@ -169,7 +169,8 @@
                           false,
                           {}});
   } else if (const auto* probe = std::get_if<ProbeMinion>(&effect)) {
-    Later(n, options_.message_delay, ProbeFinished{probe->minion, true, false});
+    Later(n, options_.message_delay,
+          ProbeFinished{probe->minion, true, signs_.contains(probe->minion)});
   } else if (const auto* answer = std::get_if<AnswerCommand>(&effect)) {
     replies_[answer->command] = answer->reply;
   }
--- a/src/libbench/control_plane.h
+++ b/src/libbench/control_plane.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <queue>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -52,7 +53,10 @@
   /** A paused node gets no events; those meant for it wait. */
   void SetPaused(int node, bool paused) { nodes_.at(node).paused = paused; }
   void SetLogDown(bool down) { log_down_ = down; }
+  /** Shows a minion as leaving in the host list. */
   void SetLeaving(const MinionId& minion, bool leaving);
+  /** Lets a minion say in its answers that it leaves. */
+  void SetSign(const MinionId& minion) { signs_.insert(minion); }
 
   /** Sends an edit of the whole table to a node; its answer comes by replies().
    */
@@ -109,6 +113,7 @@
   std::vector<LogEntry> log_;
   bool log_down_ = false;
   HostList hosts_;
+  std::set<MinionId> signs_;
   std::map<CommandId, CommandReply> replies_;
   std::vector<std::pair<int, Effect>> effects_;
   std::vector<TimelineEntry> violations_;
