wire: send KeyOutcome's request and check that all members are listed

Cause: KeyOutcome got a member `request` that its list of fields lacked, so the issuer would always have received 0 and ignored the report. Conclusion: a member that is added later cannot be lost silently.

--- a/src/libdecision/peer_message.h
+++ b/src/libdecision/peer_message.h
@@ -127,6 +127,8 @@
   Incarnation issuer_incarnation;
   int outcome = 0;
   KeptAnswer answer;
+  /** The claiming node's request; a report counts only for its own claim. */
+  RequestId request;
 
   bool operator==(const KeyOutcome&) const = default;
 };
--- a/src/libwire/bounded_dom.h
+++ b/src/libwire/bounded_dom.h
@@ -20,7 +20,7 @@
  public:
   static constexpr std::size_t kMaxDepth = 16;
   /** At most about 100 bytes each, so 25 MB in the worst case. */
-  static constexpr std::size_t kMaxValues = 256 * 1024;
+  static constexpr std::size_t kMaxValues = 256u << 10;
 
   /** Parses text or MessagePack; empty if it is malformed, repeats a key of an
    * object or exceeds a limit. */
--- a/src/libwire/peer_shapes.h
+++ b/src/libwire/peer_shapes.h
@@ -134,7 +134,8 @@
       std::make_tuple(Field{"key_number", &KeyOutcome::key_number},
                       Field{"issuer", &KeyOutcome::issuer_incarnation},
                       Field{"outcome", &KeyOutcome::outcome},
-                      Field{"answer", &KeyOutcome::answer});
+                      Field{"answer", &KeyOutcome::answer},
+                      Field{"request", &KeyOutcome::request});
 };
 
 template <>
--- a/src/libwire/shape.h
+++ b/src/libwire/shape.h
@@ -50,6 +50,35 @@
   Shape<T>::kFields;
 };
 
+/** Converts to a member of any type of the aggregate Owner. */
+template <typename Owner>
+struct AnyMember {
+  template <typename T>
+  requires(!std::same_as<T, Owner>) operator T()
+      const;  // NOLINT(google-explicit-constructor)
+};
+
+/** The number of members of an aggregate: the most values that can initialise
+ * it. */
+template <typename T, typename... Values>
+consteval std::size_t MemberCount() {
+  if constexpr (requires { T{Values{}..., AnyMember<T>{}}; }) {
+    return MemberCount<T, Values..., AnyMember<T>>();
+  } else {
+    return sizeof...(Values);
+  }
+}
+
+/** Fails to compile if a member was added to T but not to its Shape: it would
+ * be lost on the way to the other process. */
+template <Shaped T>
+constexpr void CheckAllMembersListed() {
+  static_assert(
+      MemberCount<T>() ==
+          std::tuple_size_v<std::remove_cvref_t<decltype(Shape<T>::kFields)>>,
+      "Shape<T>::kFields must list all members of T");
+}
+
 template <typename T>
 struct IsVector : std::false_type {};
 template <typename T>
@@ -132,6 +161,7 @@
 /** Adds the members to an object, or at the end of an array. */
 template <Style S, Shaped T>
 void WriteFields(const T& value, Json& json) {
+  CheckAllMembersListed<T>();
   std::apply(
       [&](const auto&... field) {
         if constexpr (S == Style::kObject) {
@@ -210,21 +240,21 @@
     }
     return true;
   } else if constexpr (std::is_enum_v<T>) {
-    constexpr auto& names = EnumNames<T>::kNames;
-    std::size_t index = names.size();
+    constexpr auto& kNames = EnumNames<T>::kNames;
+    std::size_t index = kNames.size();
     if constexpr (S == Style::kObject) {
       std::string text;
       if (!ReadText(json, text)) {
         return false;
       }
-      for (index = 0; index < names.size() && names.at(index) != text;) {
+      for (index = 0; index < kNames.size() && kNames.at(index) != text;) {
         ++index;
       }
     } else if (!ReadInteger(json, index)) {
       return false;
     }
     value = static_cast<T>(index);
-    return index < names.size();
+    return index < kNames.size();
   } else if constexpr (std::same_as<T, Duration>) {
     std::int64_t count = 0;
     if (!ReadInteger(json, count) || count > kMaxDuration.count() ||
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -76,8 +76,8 @@
   EXPECT_NE(fault.found.find(it.found), std::string::npos) << fault.found;
   EXPECT_FALSE(fault.allowed.empty());
   const std::string text = ReadAll(Example());
-  const auto above = text.begin() + text.find(it.from);
-  const auto line = std::count(text.begin(), above, '\n') + 1;
+  const std::string above = text.substr(0, text.find(it.from));
+  const auto line = std::count(above.begin(), above.end(), '\n') + 1;
   if (it.line) {
     EXPECT_GE(fault.line, line);
     EXPECT_LE(fault.line, line + 1);
