commands: add node, settings, table, status and timeline

Cause: operators need to edit the table and to see what the system does. Change: one file for each command behind CLI11; a client of the control ports; an edit is planned from the differences to the operator's base and resent with the same id; merge of time lines by Lamport clock with the causes of a match.

--- /dev/null
+++ b/src/baobabfront/commands.h
@@ -0,0 +1,32 @@
+#ifndef SRC_BAOBABFRONT_COMMANDS_H_
+#define SRC_BAOBABFRONT_COMMANDS_H_
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include <CLI/CLI.hpp>
+
+#include "libsettings/settings.h"
+
+namespace baobab {
+
+/** Runs the chosen command and returns the exit code of the process. */
+using CommandAction = std::function<int()>;
+
+// Each adds a command with its options; parsing sets `action`.
+void AddNodeCommand(CLI::App& app, CommandAction& action);
+void AddSettingsCommand(CLI::App& app, CommandAction& action);
+void AddTableCommand(CLI::App& app, CommandAction& action);
+void AddStatusCommand(CLI::App& app, CommandAction& action);
+void AddTimelineCommand(CLI::App& app, CommandAction& action);
+
+/** Adds the repeatable option --node with addresses of control ports. */
+CLI::Option* AddNodeOption(CLI::App& app, std::vector<std::string>& nodes);
+
+/** The addresses of checked --node values. */
+std::vector<Address> ParseNodes(const std::vector<std::string>& nodes);
+
+}  // namespace baobab
+
+#endif  // SRC_BAOBABFRONT_COMMANDS_H_
--- /dev/null
+++ b/tests/timeline_test.cc
@@ -0,0 +1,138 @@
+#include "baobabfront/timeline_merge.h"
+
+#include <algorithm>
+#include <sstream>
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+namespace baobab {
+namespace {
+
+TimelineLine Line(std::uint64_t clock,
+                  const std::string& node,
+                  std::uint64_t sequence,
+                  TimelineEntry entry = {}) {
+  return {clock,    NodeId(node), Incarnation(1),
+          sequence, 1000,         std::move(entry)};
+}
+
+std::vector<std::string> Kinds(const std::vector<TimelineLine>& lines) {
+  std::vector<std::string> kinds;
+  for (const auto& it : lines) {
+    kinds.push_back(it.node.value() + ":" + it.entry.kind);
+  }
+  return kinds;
+}
+
+/** A minion of host h1 leaves; a caller of n1 is refused for that reason. */
+std::vector<TimelineLine> Story() {
+  return MergeTimelines({
+      Line(9, "n2", 4, {"request-refused", "request/7", "queue/q", ""}),
+      Line(8, "n1", 3, {"request-refused", "request/7", "minion/m1", ""}),
+      Line(6, "n1", 2, {"minion-leaving", "minion/m1", "host/h1", ""}),
+      Line(7, "n2", 3, {"minion-leaving", "minion/m1", "node/n1", ""}),
+      Line(1, "n1", 1, {"request-accepted", "request/7", "", ""}),
+      Line(2, "n2", 1, {"request-accepted", "request/7", "", ""}),
+      Line(5, "n2", 2, {"table-in-force", "table/4", "offset/12", ""}),
+  });
+}
+
+struct FilterCase {
+  std::string name;
+  TimelineFilter filter;
+  std::vector<std::string> kinds;
+};
+
+class FilterTest : public testing::TestWithParam<FilterCase> {};
+
+// Guards against an explanation without the event that led to it, or with a
+// request of another node that has the same number.
+TEST_P(FilterTest, KeepsMatchesAndTheirCauses) {
+  EXPECT_EQ(Kinds(FilterTimeline(Story(), GetParam().filter)),
+            GetParam().kinds);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Timeline,
+    FilterTest,
+    testing::Values(
+        FilterCase{
+            "RequestOfOneNode",
+            {"request/7", "", "", "", "n1"},
+            {"n1:request-accepted", "n2:minion-leaving", "n1:request-refused"}},
+        FilterCase{"RequestPrefix",
+                   {"request/", "", "", "request-accepted", ""},
+                   {"n1:request-accepted", "n2:request-accepted"}},
+        FilterCase{"Host", {"", "h1", "", "", ""}, {"n1:minion-leaving"}},
+        FilterCase{"TableVersion",
+                   {"", "", "4", "", ""},
+                   {"n2:table-in-force"}},
+        FilterCase{"OtherTableVersion", {"", "", "40", "", ""}, {}},
+        FilterCase{"SubjectIsWhole", {"request", "", "", "", ""}, {}},
+        FilterCase{"Kind",
+                   {"", "", "", "minion-leaving", "n1"},
+                   {"n1:minion-leaving"}}),
+    [](const auto& it) { return it.param.name; });
+
+// Guards against a merge that depends on the order of the files, or that puts
+// an effect on one node before its cause on another.
+TEST(TimelineTest, MergeFollowsMessagesWhateverTheOrderOfFiles) {
+  const bool ok = rc::check([] {
+    // Random processes: each event ticks, or first receives from another.
+    std::uint64_t clocks[3] = {0, 0, 0};
+    std::uint64_t sequences[3] = {0, 0, 0};
+    std::vector<TimelineLine> lines;
+    std::vector<std::pair<TimelineLine, TimelineLine>> edges;
+    std::vector<std::optional<TimelineLine>> last(3);
+    const int events = *rc::gen::inRange(0, 40);
+    for (int n = 0; n < events; ++n) {
+      const int at = *rc::gen::inRange(0, 3);
+      const int from = *rc::gen::inRange(0, 3);
+      clocks[at] = std::max(clocks[at], clocks[from]) + 1;
+      const auto line =
+          Line(clocks[at], "n" + std::to_string(at), ++sequences[at]);
+      for (const auto& it : {last[at], last[from]}) {
+        if (it) {
+          edges.emplace_back(*it, line);
+        }
+      }
+      last[at] = line;
+      lines.push_back(line);
+    }
+    const auto merged = MergeTimelines(lines);
+    std::reverse(lines.begin(), lines.end());
+    RC_ASSERT(MergeTimelines(lines) == merged);
+    RC_ASSERT(merged.size() == lines.size());
+    for (const auto& [before, after] : edges) {
+      RC_ASSERT(std::find(merged.begin(), merged.end(), before) <
+                std::find(merged.begin(), merged.end(), after));
+    }
+  });
+  EXPECT_TRUE(ok);
+}
+
+// Guards against losing a file because the process was killed in its last line.
+TEST(TimelineTest, MalformedLinesAreCountedAndTheRestIsKept) {
+  std::istringstream stream(
+      "{\"node\":\"n1\",\"incarnation\":5,\"sequence\":1,\"clock\":3,"
+      "\"wall_ms\":9,\"kind\":\"k\",\"subject\":\"s/1\",\"cause\":\"\","
+      "\"detail\":\"d\"}\n[1]\n{\"node\":\"n1\",\"incar");
+  const TimelineFile file = ReadTimeline(stream);
+  EXPECT_EQ(file.malformed, 2U);
+  EXPECT_EQ(
+      file.lines,
+      (std::vector<TimelineLine>{
+          {3, NodeId("n1"), Incarnation(5), 1, 9, {"k", "s/1", "", "d"}}}));
+}
+
+// Guards against events that count twice when a file is named twice.
+TEST(TimelineTest, RepeatedEntriesAreDropped) {
+  auto lines = Story();
+  const auto once = lines;
+  lines.insert(lines.end(), once.begin(), once.end());
+  EXPECT_EQ(MergeTimelines(lines), once);
+}
+
+}  // namespace
+}  // namespace baobab
