--- /dev/null
+++ b/src/libnet/command_waiter.h
@@ -0,0 +1,37 @@
+#ifndef SRC_LIBNET_COMMAND_WAITER_H_
+#define SRC_LIBNET_COMMAND_WAITER_H_
+
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+
+#include "libnet/post_event.h"
+
+namespace baobab {
+
+/** Posts command events and waits for their replies. Thread-safe. */
+class CommandWaiter {
+ public:
+  explicit CommandWaiter(PostEvent post) : post_(std::move(post)) {}
+
+  /** Posts the event made for a new command id and waits for the reply.
+   * Errors: no reply within the timeout. */
+  Result<CommandReply> Ask(const std::function<EventBody(CommandId)>& make,
+                           Duration timeout);
+
+  /** Hands the reply to its waiting thread; ignored if that gave up. */
+  void Execute(const AnswerCommand& effect);
+
+ private:
+  PostEvent post_;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::uint64_t next_ = 1;
+  std::map<CommandId, std::optional<CommandReply>> waiting_;
+};
+
+}  // namespace baobab
+
+#endif  // SRC_LIBNET_COMMAND_WAITER_H_
--- /dev/null
+++ b/src/libnet/log_appender.h
@@ -0,0 +1,40 @@
+#ifndef SRC_LIBNET_LOG_APPENDER_H_
+#define SRC_LIBNET_LOG_APPENDER_H_
+
+#include <deque>
+
+#include "libnet/post_event.h"
+#include "libnet/sockets.h"
+#include "libnet/stoppable_thread.h"
+#include "libtelemetry/telemetry.h"
+
+namespace baobab {
+
+/** Appends records to the platform's log, one after the other, and posts
+ * AppendFinished for each. It never repeats an append by itself. */
+class LogAppender {
+ public:
+  /** Records that wait; more are rejected at once. */
+  static constexpr std::size_t kMaxWaiting = 1024;
+
+  LogAppender(Endpoint endpoint, Metrics& metrics, PostEvent post);
+
+  void Start();
+  void Execute(const AppendRecord& effect);
+  void Stop() { thread_.Stop(); }
+
+ private:
+  void Run();
+  AppendResult Append(const Record& record);
+
+  Endpoint endpoint_;
+  Metrics& metrics_;
+  PostEvent post_;
+  std::mutex mutex_;
+  std::deque<Record> waiting_;
+  StoppableThread thread_;
+};
+
+}  // namespace baobab
+
+#endif  // SRC_LIBNET_LOG_APPENDER_H_
--- /dev/null
+++ b/src/libnet/post_event.h
@@ -0,0 +1,15 @@
+#ifndef SRC_LIBNET_POST_EVENT_H_
+#define SRC_LIBNET_POST_EVENT_H_
+
+#include <functional>
+
+#include "libdecision/decision.h"
+
+namespace baobab {
+
+/** Hands an event to the node actor. Thread-safe, never blocks. */
+using PostEvent = std::function<void(EventBody)>;
+
+}  // namespace baobab
+
+#endif  // SRC_LIBNET_POST_EVENT_H_
