--- a/src/libnet/backend_client.h
+++ b/src/libnet/backend_client.h
@@ -38,7 +38,7 @@
    * unknown if the request ran. */
   BackendResult Call(const std::string& address,
                      const std::string& attempt_id,
-                     HttpRequest request,
+                     const HttpRequest& request,
                      bool idempotent,
                      Duration timeout);
 
--- a/src/libnet/host_list_reader.h
+++ b/src/libnet/host_list_reader.h
@@ -22,7 +22,7 @@
 
  private:
   void Run();
-  void ReadOnce();
+  Result<void> ReadOnce();
 
   Endpoint endpoint_;
   Duration interval_;
--- /dev/null
+++ b/src/libnet/http_call.cc
@@ -0,0 +1,180 @@
+#include "libnet/http_call.h"
+
+#include <poll.h>
+
+#include <algorithm>
+#include <optional>
+#include <string_view>
+
+#include "libnet/socket_stream.h"
+
+namespace baobab {
+namespace {
+
+using namespace std::string_view_literals;
+
+// Lets cpp-httplib speak HTTP on a socket of ours.
+class CallClient : public httplib::ClientImpl {
+ public:
+  CallClient(int fd, SocketStream& stream)
+      : ClientImpl("127.0.0.1", 0), fd_(fd), stream_(stream) {
+    set_keep_alive(true);
+    set_follow_location(false);
+    set_url_encode(false);
+    set_decompress(false);
+  }
+  // The socket belongs to the caller of HttpCall.
+  ~CallClient() override { socket_.sock = INVALID_SOCKET; }
+
+  /** The connection ended while the call ran. */
+  bool closed() const { return !socket_.is_open(); }
+
+ protected:
+  bool create_and_connect_socket(Socket& socket, httplib::Error&) override {
+    socket.sock = fd_;
+    return true;
+  }
+
+ private:
+  bool process_socket(const Socket&,
+                      std::function<bool(httplib::Stream&)> callback) override {
+    return callback(stream_);
+  }
+
+  int fd_;
+  SocketStream& stream_;
+};
+
+bool IsWithoutBody(const std::string& method, int status) {
+  return method == "HEAD" || status == 204 || status == 304;
+}
+
+}  // namespace
+
+tl::expected<HttpAnswer, CallFailure> HttpCall::Run(
+    const HttpRequest& request,
+    const HttpHeaders& more_headers) {
+  reusable_ = false;
+  SocketStream stream(fd_.get(), deadline_);
+  httplib::Request raw;
+  raw.method = request.method;
+  raw.path = request.target;
+  for (const HttpHeader& it : request.headers) {
+    raw.headers.emplace(it.name, it.value);
+  }
+  for (const HttpHeader& it : more_headers) {
+    raw.headers.emplace(it.name, it.value);
+  }
+  if (!request.body.empty()) {
+    // A provider, since cpp-httplib adds a Content-Type to a plain body.
+    raw.content_length_ = request.body.size();
+    raw.content_provider_ = [&](std::size_t offset, std::size_t length,
+                                httplib::DataSink& sink) {
+      return sink.write(request.body.data() + offset, length);
+    };
+  } else if (request.method != "GET" && request.method != "HEAD" &&
+             request.method != "OPTIONS") {
+    raw.headers.emplace("Content-Length", "0");
+  }
+
+  HttpAnswer answer;
+  BodyFraming framing;
+  std::string fault;
+  raw.response_handler = [&](const httplib::Response& response) {
+    auto headers = ParseHead(stream.TakeHead());
+    if (!headers) {
+      fault = headers.error().message;
+      return false;
+    }
+    answer.status = response.status;
+    answer.headers = std::move(*headers);
+    const auto found = ReadFraming(answer.headers);
+    if (!found) {
+      fault = found.error().message;
+      return false;
+    }
+    framing = *found;
+    if (IsWithoutBody(request.method, answer.status)) {
+      // cpp-httplib would wait for a body of status 304.
+      auto& body_headers = const_cast<httplib::Response&>(response).headers;
+      body_headers.erase("Transfer-Encoding");
+      body_headers.erase("Content-Length");
+      body_headers.emplace("Content-Length", "0");
+      return true;
+    }
+    if (!framing.chunked && !framing.length) {
+      fault = "the answer has neither Content-Length nor chunks";
+      return false;
+    }
+    if (framing.length && *framing.length > kMaxAnswer) {
+      fault = "the answer is too long";
+      return false;
+    }
+    return true;
+  };
+  raw.content_receiver = [&](const char* data, std::size_t size, std::uint64_t,
+                             std::uint64_t) {
+    if (answer.body.size() + size > kMaxAnswer) {
+      fault = "the answer is too long";
+      return false;
+    }
+    answer.body.append(data, size);
+    return true;
+  };
+
+  stream.StartHead();
+  CallClient client(fd_.get(), stream);
+  httplib::Response response;
+  httplib::Error ec = httplib::Error::Success;
+  bool whole = client.send(raw, response, ec) && !stream.read_failed();
+  if (whole && !IsWithoutBody(request.method, answer.status)) {
+    // cpp-httplib also ends a chunked body at a line which is no chunk.
+    const auto& tail = stream.tail();
+    if (framing.chunked &&
+        std::string_view(tail.data(), tail.size()) != "\r\n\r\n"sv) {
+      whole = false;
+      fault = "the chunks have no end";
+    }
+    if (framing.length && *framing.length != answer.body.size()) {
+      whole = false;
+      fault = "the body is shorter than Content-Length";
+    }
+  }
+  if (client.closed()) {
+    // cpp-httplib closed the descriptor, as the server or an error asked for.
+    fd_.Release();
+  }
+  if (!whole) {
+    if (fault.empty()) {
+      fault = stream.timed_out() ? "timeout" : httplib::to_string(ec);
+    }
+    return tl::make_unexpected(
+        CallFailure{stream.bytes_sent() == 0, stream.timed_out(), fault});
+  }
+  bool close = response.version != "HTTP/1.1";
+  for (const HttpHeader& it : answer.headers) {
+    close |= SameHeaderName(it.name, "Connection") &&
+             SameHeaderName(it.value, "close");
+  }
+  reusable_ = fd_.valid() && !close && !stream.has_unread();
+  return answer;
+}
+
+UniqueFd HttpCall::TakeReusable() {
+  return reusable_ ? std::move(fd_) : UniqueFd();
+}
+
+tl::expected<HttpAnswer, CallFailure> CallOnce(const Endpoint& endpoint,
+                                               const HttpRequest& request,
+                                               Duration connect_timeout,
+                                               Duration timeout) {
+  const SocketTime now = SocketClock::now();
+  auto fd = ConnectTcp(endpoint, now + std::min(connect_timeout, timeout));
+  if (!fd) {
+    return tl::make_unexpected(CallFailure{true, false, ToString(fd.error())});
+  }
+  return HttpCall(std::move(*fd), now + timeout)
+      .Run(request, {{"Host", ToString(endpoint)}, {"Connection", "close"}});
+}
+
+}  // namespace baobab
--- a/src/libnet/http_call.h
+++ b/src/libnet/http_call.h
@@ -40,8 +40,10 @@
       : fd_(std::move(fd)), deadline_(deadline) {}
 
   /** Returns the answer if it is whole: framed by one Content-Length or by
-   * chunks up to their end. Redirects are not followed. */
-  tl::expected<HttpAnswer, CallFailure> Run(const HttpRequest& request);
+   * chunks up to their end. `more_headers` are sent after those of the
+   * request. Redirects are not followed. */
+  tl::expected<HttpAnswer, CallFailure> Run(const HttpRequest& request,
+                                            const HttpHeaders& more_headers);
 
   /** The socket, if another call may use it; otherwise an invalid one. */
   UniqueFd TakeReusable();
--- a/src/libnet/http_headers.h
+++ b/src/libnet/http_headers.h
@@ -38,7 +38,7 @@
   std::optional<std::uint64_t> length;
 };
 
-/** Errors: several different or non-numeric Content-Length, Content-Length
+/** Errors: several or non-numeric Content-Length headers, Content-Length
  * with Transfer-Encoding, or a transfer coding other than chunked. */
 Result<BodyFraming> ReadFraming(const HttpHeaders& headers);
 
--- a/src/libnet/log_appender.h
+++ b/src/libnet/log_appender.h
@@ -2,6 +2,8 @@
 #define SRC_LIBNET_LOG_APPENDER_H_
 
 #include <deque>
+#include <mutex>
+#include <optional>
 
 #include "libnet/post_event.h"
 #include "libnet/sockets.h"
--- a/src/libnet/log_reader.h
+++ b/src/libnet/log_reader.h
@@ -22,6 +22,8 @@
   void Run();
   /** Errors: the log is unreachable, too slow or answers nonsense. */
   Result<void> ReadOnce();
+  /** Errors: the answer names no later first offset. */
+  Result<void> SkipToFirst(const std::string& body);
 
   Endpoint endpoint_;
   Metrics& metrics_;
--- /dev/null
+++ b/src/libnet/peer_outbox.cc
@@ -0,0 +1,80 @@
+#include "libnet/peer_outbox.h"
+
+#include <algorithm>
+#include <cstring>
+
+namespace baobab {
+
+std::size_t PeerOutbox::Push(std::string_view message, bool is_heartbeat) {
+  const auto length = static_cast<std::uint32_t>(message.size());
+  std::string bytes;
+  bytes.reserve(4 + message.size());
+  for (int shift = 24; shift >= 0; shift -= 8) {
+    bytes.push_back(static_cast<char>(length >> shift & 0xff));
+  }
+  bytes.append(message);
+
+  const std::lock_guard lock(mutex_);
+  bytes_ += bytes.size();
+  messages_.push_back({std::move(bytes), is_heartbeat, SocketClock::now()});
+  std::size_t dropped = 0;
+  while (bytes_ > max_bytes_ && DropOne()) {
+    ++dropped;
+  }
+  return dropped;
+}
+
+bool PeerOutbox::DropOne() {
+  // The first message cannot be dropped once a part of it is on its way, and
+  // the last one is the one to make room for.
+  const auto begin = messages_.begin() + (taken_ > 0 ? 1 : 0);
+  const auto end = messages_.end() - 1;
+  if (begin >= end) {
+    return false;
+  }
+  auto it =
+      std::find_if(begin, end, [](const Message& m) { return m.is_heartbeat; });
+  if (it == end) {
+    it = begin;
+  }
+  bytes_ -= it->bytes.size();
+  messages_.erase(it);
+  return true;
+}
+
+std::size_t PeerOutbox::Take(std::uint8_t* buf, std::size_t n) {
+  const std::lock_guard lock(mutex_);
+  std::size_t filled = 0;
+  while (filled < n && !messages_.empty()) {
+    const std::string& bytes = messages_.front().bytes;
+    const std::size_t part = std::min(n - filled, bytes.size() - taken_);
+    std::memcpy(buf + filled, bytes.data() + taken_, part);
+    filled += part;
+    taken_ += part;
+    if (taken_ == bytes.size()) {
+      bytes_ -= bytes.size();
+      messages_.pop_front();
+      taken_ = 0;
+    }
+  }
+  return filled;
+}
+
+std::size_t PeerOutbox::DropBefore(SocketTime time) {
+  const std::lock_guard lock(mutex_);
+  std::size_t dropped = 0;
+  while (!messages_.empty() && (taken_ > 0 || messages_.front().since < time)) {
+    bytes_ -= messages_.front().bytes.size();
+    messages_.pop_front();
+    taken_ = 0;
+    ++dropped;
+  }
+  return dropped;
+}
+
+bool PeerOutbox::empty() const {
+  const std::lock_guard lock(mutex_);
+  return messages_.empty();
+}
+
+}  // namespace baobab
--- a/src/libnet/socket_stream.h
+++ b/src/libnet/socket_stream.h
@@ -11,8 +11,8 @@
 namespace baobab {
 
 /** A socket for cpp-httplib with a deadline for all reads and writes together,
- * which a peer that trickles cannot extend. Uses poll(): the select() of
- * cpp-httplib aborts the process on descriptors above 1023. */
+ * which a peer that trickles cannot extend: the timeouts of cpp-httplib start
+ * anew with each byte. Keeps the raw head, see ParseHead(). */
 class SocketStream : public httplib::Stream {
  public:
   SocketStream(int fd, SocketTime deadline) : fd_(fd), deadline_(deadline) {}
