--- /dev/null
+++ b/tests/net_support.h
@@ -0,0 +1,172 @@
+#ifndef TESTS_NET_SUPPORT_H_
+#define TESTS_NET_SUPPORT_H_
+
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "libnet/net.h"
+
+namespace baobab {
+
+inline SocketTime In(Duration time) {
+  return SocketClock::now() + time;
+}
+
+/** Waits up to 10 s for the condition. */
+inline bool Eventually(const std::function<bool()>& condition) {
+  const SocketTime deadline = In(std::chrono::seconds(10));
+  while (!condition()) {
+    if (SocketClock::now() >= deadline) {
+      return false;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(2));
+  }
+  return true;
+}
+
+/** Value of a counter in Metrics::Text(); 0 if it is not there. */
+inline std::int64_t Counter(const Metrics& metrics, const std::string& name) {
+  const std::string text = "\n" + metrics.Text();
+  const std::string key = "\nbaobab_" + name + " ";
+  const std::size_t at = text.find(key);
+  return at == std::string::npos ? 0 : std::stoll(text.substr(at + key.size()));
+}
+
+/** A TCP connection that sends and receives plain bytes. */
+class RawSocket {
+ public:
+  explicit RawSocket(int port)
+      : fd_(std::move(
+            *ConnectTcp({"127.0.0.1", port}, In(std::chrono::seconds(5))))) {}
+  explicit RawSocket(UniqueFd fd) : fd_(std::move(fd)) {}
+
+  int fd() const { return fd_.get(); }
+  void Close() { fd_.Reset(); }
+
+  void Send(std::string_view text) {
+    while (!text.empty() &&
+           WaitSocket(fd(), POLLOUT, In(std::chrono::seconds(5)))) {
+      const ssize_t n =
+          ::send(fd(), text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+      if (n <= 0) {
+        return;
+      }
+      text.remove_prefix(static_cast<std::size_t>(n));
+    }
+  }
+
+  /** Reads until the text was received, the other side closes, or 10 s. */
+  std::string ReceiveUntil(const std::string& end) {
+    const SocketTime deadline = In(std::chrono::seconds(10));
+    std::string text;
+    char buf[4096];
+    while (text.find(end) == std::string::npos &&
+           WaitSocket(fd(), POLLIN, deadline)) {
+      const ssize_t n = ::recv(fd(), buf, sizeof(buf), MSG_DONTWAIT);
+      if (n <= 0) {
+        break;
+      }
+      text.append(buf, static_cast<std::size_t>(n));
+    }
+    return text;
+  }
+
+  /** Reads until the other side closes, or 10 s. */
+  std::string ReceiveAll() { return ReceiveUntil("\x01never\x01"); }
+
+ private:
+  UniqueFd fd_;
+};
+
+/** Serves each connection in a thread of its own by a script. */
+class RawServer {
+ public:
+  /** Called with the connection and its number, from 0 on. */
+  using Script = std::function<void(RawSocket&, int)>;
+
+  explicit RawServer(Script script)
+      : script_(std::move(script)),
+        listener_(std::move(*ListenTcp({"127.0.0.1", 0}))),
+        acceptor_([this] { Run(); }) {}
+  ~RawServer() {
+    stopping_ = true;
+    acceptor_.join();
+    for (std::thread& it : threads_) {
+      it.join();
+    }
+  }
+
+  int port() const { return BoundPort(listener_.get()); }
+  std::string address() const {
+    return ToString(Endpoint{"127.0.0.1", port()});
+  }
+  int accepted() const { return accepted_; }
+
+ private:
+  void Run() {
+    while (!stopping_) {
+      if (!WaitSocket(listener_.get(), POLLIN,
+                      In(std::chrono::milliseconds(10)))) {
+        continue;
+      }
+      UniqueFd fd(::accept(listener_.get(), nullptr, nullptr));
+      if (fd.valid()) {
+        threads_.emplace_back([this, n = accepted_++,
+                               raw = std::make_shared<RawSocket>(
+                                   std::move(fd))] { script_(*raw, n); });
+      }
+    }
+  }
+
+  Script script_;
+  UniqueFd listener_;
+  std::atomic<bool> stopping_ = false;
+  std::atomic<int> accepted_ = 0;
+  std::vector<std::thread> threads_;
+  std::thread acceptor_;
+};
+
+/** Collects posted events. Thread-safe. */
+class EventSink {
+ public:
+  PostEvent Poster() {
+    return [this](EventBody body) {
+      const std::lock_guard lock(mutex_);
+      events_.push_back(std::move(body));
+    };
+  }
+
+  template <typename T>
+  std::vector<T> All() const {
+    const std::lock_guard lock(mutex_);
+    std::vector<T> found;
+    for (const EventBody& it : events_) {
+      if (const T* event = std::get_if<T>(&it)) {
+        found.push_back(*event);
+      }
+    }
+    return found;
+  }
+
+  template <typename T>
+  bool WaitFor(std::size_t n) const {
+    return Eventually([&] { return All<T>().size() >= n; });
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  std::vector<EventBody> events_;
+};
+
+}  // namespace baobab
+
+#endif  // TESTS_NET_SUPPORT_H_
