net: test peer links and fix what the tests found

Cause: the reason of a lost link was read after its session was deleted; a connection ended by GOAWAY stayed open; a long message was dropped as soon as the next one was queued. Change: the reason is copied, a session that neither reads nor writes is over, and a full outbox refuses the new message instead of dropping older ones.

--- a/src/libnet/caller_http.cc
+++ b/src/libnet/caller_http.cc
@@ -42,11 +42,17 @@
   }
 }
 
-bool AsksToClose(const HttpHeaders& headers) {
-  return std::any_of(headers.begin(), headers.end(), [](const HttpHeader& it) {
-    return SameHeaderName(it.name, "Connection") &&
-           SameHeaderName(it.value, "close");
-  });
+// Waits for bytes of the next request in steps, so that a stop is soon seen.
+bool WaitForRequest(int fd, Duration timeout, const std::atomic<bool>& stop) {
+  constexpr auto kStep = std::chrono::milliseconds(250);
+  const SocketTime deadline = SocketClock::now() + timeout;
+  while (!stop && SocketClock::now() < deadline) {
+    if (WaitSocket(fd, POLLIN,
+                   std::min(deadline, SocketClock::now() + kStep))) {
+      return true;
+    }
+  }
+  return WaitSocket(fd, POLLIN, SocketClock::now());
 }
 
 }  // namespace
@@ -136,8 +142,7 @@
   ::setsockopt(sock, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
   const Duration idle_timeout =
       connection.refuse ? kRefusingTimeout : options_.idle_timeout;
-  while (stream.has_unread() ||
-         WaitSocket(sock, POLLIN, SocketClock::now() + idle_timeout)) {
+  while (stream.has_unread() || WaitForRequest(sock, idle_timeout, stopping_)) {
     if (!ServeRequest(stream, connection) || stopping_) {
       break;
     }
@@ -217,7 +222,7 @@
       static_cast<std::uint64_t>(options_.max_body.value())) {
     return SetFault(exchange, 413, "the body is too long");
   }
-  if (AsksToClose(request.headers)) {
+  if (HasConnectionOption(request.headers, "close")) {
     exchange.close = true;
     raw.headers.emplace("Connection", "close");
   }
--- a/src/libnet/http_call.cc
+++ b/src/libnet/http_call.cc
@@ -151,11 +151,8 @@
     return tl::make_unexpected(
         CallFailure{stream.bytes_sent() == 0, stream.timed_out(), fault});
   }
-  bool close = response.version != "HTTP/1.1";
-  for (const HttpHeader& it : answer.headers) {
-    close |= SameHeaderName(it.name, "Connection") &&
-             SameHeaderName(it.value, "close");
-  }
+  const bool close = response.version != "HTTP/1.1" ||
+                     HasConnectionOption(answer.headers, "close");
   reusable_ = fd_.valid() && !close && !stream.has_unread();
   return answer;
 }
--- a/src/libnet/http_headers.cc
+++ b/src/libnet/http_headers.cc
@@ -126,6 +126,18 @@
   return it == headers.end() ? std::string_view() : it->value;
 }
 
+bool HasConnectionOption(const HttpHeaders& headers, std::string_view option) {
+  bool found = false;
+  for (const HttpHeader& it : headers) {
+    if (SameHeaderName(it.name, "Connection")) {
+      ForEachElement(it.value, [&](std::string_view element) {
+        found |= SameHeaderName(element, option);
+      });
+    }
+  }
+  return found;
+}
+
 Result<BodyFraming> ReadFraming(const HttpHeaders& headers) {
   BodyFraming framing;
   for (const HttpHeader& it : headers) {
@@ -154,20 +166,12 @@
 }
 
 HttpHeaders EndToEndHeaders(const HttpHeaders& headers) {
-  std::vector<std::string_view> named;
-  for (const HttpHeader& it : headers) {
-    if (SameHeaderName(it.name, "Connection")) {
-      ForEachElement(it.value, [&](auto name) { named.push_back(name); });
-    }
-  }
   HttpHeaders result;
   for (const HttpHeader& it : headers) {
     const bool ours =
         SameHeaderName(std::string_view(it.name).substr(0, 7), "Baobab-");
-    const bool is_named =
-        std::any_of(named.begin(), named.end(),
-                    [&](auto name) { return SameHeaderName(name, it.name); });
-    if (!ours && !is_named && !IsForOneConnection(it.name)) {
+    if (!ours && !HasConnectionOption(headers, it.name) &&
+        !IsForOneConnection(it.name)) {
       result.push_back(it);
     }
   }
--- a/src/libnet/http_headers.h
+++ b/src/libnet/http_headers.h
@@ -32,6 +32,9 @@
 /** Value of the first header with the name; empty if there is none. */
 std::string_view FindHeader(const HttpHeaders& headers, std::string_view name);
 
+/** True if a Connection header names the option, such as "close". */
+bool HasConnectionOption(const HttpHeaders& headers, std::string_view option);
+
 /** How the end of a body is found. */
 struct BodyFraming {
   bool chunked = false;
--- a/src/libnet/peer_links.cc
+++ b/src/libnet/peer_links.cc
@@ -96,9 +96,8 @@
       metrics_.Count("peer_oversized_dropped");
       return;
     }
-    const std::size_t dropped = it->second->outbox.Push(
-        message, std::holds_alternative<Heartbeat>(effect.message));
-    CountDropped(dropped);
+    CountDropped(it->second->outbox.Push(
+        message, std::holds_alternative<Heartbeat>(effect.message)));
     Wake();
   }
 
@@ -248,7 +247,8 @@
     link.next_try = SocketClock::now() + Duration(jitter(random_));
   }
 
-  void Lose(Link& link, const std::string& reason) {
+  // Takes a copy of the reason, since the session that owns it ends here.
+  void Lose(Link& link, std::string reason) {
     CountBytes(*link.session, link.peer.id);
     link.session.reset();
     CountDropped(link.outbox.DropBefore(SocketTime::max()));
--- a/src/libnet/peer_outbox.cc
+++ b/src/libnet/peer_outbox.cc
@@ -15,28 +15,26 @@
   bytes.append(message);
 
   const std::lock_guard lock(mutex_);
-  bytes_ += bytes.size();
-  messages_.push_back({std::move(bytes), is_heartbeat, SocketClock::now()});
   std::size_t dropped = 0;
-  while (bytes_ > max_bytes_ && DropOne()) {
+  while (!messages_.empty() && bytes_ + bytes.size() > max_bytes_) {
     ++dropped;
+    if (!DropHeartbeat()) {
+      return dropped;
+    }
   }
+  bytes_ += bytes.size();
+  messages_.push_back({std::move(bytes), is_heartbeat, SocketClock::now()});
   return dropped;
 }
 
-bool PeerOutbox::DropOne() {
-  // The first message cannot be dropped once a part of it is on its way, and
-  // the last one is the one to make room for.
-  const auto begin = messages_.begin() + (taken_ > 0 ? 1 : 0);
-  const auto end = messages_.end() - 1;
-  if (begin >= end) {
+bool PeerOutbox::DropHeartbeat() {
+  // The first message cannot be dropped once a part of it is on its way.
+  const auto it =
+      std::find_if(messages_.begin() + (taken_ > 0 ? 1 : 0), messages_.end(),
+                   [](const Message& m) { return m.is_heartbeat; });
+  if (it == messages_.end()) {
     return false;
   }
-  auto it =
-      std::find_if(begin, end, [](const Message& m) { return m.is_heartbeat; });
-  if (it == end) {
-    it = begin;
-  }
   bytes_ -= it->bytes.size();
   messages_.erase(it);
   return true;
--- a/src/libnet/peer_outbox.h
+++ b/src/libnet/peer_outbox.h
@@ -12,13 +12,14 @@
 namespace baobab {
 
 /** Messages that wait for one peer, as bytes with length prefix. Thread-safe.
- * When they exceed the bound, the oldest heartbeats are dropped, since a later
- * one replaces them, and then the oldest others. */
+ * When a message exceeds the bound, the oldest heartbeats are dropped, since a
+ * later one replaces them, and if that does not help, the new message itself.
+ * A message is always taken if no other waits. */
 class PeerOutbox {
  public:
   explicit PeerOutbox(std::size_t max_bytes) : max_bytes_(max_bytes) {}
 
-  /** Returns how many messages were dropped to make room. */
+  /** Returns how many messages were dropped, including this one. */
   std::size_t Push(std::string_view message, bool is_heartbeat);
   /** Copies the next bytes to `buf` and returns their number. */
   std::size_t Take(std::uint8_t* buf, std::size_t n);
@@ -34,7 +35,7 @@
     SocketTime since;
   };
 
-  bool DropOne();
+  bool DropHeartbeat();
 
   const std::size_t max_bytes_;
   mutable std::mutex mutex_;
--- a/src/libnet/peer_session.cc
+++ b/src/libnet/peer_session.cc
@@ -94,6 +94,12 @@
         Fail(nghttp2_strerror(static_cast<int>(n)));
         return false;
       }
+      if (n == 0 && nghttp2_session_want_read(session_) == 0) {
+        // GOAWAY was sent, since the other side broke the protocol.
+        Fail("HTTP/2 error");
+        is_fault_ = true;
+        return false;
+      }
       if (n == 0) {
         return true;
       }
--- a/tests/net_support.h
+++ b/tests/net_support.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <condition_variable>
 #include <functional>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -50,7 +51,7 @@
   explicit RawSocket(UniqueFd fd) : fd_(std::move(fd)) {}
 
   int fd() const { return fd_.get(); }
-  void Close() { fd_.Reset(); }
+  void Close() { ::shutdown(fd(), SHUT_RDWR); }
 
   void Send(std::string_view text) {
     while (!text.empty() &&
@@ -100,6 +101,9 @@
   ~RawServer() {
     stopping_ = true;
     acceptor_.join();
+    for (const auto& it : sockets_) {
+      ::shutdown(it->fd(), SHUT_RDWR);
+    }
     for (std::thread& it : threads_) {
       it.join();
     }
@@ -120,9 +124,12 @@
       }
       UniqueFd fd(::accept(listener_.get(), nullptr, nullptr));
       if (fd.valid()) {
-        threads_.emplace_back([this, n = accepted_++,
-                               raw = std::make_shared<RawSocket>(
-                                   std::move(fd))] { script_(*raw, n); });
+        sockets_.push_back(std::make_shared<RawSocket>(std::move(fd)));
+        threads_.emplace_back(
+            [this, n = accepted_++, socket = sockets_.back()] {
+              script_(*socket, n);
+              ::shutdown(socket->fd(), SHUT_RDWR);
+            });
       }
     }
   }
@@ -131,6 +138,7 @@
   UniqueFd listener_;
   std::atomic<bool> stopping_ = false;
   std::atomic<int> accepted_ = 0;
+  std::vector<std::shared_ptr<RawSocket>> sockets_;
   std::vector<std::thread> threads_;
   std::thread acceptor_;
 };
