--- /dev/null
+++ b/src/standins/minion.cc
@@ -0,0 +1,189 @@
+#include "standins/minion.h"
+
+#include <algorithm>
+#include <charconv>
+#include <thread>
+
+namespace baobab::standins {
+namespace {
+
+constexpr std::chrono::milliseconds kLongestRun(60'000);
+
+/** The request's own id if it has one, else the id the node gave it without
+ * the attempt, so that attempts of one request count together. */
+std::string TestId(const httplib::Request& request) {
+  if (request.has_header("X-Test-Id")) {
+    return request.get_header_value("X-Test-Id");
+  }
+  const std::string id = request.get_header_value("Baobab-Request");
+  return id.substr(0, id.rfind('-'));
+}
+
+std::chrono::milliseconds RunTime(const httplib::Request& request,
+                                  std::chrono::milliseconds otherwise) {
+  const std::string text = request.get_header_value("X-Run-Ms");
+  std::int64_t ms = otherwise.count();
+  std::from_chars(text.data(), text.data() + text.size(), ms);
+  return std::clamp(std::chrono::milliseconds(ms), {}, kLongestRun);
+}
+
+}  // namespace
+
+Minion::Minion(MinionOptions options)
+    : options_(std::move(options)), server_(options_.connections) {
+  auto& routes = server_.routes();
+  routes.Get("/healthz", [this](const auto&, auto& out) {
+    if (WaitUntilThawed().leaving) {
+      out.set_header("Baobab-Leaving", "1");
+    }
+    out.set_content("ok", "text/plain");
+  });
+  routes.Get("/executions",
+             [this](const auto&, auto& out) { AnswerJson(out, Executions()); });
+  routes.Post("/faults",
+              [this](const auto& in, auto& out) { SetFaults(in, out); });
+  const auto run = [this](const auto& in, auto& out) { Run(in, out); };
+  routes.Get(".*", run);
+  routes.Post(".*", run);
+  routes.Put(".*", run);
+  routes.Patch(".*", run);
+  routes.Delete(".*", run);
+}
+
+void Minion::Run(const httplib::Request& request, httplib::Response& response) {
+  const MinionFaults faults = WaitUntilThawed();
+  if (faults.leaving) {
+    response.set_header("Baobab-Leaving", "1");
+  }
+  if (request.has_header("Baobab-Request")) {
+    response.set_header("Baobab-Request",
+                        request.get_header_value("Baobab-Request"));
+  }
+  const std::string test_id = TestId(request);
+  if (!Begin(test_id)) {
+    response.set_header("Baobab-Refused", "1");
+    AnswerJson(response, {{"error", "no free slot"}}, 503);
+    return;
+  }
+  const auto time = RunTime(request, options_.run);
+  std::this_thread::sleep_for(time);
+  WaitUntilThawed();
+  {
+    std::lock_guard lock(mutex_);
+    --running_;
+    busy_seconds_ += std::chrono::duration<double>(time).count();
+  }
+  std::this_thread::sleep_for(faults.late);
+  Answer(request, response, test_id);
+}
+
+bool Minion::Begin(const std::string& test_id) {
+  std::lock_guard lock(mutex_);
+  if (running_ >= options_.slots) {
+    ++overruns_;
+    return false;
+  }
+  ++running_;
+  most_running_ = std::max(most_running_, running_);
+  ++executions_[test_id];
+  return true;
+}
+
+void Minion::Answer(const httplib::Request& request,
+                    httplib::Response& response,
+                    const std::string& test_id) {
+  std::unique_lock lock(mutex_);
+  const MinionFaults faults = faults_;
+  const bool foreign = Chance(faults.foreign);
+  const std::string body = nlohmann::json{
+      {"test_id", foreign ? previous_test_id_ : test_id},
+      {"minion", options_.id},
+      {"method", request.method},
+      {"path", request.target},
+      {"body_bytes",
+       request.body.size()}}.dump();
+  if (foreign) {
+    response.headers.erase("Baobab-Request");
+    response.set_header("Baobab-Request", previous_echo_);
+  }
+  previous_test_id_ = test_id;
+  previous_echo_ = request.get_header_value("Baobab-Request");
+  const bool fail = Chance(faults.fail);
+  const bool lose = Chance(faults.lose);
+  const bool cut = Chance(faults.cut);
+  const bool duplicate = Chance(faults.duplicate);
+  lock.unlock();
+
+  response.status = fail ? 500 : 200;
+  if (cut) {
+    response.set_content_provider(
+        body.size(), "application/json",
+        [half = body.substr(0, body.size() / 2)](auto, auto, auto& sink) {
+          sink.write(half.data(), half.size());
+          return false;
+        });
+    return;
+  }
+  response.set_content(body, "application/json");
+  if (duplicate) {
+    WriteRaw(request,
+             "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+             "Baobab-Request: " +
+                 response.get_header_value("Baobab-Request") +
+                 "\r\nContent-Length: " + std::to_string(body.size()) +
+                 "\r\n\r\n" + body);
+  }
+  if (lose) {
+    CloseConnection(request);
+  }
+}
+
+void Minion::SetFaults(const httplib::Request& request,
+                       httplib::Response& response) {
+  const auto body = JsonBody(request, response);
+  if (body.is_null()) {
+    return;
+  }
+  std::lock_guard lock(mutex_);
+  MinionFaults faults = faults_;
+  try {
+    faults.fail = body.value("fail", faults.fail);
+    faults.lose = body.value("lose", faults.lose);
+    faults.cut = body.value("cut", faults.cut);
+    faults.duplicate = body.value("duplicate", faults.duplicate);
+    faults.foreign = body.value("foreign", faults.foreign);
+    faults.late =
+        std::chrono::milliseconds(body.value("late_ms", faults.late.count()));
+    faults.freeze = body.value("freeze", faults.freeze);
+    faults.leaving = body.value("leaving", faults.leaving);
+    if (body.contains("seed")) {
+      random_.seed(body["seed"].get<std::uint64_t>());
+    }
+  } catch (const nlohmann::json::exception& ec) {
+    AnswerJson(response, {{"error", ec.what()}}, 400);
+    return;
+  }
+  faults_ = faults;
+  thawed_.notify_all();
+  AnswerJson(response, {{"minion", options_.id}});
+}
+
+nlohmann::json Minion::Executions() {
+  std::lock_guard lock(mutex_);
+  return {{"minion", options_.id},         {"service", options_.service},
+          {"executions", executions_},     {"overruns", overruns_},
+          {"most_running", most_running_}, {"running", running_},
+          {"busy_seconds", busy_seconds_}};
+}
+
+MinionFaults Minion::WaitUntilThawed() {
+  std::unique_lock lock(mutex_);
+  thawed_.wait(lock, [this] { return !faults_.freeze; });
+  return faults_;
+}
+
+bool Minion::Chance(double share) {
+  return share > 0 && std::uniform_real_distribution<>()(random_) < share;
+}
+
+}  // namespace baobab::standins
