standins: end frozen probes after 30 s

Cause: each probe of a frozen minion held a connection thread; after 64 of them POST /faults could not end the freeze. Change: GET /healthz answers 503 after 30 s of freeze.

--- a/src/standins/minion.cc
+++ b/src/standins/minion.cc
@@ -8,6 +8,10 @@
 namespace {
 
 constexpr std::chrono::milliseconds kLongestRun(60'000);
+constexpr std::chrono::seconds kLongestFreeze(3600);
+// Frozen probes would in time hold all connection threads, and then POST
+// /faults could not end the freeze.
+constexpr std::chrono::seconds kLongestFrozenProbe(30);
 
 /** The request's own id if it has one, else the id the node gave it without
  * the attempt, so that attempts of one request count together. */
@@ -33,10 +37,12 @@
     : options_(std::move(options)), server_(options_.connections) {
   auto& routes = server_.routes();
   routes.Get("/healthz", [this](const auto&, auto& out) {
-    if (WaitUntilThawed().leaving) {
+    const MinionFaults faults = WaitUntilThawed(kLongestFrozenProbe);
+    if (faults.leaving) {
       out.set_header("Baobab-Leaving", "1");
     }
-    out.set_content("ok", "text/plain");
+    out.status = faults.freeze ? 503 : 200;
+    out.set_content(faults.freeze ? "frozen" : "ok", "text/plain");
   });
   routes.Get("/executions",
              [this](const auto&, auto& out) { AnswerJson(out, Executions()); });
@@ -51,7 +57,7 @@
 }
 
 void Minion::Run(const httplib::Request& request, httplib::Response& response) {
-  const MinionFaults faults = WaitUntilThawed();
+  const MinionFaults faults = WaitUntilThawed(kLongestFreeze);
   if (faults.leaving) {
     response.set_header("Baobab-Leaving", "1");
   }
@@ -67,7 +73,7 @@
   }
   const auto time = RunTime(request, options_.run);
   std::this_thread::sleep_for(time);
-  WaitUntilThawed();
+  WaitUntilThawed(kLongestFreeze);
   {
     std::lock_guard lock(mutex_);
     --running_;
@@ -176,9 +182,9 @@
           {"busy_seconds", busy_seconds_}};
 }
 
-MinionFaults Minion::WaitUntilThawed() {
+MinionFaults Minion::WaitUntilThawed(std::chrono::seconds time) {
   std::unique_lock lock(mutex_);
-  thawed_.wait(lock, [this] { return !faults_.freeze; });
+  thawed_.wait_for(lock, time, [this] { return !faults_.freeze; });
   return faults_;
 }
 
--- a/src/standins/minion.h
+++ b/src/standins/minion.h
@@ -57,8 +57,9 @@
               const std::string& test_id);
   void SetFaults(const httplib::Request& request, httplib::Response& response);
   nlohmann::json Executions();
-  /** Waits until the minion is not frozen; returns the faults in force. */
-  MinionFaults WaitUntilThawed();
+  /** Waits until the minion is not frozen, or for the time; returns the faults
+   * in force. */
+  MinionFaults WaitUntilThawed(std::chrono::seconds time);
   bool Chance(double share);
 
   const MinionOptions options_;
