--- a/src/baobabfront/node_runner.cc
+++ b/src/baobabfront/node_runner.cc
@@ -104,7 +104,7 @@
   Result<void> Start() {
     state_ = MakeState(settings_.node, NowOf(system_));
     actor_ = system_.spawn<NodeActor>(NodeActorParts{
-        [this](const Event& event) { return Reduce(*state_, event); },
+        [this](const Event& event) { return ReduceAndSeek(event); },
         [this](const Effect& effect) { Execute(effect); }, &metrics_,
         &timeline_});
     if (auto started = peers_.Start(); !started) {
@@ -177,6 +177,22 @@
     return options;
   }
 
+  /** Lets the log reader follow when the fold went back for a snapshot, or
+   * ahead with the state of a peer. */
+  Effects ReduceAndSeek(const Event& event) {
+    Effects effects = Reduce(*state_, event);
+    const auto* read = std::get_if<LogRead>(&event.body);
+    if (read != nullptr) {
+      const Offset end = read->entries.empty()
+                             ? read->next
+                             : Offset(read->entries.back().offset.value() + 1);
+      if (const Offset next = NextLogOffset(*state_); next != end) {
+        log_reader_.SeekTo(next);
+      }
+    }
+    return effects;
+  }
+
   bool IsReady() {
     const auto reply = commands_.Ask(
         [](CommandId id) { return StatusRequested{id}; }, kReadyTimeout);
--- a/src/libnet/log_reader.cc
+++ b/src/libnet/log_reader.cc
@@ -44,6 +44,7 @@
   std::minstd_rand random(std::random_device{}());
   Duration backoff = kMinBackoff;
   while (!thread_.stopping()) {
+    TakeSeek();
     auto read = ReadOnce();
     if (read) {
       backoff = kMinBackoff;
@@ -62,6 +63,16 @@
   }
 }
 
+void LogReader::SeekTo(Offset offset) {
+  const std::lock_guard lock(mutex_);
+  seek_ = offset;
+}
+
+void LogReader::TakeSeek() {
+  const std::lock_guard lock(mutex_);
+  from_ = std::exchange(seek_, std::nullopt).value_or(from_);
+}
+
 Result<void> LogReader::ReadOnce() {
   HttpRequest request;
   request.target = fmt::format(
--- a/src/libnet/log_reader.h
+++ b/src/libnet/log_reader.h
@@ -1,6 +1,9 @@
 #ifndef SRC_LIBNET_LOG_READER_H_
 #define SRC_LIBNET_LOG_READER_H_
 
+#include <mutex>
+#include <optional>
+
 #include "libnet/post_event.h"
 #include "libnet/sockets.h"
 #include "libnet/stoppable_thread.h"
@@ -18,8 +21,12 @@
   void Start();
   void Stop() { thread_.Stop(); }
 
+  /** Continues at this offset after the read in progress. Thread-safe. */
+  void SeekTo(Offset offset);
+
  private:
   void Run();
+  void TakeSeek();
   /** Errors: the log is unreachable, too slow or answers nonsense. */
   Result<void> ReadOnce();
   /** Errors: the answer names no later first offset. */
@@ -29,6 +36,8 @@
   Metrics& metrics_;
   PostEvent post_;
   Offset from_;
+  std::mutex mutex_;
+  std::optional<Offset> seek_;
   StoppableThread thread_;
 };
 
