tests: check retries at stop, the budget and the unconfirmed node

Cause: trials on a scratch copy showed three protections whose removal no test noticed. Change: assertions for retries while stopping, the retry budget of a queue, and starts while unconfirmed; the property runs up to 2000 steps, so that it finds a key released by a delayed message.

--- a/tests/request_flow_test.cc
+++ b/tests/request_flow_test.cc
@@ -93,28 +93,35 @@
   }
   EXPECT_EQ(arrive(kQueue, "b.5.1"), Reason::kNone);
   Effects effects;
+  node.flow.SetConfirmed(false);
+  node.flow.Advance(now, effects);
+  EXPECT_TRUE(All<StartAttempt>(effects).empty());
+  node.flow.SetConfirmed(true);
   node.flow.Advance(now, effects);
   const auto starts = All<StartAttempt>(effects);
   ASSERT_EQ(starts.size(), 2U);
   effects.clear();
   node.flow.OnStop(now, effects);
-  node.flow.Advance(now, effects);
-  ASSERT_EQ(All<Respond>(effects).size(), 1U);
-  EXPECT_EQ(All<Respond>(effects)[0].outcome, Outcome::kNotRun);
-  EXPECT_EQ(All<Respond>(effects)[0].reason, Reason::kStopping);
-  EXPECT_EQ(arrive(kQueue, ""), Reason::kStopping);
   node.flow.OnKeyReply(NodeId("b"), Incarnation(5),
-                       {RequestId(last - 1), 1, KeyState::kGranted, 0, {}}, now,
+                       {RequestId(last), 1, KeyState::kGranted, 0, {}}, now,
                        effects);
-  EXPECT_EQ(All<Respond>(effects).size(), 2U);
+  EXPECT_EQ(arrive(kQueue, ""), Reason::kStopping);
   for (const StartAttempt& it : starts) {
-    EXPECT_TRUE(All<StopProcess>(effects).empty());
-    node.flow.OnAttemptFinished({it.attempt, it.minion, kAnswered, false, {}},
-                                now, effects);
     node.flow.Advance(now, effects);
+    EXPECT_TRUE(All<StopProcess>(effects).empty());
+    const auto result = it.attempt == starts[0].attempt ? kRefused : kAnswered;
+    node.flow.OnAttemptFinished({it.attempt, it.minion, result, false, {}}, now,
+                                effects);
   }
   node.flow.Advance(now, effects);
-  EXPECT_EQ(All<DeliverAnswer>(effects).size(), 2U);
+  node.flow.Advance(now, effects);
+  // One that waited, one with a late grant and one that its minion refused.
+  EXPECT_EQ(All<Respond>(effects).size(), 3U);
+  for (const Respond& it : All<Respond>(effects)) {
+    EXPECT_EQ(it.outcome, Outcome::kNotRun);
+    EXPECT_EQ(it.reason, Reason::kStopping);
+  }
+  EXPECT_EQ(All<DeliverAnswer>(effects).size(), 1U);
   EXPECT_EQ(All<StopProcess>(effects).size(), 1U);
 }
 
@@ -147,6 +154,25 @@
   EXPECT_EQ(All<Respond>(effects).size(), 1U);
 }
 
+// Guards against a node which retries without regard to the budget.
+TEST(RequestFlowTest, RetriesWithinTheBudgetOfTheQueue) {
+  const Time now{seconds(100)};
+  Process node(Config("a", 5));
+  node.SetUp(now);
+  Effects effects;
+  for (std::uint64_t n = 1; n <= 4; ++n) {
+    effects.clear();
+    node.flow.OnArrived({RequestId(n), kQueue, false, "", Bytes(1)}, now,
+                        effects);
+    node.flow.Advance(now, effects);
+    const StartAttempt start = All<StartAttempt>(effects).at(0);
+    node.flow.OnAttemptFinished(
+        {start.attempt, start.minion, kRefused, false, {}}, now, effects);
+    EXPECT_EQ(All<Respond>(effects).size(), n == 4 ? 1U : 0U);
+    node.flow.OnAbandoned({RequestId(n)}, now, effects);
+  }
+}
+
 // Guards against retries that multiply the load on failing minions.
 TEST(RetryBudgetTest, AllowsATenthButThreePerSecond) {
   RetryBudget budget;
@@ -186,7 +212,7 @@
 RC_GTEST_PROP(RequestFlowProperty, RunsAtMostOnceAndTellsTheTruth, ()) {
   using Steps =
       std::vector<std::tuple<std::uint8_t, std::uint8_t, std::uint8_t>>;
-  const auto steps = *rc::gen::resize(400, rc::gen::arbitrary<Steps>());
+  const auto steps = *rc::gen::resize(2000, rc::gen::arbitrary<Steps>());
   World world;
   for (const auto& [kind, a, b] : steps) {
     world.Step(kind, a, b);
