decision: ask for the prober of a minion once per second

Cause: MinionHealth asked for the owner of unit 0 of each minion on each tick of 50 ms; the reducer computes it by one hash per node, which at 820 minions and 81 nodes is 1.3 million hashes per second. Change: the predicate is called when a probe is due. Measured: calls for 200 minions in 1 s, counted by ProbesAreSpread: 200; 4000 by construction before. Conclusion: a change of owner takes effect within 1 s.

--- a/src/libdecision/minion_health.cc
+++ b/src/libdecision/minion_health.cc
@@ -233,14 +233,9 @@
       minion.probe_sent.reset();
       Fail(minion, "probe/" + id.value(), effects);
     }
-    minion.prober = probes(id);
-    const bool may_recover =
-        !minion.Usable() && !minion.entry.leaving && !minion.drained;
-    if (minion.probe_sent || now < minion.next_probe ||
-        !(minion.prober || may_recover)) {
+    if (minion.probe_sent || now < minion.next_probe) {
       continue;
     }
-    minion.probe_sent = now;
     // Keeps the phase, so that minions which were delayed together by a pause
     // are spread again.
     minion.next_probe += kProbeInterval;
@@ -248,6 +243,14 @@
       const auto late = (now - minion.next_probe) / kProbeInterval + 1;
       minion.next_probe += late * kProbeInterval;
     }
+    // Asked once per interval: the owner of a unit costs a hash per node.
+    minion.prober = probes(id);
+    const bool may_recover =
+        !minion.Usable() && !minion.entry.leaving && !minion.drained;
+    if (!minion.prober && !may_recover) {
+      continue;
+    }
+    minion.probe_sent = now;
     effects.push_back(ProbeMinion{id, minion.entry.address});
   }
 }
--- a/tests/minion_health_test.cc
+++ b/tests/minion_health_test.cc
@@ -234,7 +234,8 @@
   EXPECT_TRUE(f.health.Usable(kMinion));
 }
 
-// Guards against all minions being probed in one burst each second.
+// Guards against all minions being probed in one burst each second, and against
+// asking for the owner of each minion on each tick.
 TEST(MinionHealthTest, ProbesAreSpread) {
   MinionHealth health(Config());
   HostList list;
@@ -246,15 +247,17 @@
   const Time start{seconds(100)};
   health.OnHostList(list, start, effects);
   std::size_t all = 0;
+  int asked = 0;
   for (int n = 1; n <= 20; ++n) {
     effects.clear();
     health.Advance(
-        start + n * milliseconds(50), [](const MinionId&) { return true; },
-        effects);
+        start + n * milliseconds(50),
+        [&asked](const MinionId&) { return ++asked > 0; }, effects);
     EXPECT_LT(effects.size(), 30U);
     all += effects.size();
   }
   EXPECT_EQ(all, 200U);
+  EXPECT_EQ(asked, 200);
 }
 
 // Guards against nodes that keep each other's word of leaving alive for ever:
