wire, settings: satisfy clang-tidy, name a missing key clearly

Cause: two findings in shape.h and settings.cc; "found missing, allowed this key is required" read badly. Change: mark the implicit conversion; avoid a functional cast; reword. Conclusion: no change of behaviour but the text of a missing key.

--- a/src/libsettings/settings.cc
+++ b/src/libsettings/settings.cc
@@ -135,7 +135,7 @@
       return &it->second;
     }
     if (required) {
-      AddFault(0, name, "missing", "this key is required");
+      AddFault(0, name, "missing key", "one line with this key");
     }
     return nullptr;
   }
@@ -255,13 +255,13 @@
     if (entry.key == settings_.node.id.value()) {
       AddFault(entry.line, name, "the node's own id", "only the other nodes");
     }
-    const auto space = entry.value.find_first_of(" \t");
-    const auto at = entry.value.find_first_not_of(" \t", space);
-    const std::string data_centre = entry.value.substr(0, space);
-    const auto address =
-        at == std::string::npos
-            ? std::nullopt
-            : ParseAddress(std::string_view(entry.value).substr(at));
+    const std::string_view value = entry.value;
+    const auto space = value.find_first_of(" \t");
+    const auto at = value.find_first_not_of(" \t", space);
+    const std::string data_centre(value.substr(0, space));
+    const auto address = at == std::string_view::npos
+                             ? std::nullopt
+                             : ParseAddress(value.substr(at));
     if (!IsId(data_centre) || !address) {
       AddFault(entry.line, name, entry.value,
                std::string("data centre, a space, then ") + kAddressRule);
--- a/src/libwire/shape.h
+++ b/src/libwire/shape.h
@@ -54,8 +54,8 @@
 template <typename Owner>
 struct AnyMember {
   template <typename T>
-  requires(!std::same_as<T, Owner>) operator T()
-      const;  // NOLINT(google-explicit-constructor)
+  // NOLINTNEXTLINE(google-explicit-constructor): must convert implicitly.
+  requires(!std::same_as<T, Owner>) operator T() const;
 };
 
 /** The number of members of an aggregate: the most values that can initialise
