--- a/tests/agreement_cluster.h
+++ b/tests/agreement_cluster.h
@@ -113,6 +113,7 @@
   void Deliver(std::size_t to, const PeerEnvelope& envelope, Effects& effects);
   void Check(Node& node);
   void CheckReply(std::size_t from, const EditReply& reply);
+  void CheckPlanners();
   void CheckAnswers();
   void CheckSettled();
   void SubmitTo(std::size_t node, std::size_t which);
--- a/tests/agreement_test.cc
+++ b/tests/agreement_test.cc
@@ -212,6 +212,17 @@
     Execute(i, effects);
     Check(node);
   }
+  CheckPlanners();
+}
+
+void Cluster::CheckPlanners() {
+  std::set<Term> terms;
+  for (const auto& it : nodes_) {
+    if (!it->paused && it->planner.Acting(now_, it->fold) &&
+        !terms.insert(it->fold.planner().term).second) {
+      Fail("two planners act in one term");
+    }
+  }
 }
 
 void Cluster::Read(Node& node) {
@@ -553,8 +564,10 @@
   EXPECT_TRUE(rc::check([] {
     Model model{*rc::gen::inRange<std::size_t>(3, 6)};
     Cluster cluster(model.nodes);
-    const auto commands = *rc::state::gen::commands(
-        model, rc::state::gen::execOneOfWithArgs<Step>());
+    // Longer than the default, for faults that need several others first.
+    const auto commands = *rc::gen::scale(
+        4.0, rc::state::gen::commands(
+                 model, rc::state::gen::execOneOfWithArgs<Step>()));
     rc::state::runAll(commands, model, cluster);
     cluster.Settle();
     ticks_run += cluster.ticks;
