decision: keep lost units from being renewed or announced too early

Cause: the property over several ledgers found two nodes using one unit: a former owner renewed a loan of units it had lost, and a node that restarted and lost units within 45 s announced the view while their earlier owner was unheard. Change: a loan of a drained resource is not renewed; a view that follows the first one is announced after the full wait.

--- a/src/libdecision/fair_scheduler_loans.cc
+++ b/src/libdecision/fair_scheduler_loans.cc
@@ -1,6 +1,7 @@
 // The part of FairScheduler that lends units to peers and borrows from them.
 
 #include <algorithm>
+#include <utility>
 
 #include "libdecision/fair_scheduler.h"
 
@@ -111,8 +112,11 @@
     }
     const std::int64_t tag = queue.tag;
     ChargeLoan(service, queue, *loan, held, now);
-    if (MayRenew(service, queue, held, start_by)) {
-      messages_.push_back({from, *ledger_.Grant(id, message.id, now)});
+    if (!MayRenew(service, queue, held, start_by)) {
+      continue;
+    }
+    if (auto grant = ledger_.Grant(id, message.id, now)) {
+      messages_.push_back({from, std::move(*grant)});
       if (held > Units()) {
         // Like a start: a queue that uses idle slots must not owe them to a
         // queue that comes later.
--- a/src/libdecision/slot_ledger.cc
+++ b/src/libdecision/slot_ledger.cc
@@ -221,6 +221,12 @@
   if (it == given_.end()) {
     return std::nullopt;
   }
+  for (const auto& [resource, units] : it->second.units) {
+    // Units which another node owns by now must come back.
+    if (draining_.contains(resource)) {
+      return std::nullopt;
+    }
+  }
   given_ends_.erase({it->second.free_at, id});
   it->second.free_at = now + kLoanTerm + config_.request_timeout;
   given_ends_.insert({it->second.free_at, id});
--- a/src/libdecision/slot_ledger.h
+++ b/src/libdecision/slot_ledger.h
@@ -115,7 +115,8 @@
   /** Adds units to a loan for which no message was made yet. */
   bool Extend(LoanId loan, const ResourceUnits& units);
   /** The message for a new loan, or for a loan that is prolonged from now;
-   * empty if it is unknown or all returned. */
+   * empty if it is unknown, all returned, or of units that this node has lost
+   * to another owner. */
   std::optional<LoanGrant> Grant(LoanId loan, BorrowId borrow, Time now);
   /** Minion slots lent for requests of the queue. */
   Units LentSlots(const QueueId& queue) const;
--- a/src/libdecision/unit_owners.cc
+++ b/src/libdecision/unit_owners.cc
@@ -49,6 +49,11 @@
         hold_until_ = std::max(hold_until_, it.at + full_wait_);
       }
     }
+    if (!began_without_views_) {
+      // Owners before the first view are unknown and may still use units that
+      // pass on now.
+      hold_until_ = std::max(hold_until_, first_view_at_ + full_wait_);
+    }
     const bool gap = number.value() != number_.value() + 1;
     if (gap) {
       hold_until_ = std::max(hold_until_, now + full_wait_);
--- a/tests/slot_ledger_test.cc
+++ b/tests/slot_ledger_test.cc
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <random>
+
 #include "libdecision/rendezvous.h"
 
 namespace baobab {
@@ -222,6 +224,9 @@
 class World {
  public:
   static constexpr std::size_t kNodes = 4;
+  // Few units, so that all of them are in use most of the time.
+  static constexpr std::int64_t kSlots = 3;
+  static constexpr std::int64_t kLimitUnits = 2;
 
   World() : nodes_(kNodes) {
     views_.push_back({Nodes({0, 1, 2}), now_});
@@ -231,69 +236,30 @@
     }
   }
 
-  /** One step; the numbers choose what happens. */
+  /** One fault or a time without faults; the numbers choose what happens. */
   void Do(std::uint32_t kind, std::uint32_t a, std::uint32_t b) {
     const std::size_t n = a % kNodes;
-    Node& node = nodes_[n];
-    const bool awake = node.ledger && node.paused_until <= now_;
-    switch (kind % 16) {
+    chance_.seed(a * 1000003 + b);
+    switch (kind % 8) {
       case 0:
-        Pass(milliseconds(b % 400));
+        nodes_[n].ledger.reset();
         break;
       case 1:
-        Pass(seconds(b % 3) + milliseconds(b % 977));
+        if (!nodes_[n].ledger) {
+          Start(n);
+        }
         break;
       case 2:
-        Pass(b % 4 == 0 ? seconds(b % 40) : milliseconds(b % 100));
+        nodes_[n].paused_until = now_ + milliseconds(b % 20000);
         break;
       case 3:
-        if (b % 3 == 0) {
-          node.ledger.reset();
-        }
+        ChangeView(a);
         break;
       case 4:
-        if (!node.ledger) {
-          Start(n);
-        }
-        break;
-      case 5:
-        node.paused_until = now_ + milliseconds(b % 9000);
-        break;
-      case 6:
-        if (b % 2 == 0) {
-          ChangeView(b / 2);
-        }
-        break;
-      case 7:
-      case 8:
-        if (awake) {
-          Adopt(node);
-        }
-        break;
-      case 9:
-      case 10:
-        if (awake) {
-          UseOwn(n, b);
-        }
-        break;
-      case 11:
-      case 12:
-        if (awake) {
-          Ask(n, b);
-        }
-        break;
-      case 13:
-        if (awake) {
-          UseBorrowed(n, b);
-        }
-        break;
-      case 14:
-        if (awake) {
-          Return(node, b);
-        }
+        Pass(seconds(b % 30));
         break;
       default:
-        Heartbeat(n, b);
+        Pass(milliseconds(b % 3000));
         break;
     }
   }
@@ -332,9 +298,10 @@
                     1'000'000 + starts_++);
     node.ledger =
         std::make_unique<SlotLedger>(Config(n, node.incarnation.value()), now_);
-    node.ledger->SetResource(kMinion, Units(8), DataCentreId("dc"), Units(),
-                             now_);
-    node.ledger->SetResource(kLimit, Units(5), DataCentreId(), Units(), now_);
+    node.ledger->SetResource(kMinion, Units(kSlots), DataCentreId("dc"),
+                             Units(), now_);
+    node.ledger->SetResource(kLimit, Units(kLimitUnits), DataCentreId(),
+                             Units(), now_);
     if (now_ > Time()) {
       // A process that starts later reads the log and sees the newest view.
       node.view = views_.size();
@@ -379,11 +346,8 @@
   void UseOwn(std::size_t n, std::uint32_t b) {
     Node& node = nodes_[n];
     const ResourceId& resource = b % 3 == 0 ? kLimit : kMinion;
-    while (Confirmed(node) && node.ledger->OwnFree(resource) > Units()) {
+    if (Confirmed(node) && node.ledger->OwnFree(resource) > Units()) {
       Begin(n, {resource, std::nullopt}, b);
-      if (b % 2 == 0) {
-        break;
-      }
     }
   }
 
@@ -401,13 +365,13 @@
 
   void Begin(std::size_t n, const UnitSource& source, std::uint32_t b) {
     RC_ASSERT(nodes_[n].ledger->Use(source, now_));
-    const Duration length = b % 5 == 0 ? kRequestTime : milliseconds(b % 3000);
+    const Duration length = b % 2 == 0 ? kRequestTime : milliseconds(b % 5000);
     uses_.push_back({n, nodes_[n].incarnation, source, now_ + length});
     const auto used =
         std::count_if(uses_.begin(), uses_.end(), [&](const Use& it) {
           return it.source.resource == source.resource && it.ends > now_;
         });
-    RC_ASSERT(used <= (source.resource == kMinion ? 8 : 5));
+    RC_ASSERT(used <= (source.resource == kMinion ? kSlots : kLimitUnits));
   }
 
   void Ask(std::size_t n, std::uint32_t b) {
@@ -419,21 +383,50 @@
     Send(n, lender, ask, b);
   }
 
-  void Return(Node& node, std::uint32_t b) {
-    for (const auto& [key, loan] : node.ledger->taken()) {
-      if (b % 2 == 0 || !loan.in_use.empty()) {
-        node.ledger->ReturnIdle(key, now_);
+  void Return(std::size_t n, std::uint32_t b) {
+    for (const auto& [key, loan] : nodes_[n].ledger->taken()) {
+      nodes_[n].ledger->ReturnIdle(key, now_);
+    }
+    Flush(n, b);
+  }
+
+  /** What an awake node does by itself. */
+  void Act(std::size_t n) {
+    const auto b = static_cast<std::uint32_t>(chance_() % 100000);
+    switch (chance_() % 12) {
+      case 0:
+      case 1:
+        UseOwn(n, b);
+        break;
+      case 2:
+      case 3:
+        Ask(n, b);
+        break;
+      case 4:
+      case 5:
+      case 6:
+        UseBorrowed(n, b);
+        break;
+      case 7:
+        Heartbeat(n, b);
+        break;
+      case 8:
+        if (b % 4 == 0) {
+          Adopt(nodes_[n]);
+        }
+        break;
+      case 9:
+        if (b % 4 == 0) {
+          Return(n, b);
+        }
+        break;
+      default:
         break;
-      }
     }
-    Flush(static_cast<std::size_t>(&node - nodes_.data()), b);
   }
 
   void Heartbeat(std::size_t n, std::uint32_t b) {
     Node& node = nodes_[n];
-    if (!node.ledger || node.paused_until > now_) {
-      return;
-    }
     const std::uint64_t view = node.ledger->AnnouncedView(now_).value();
     for (std::size_t to = 0; to < kNodes; ++to) {
       Send(n, to, HeartbeatView{view}, b + static_cast<std::uint32_t>(to));
@@ -484,6 +477,7 @@
         if (nodes_[n].ledger && nodes_[n].paused_until <= now_) {
           nodes_[n].ledger->Advance(now_);
           Flush(n, 0);
+          Act(n);
           RC_ASSERT(nodes_[n].ledger->TakeViolations().empty());
         }
       }
@@ -537,7 +531,9 @@
     const auto given = ledger.given();
     for (const auto& [id, loan] : given) {
       if (loan.borrower == from && loan.incarnation == message.incarnation) {
-        Send(message.to, message.from, *ledger.Grant(id, ask.id, now_), b);
+        if (const auto grant = ledger.Grant(id, ask.id, now_)) {
+          Send(message.to, message.from, *grant, b);
+        }
       }
     }
     const ResourceId& resource = b % 3 == 0 ? kLimit : kMinion;
@@ -562,17 +558,22 @@
   std::vector<Use> uses_;
   std::vector<Message> messages_;
   std::uint64_t starts_ = 0;
+  std::mt19937 chance_;
 };
 
 // Guards against more requests on a minion or under a limit than it has units,
 // whatever happens to messages, processes and views.
 TEST(SlotLedger, UnitsAreNeverUsedTwice) {
   EXPECT_TRUE(rc::check("units are never used twice", [] {
-    const auto steps = *rc::gen::container<
-        std::vector<std::tuple<std::uint32_t, std::uint32_t, std::uint32_t>>>(
-        400,
-        rc::gen::tuple(rc::gen::inRange(0U, 16U), rc::gen::inRange(0U, 64U),
-                       rc::gen::inRange(0U, 100000U)));
+    // Ranges grow with the size; a small one would give no faults. Shrinking
+    // takes minutes and hardly shortens a history of faults.
+    const auto steps = *rc::gen::noShrink(rc::gen::resize(
+        rc::kNominalSize,
+        rc::gen::container<std::vector<
+            std::tuple<std::uint32_t, std::uint32_t, std::uint32_t>>>(
+            80, rc::gen::tuple(rc::gen::inRange(0U, 8U),
+                               rc::gen::inRange(0U, 1000U),
+                               rc::gen::inRange(0U, 100000U)))));
     World world;
     for (const auto& [kind, a, b] : steps) {
       world.Do(kind, a, b);
