bench: measure decisions per CPU second and test the flood targets

Cause: the targets of 95 % goodput, urgent starts and no overruns need a test. Change: bench decisions; flood_test runs 100 times the mean for 5 s.

--- a/src/bench/main.cc
+++ b/src/bench/main.cc
@@ -1,6 +1,9 @@
 #include <fmt/format.h>
+#include <cmath>
+
 #include <CLI/CLI.hpp>
 
+#include "bench/decisions.h"
 #include "bench/flood.h"
 
 namespace baobab {
@@ -70,6 +73,49 @@
   }
 }
 
+/** One varied size; the others stay as today. */
+void PrintDecisions(const char* what,
+                    const std::vector<int>& sizes,
+                    int DecisionCase::*member,
+                    std::int64_t requests,
+                    std::uint64_t seed) {
+  double first = 0;
+  for (const int size : sizes) {
+    DecisionCase load;
+    load.*member = size;
+    load.requests = requests;
+    load.seed = seed;
+    const DecisionResult result = RunDecisions(load);
+    const double cost = 1 / result.PerSecond();
+    if (first == 0) {
+      first = cost;
+    }
+    // 1 is linear; below 1 the cost grows more slowly than the size.
+    const double slope =
+        size == sizes.front()
+            ? 0
+            : std::log(cost / first) / std::log(double(size) / sizes.front());
+    fmt::print("{:8} {:6} {:10} {:12.0f} {:10.2f} {:8.2f} {:10.2f}\n", what,
+               size, result.owned_slots, result.PerSecond(), cost * 1e6, slope,
+               result.view_seconds * 1e3);
+    std::fflush(stdout);
+  }
+}
+
+void PrintAllDecisions(std::int64_t requests, std::uint64_t seed) {
+  fmt::print(
+      "decisions: one node, 10 queues, 50 minions, 9 nodes unless "
+      "varied; seed {}, {} requests\n",
+      seed, requests);
+  fmt::print("{:8} {:>6} {:>10} {:>12} {:>10} {:>8} {:>10}\n", "varied", "size",
+             "own slots", "ops/cpu s", "us/op", "slope", "view ms");
+  PrintDecisions("queues", {5, 10, 25, 50, 100, 200, 400},
+                 &DecisionCase::queues, requests, seed);
+  PrintDecisions("minions", {50, 100, 200, 400, 820}, &DecisionCase::minions,
+                 requests, seed);
+  PrintDecisions("nodes", {3, 9, 27, 81}, &DecisionCase::nodes, requests, seed);
+}
+
 }  // namespace
 }  // namespace baobab
 
@@ -86,9 +132,18 @@
       ->check(CLI::Range(1, 600));
   flood->add_option("--factor", factor, "Highest factor to run")
       ->check(CLI::Range(1, 100));
+  std::int64_t requests = 50'000;
+  CLI::App* decisions = app.add_subcommand(
+      "decisions", "Scheduler operations per second of thread CPU time");
+  decisions->add_option("--seed", seed, "Seed of the arrivals");
+  decisions->add_option("--requests", requests, "Requests per size")
+      ->check(CLI::Range(1, 10'000'000));
   CLI11_PARSE(app, argc, argv);
   if (flood->parsed()) {
     baobab::PrintFloods(seed, seconds, factor);
   }
+  if (decisions->parsed()) {
+    baobab::PrintAllDecisions(requests, seed);
+  }
   return 0;
 }
--- /dev/null
+++ b/tests/flood_test.cc
@@ -0,0 +1,51 @@
+#include "bench/flood.h"
+
+#include <gtest/gtest.h>
+
+namespace baobab {
+namespace {
+
+struct FloodTestCase {
+  bool urgent_floods;
+  bool even;
+};
+
+class FloodTest : public testing::TestWithParam<FloodTestCase> {};
+
+// Guards against one queue in excess that takes the others' guaranteed shares,
+// delays urgent starts or overruns minions.
+TEST_P(FloodTest, OthersKeepTheirShareAtHundredTimesTheMean) {
+  FloodCase flood;
+  flood.urgent_floods = GetParam().urgent_floods;
+  flood.even = GetParam().even;
+  flood.factor = 100;
+  flood.length = std::chrono::seconds(5);
+  const FloodResult result = RunFlood(flood);
+  EXPECT_GE(result.WorstOtherGoodput(), 0.95);
+  EXPECT_LE(result.UrgentWorst(), std::chrono::milliseconds(7300));
+  EXPECT_EQ(result.overruns, 0);
+  EXPECT_EQ(result.violations, 0);
+  EXPECT_LE(result.backlog_peak, NodeConfig().backlog_bytes);
+  EXPECT_GT(result.starts, 1000);
+}
+
+INSTANTIATE_TEST_SUITE_P(Floods,
+                         FloodTest,
+                         testing::Values(FloodTestCase{false, true},
+                                         FloodTestCase{false, false},
+                                         FloodTestCase{true, true},
+                                         FloodTestCase{true, false}));
+
+// Guards against a measurement that cannot fail: FIFO must miss the targets.
+TEST(FloodTest, FifoMissesTheTargets) {
+  FloodCase flood;
+  flood.policy = FloodPolicy::kFifo;
+  flood.factor = 20;
+  flood.length = std::chrono::seconds(5);
+  const FloodResult result = RunFlood(flood);
+  EXPECT_LT(result.WorstOtherGoodput(), 0.5);
+  EXPECT_GT(result.overruns, 0);
+}
+
+}  // namespace
+}  // namespace baobab
