decision: renew loans and start requests only within TakeStarts

Cause: OnBorrow() renewed loans even on a node that may not use its units, and TakeStarts() could start a request whose latest start had passed. Change: renewals move to TakeStarts(), which drops late requests first. Requests with more than 10 s of patience wait 300 ms before peers are asked. LoanReturn holds all units given back so far.

--- a/src/bench/main.cc
+++ b/src/bench/main.cc
@@ -94,7 +94,8 @@
     const double slope =
         size == sizes.front()
             ? 0
-            : std::log(cost / first) / std::log(double(size) / sizes.front());
+            : std::log(cost / first) /
+                  std::log(static_cast<double>(size) / sizes.front());
     fmt::print("{:8} {:6} {:10} {:12.0f} {:10.2f} {:8.2f} {:10.2f}\n", what,
                size, result.owned_slots, result.PerSecond(), cost * 1e6, slope,
                result.view_seconds * 1e3);
--- a/src/libdecision/fair_queue.h
+++ b/src/libdecision/fair_queue.h
@@ -19,9 +19,12 @@
 struct RemoteDemand {
   Incarnation incarnation;
   BorrowId borrow;
+  /** Beyond the loans it has; including them while `fresh` is set. */
   Units slots;
   Units limit_units;
   Units quota_units;
+  /** Loans are not yet renewed for this borrow request. */
+  bool fresh = true;
   /** Latest start of its most urgent request, by this node's clock. */
   Time start_by;
   /** A grant after that would reach the borrower with too little time left. */
--- a/src/libdecision/fair_scheduler.cc
+++ b/src/libdecision/fair_scheduler.cc
@@ -18,6 +18,11 @@
  * late refusal by TakeExpired() costs less than work refused in error. */
 constexpr double kEstimateMargin = 0.75;
 
+/** A request that may wait longer first waits for a local unit before peers are
+ * asked, which saves a quarter of the messages at normal load. */
+constexpr Duration kPatience = std::chrono::seconds(10);
+constexpr Duration kPatientAskDelay = std::chrono::milliseconds(300);
+
 /** Borrowing needs a few rounds of messages to bring what a queue can get. */
 constexpr Duration kBorrowSettleTime = std::chrono::seconds(1);
 
@@ -76,6 +81,9 @@
   if (queue->waiting.empty()) {
     queue->waiting_since = now;
     queue->shortage = Shortage::kNone;
+    if (request.start_by - now > kPatience) {
+      queue->next_ask = std::max(queue->next_ask, now + kPatientAskDelay);
+    }
   }
   queue->waiting.insert({request.start_by, request.id});
   waiting_.emplace(request.id, request);
@@ -99,16 +107,19 @@
 }
 
 std::vector<RefusedRequest> FairScheduler::TakeExpired(Time now) {
-  std::vector<RefusedRequest> refused = std::exchange(dropped_, {});
+  ExpireWaiting(now);
+  return std::exchange(dropped_, {});
+}
+
+void FairScheduler::ExpireWaiting(Time now) {
   while (!expiry_.empty() && expiry_.begin()->first < now) {
     const RequestId id = expiry_.begin()->second;
     const QueuedRequest request = waiting_.at(id);
     FairQueue& queue = *FindQueue(request.queue);
-    refused.push_back({id, {Reason::kDeadlinePassed, kDefaultRetryAfter}});
+    dropped_.push_back({id, {Reason::kDeadlinePassed, kDefaultRetryAfter}});
     RemoveWaiting(queue, request);
     dirty_.insert(queue.row.service);
   }
-  return refused;
 }
 
 void FairScheduler::Finish(RequestId id, Time now) {
--- a/src/libdecision/fair_scheduler.h
+++ b/src/libdecision/fair_scheduler.h
@@ -157,6 +157,7 @@
   void UpdateActive(Service& service, FairQueue& queue);
   void Charge(Service& service, FairQueue& queue, Duration slot_time);
   void UpdateLong(const Service& service, FairQueue& queue);
+  void ExpireWaiting(Time now);
   void RemoveWaiting(FairQueue& queue, const QueuedRequest& request);
   std::optional<Refusal> EstimateRefusal(const Service& service,
                                          const FairQueue& queue,
@@ -194,6 +195,10 @@
                           const UsableMinion& usable) const;
   void NoteServed(Service& service, FairQueue& queue, Duration slot_time);
 
+  void RenewLoans(Service& service,
+                  FairQueue& queue,
+                  const NodeId& borrower,
+                  Time now);
   Shortage LendSlot(Service& service,
                     FairQueue& queue,
                     const NodeId& borrower,
@@ -237,6 +242,7 @@
   std::unordered_map<RequestId, QueuedRequest> waiting_;
   std::set<std::pair<Time, RequestId>> expiry_;
   std::unordered_map<RequestId, RunningRequest> running_;
+  /** Refused, but not yet taken by TakeExpired(). */
   std::vector<RefusedRequest> dropped_;
   std::set<ServiceId> dirty_;
   std::uint64_t rotation_ = 0;
--- a/src/libdecision/fair_scheduler_loans.cc
+++ b/src/libdecision/fair_scheduler_loans.cc
@@ -76,21 +76,39 @@
                              Incarnation incarnation,
                              const BorrowRequest& message,
                              Time now) {
-  FairQueue* found = FindQueue(message.queue);
-  if (found == nullptr || stopping_) {
+  FairQueue* queue = FindQueue(message.queue);
+  if (queue == nullptr || stopping_) {
     return;
   }
-  FairQueue& queue = *found;
-  Service& service = *ServiceOf(queue);
-  const auto known = queue.remote.find(from);
-  if (known != queue.remote.end() && known->second.borrow >= message.id) {
+  const auto known = queue->remote.find(from);
+  if (known != queue->remote.end() && known->second.borrow >= message.id) {
     return;
   }
-  const Time start_by = now + message.deadline_in;
+  // Loans are given and renewed by TakeStarts() only, so that a node that may
+  // not use its units does not lend them either.
+  queue->remote[from] = {incarnation,
+                         message.id,
+                         message.slots,
+                         message.limit_units,
+                         message.quota_units,
+                         true,
+                         now + message.deadline_in,
+                         now + kDemandLife};
+  Service& service = *ServiceOf(*queue);
+  service.remote.insert(queue->position);
+  UpdateActive(service, *queue);
+  dirty_.insert(queue->row.service);
+}
+
+void FairScheduler::RenewLoans(Service& service,
+                               FairQueue& queue,
+                               const NodeId& borrower,
+                               Time now) {
+  RemoteDemand& demand = queue.remote.at(borrower);
   Units slots;
   Units limit_units;
   Units quota_units;
-  std::set<LoanId>& loans = queue.given[from];
+  std::set<LoanId>& loans = queue.given[borrower];
   for (auto it = loans.begin(); it != loans.end();) {
     GivenLoan* loan = ledger_.FindGiven(*it);
     if (loan == nullptr) {
@@ -98,7 +116,7 @@
       continue;
     }
     const LoanId id = *it++;
-    if (loan->incarnation != incarnation) {
+    if (loan->incarnation != demand.incarnation) {
       continue;
     }
     const Units held =
@@ -106,17 +124,17 @@
     slots += held;
     limit_units += SlotLedger::Outstanding(*loan, ResourceKind::kQueueLimit);
     quota_units += SlotLedger::Outstanding(*loan, ResourceKind::kTeamQuota);
-    if (slots > message.slots || limit_units > message.limit_units ||
-        quota_units > message.quota_units) {
+    if (slots > demand.slots || limit_units > demand.limit_units ||
+        quota_units > demand.quota_units) {
       continue;
     }
     const std::int64_t tag = queue.tag;
     ChargeLoan(service, queue, *loan, held, now);
-    if (!MayRenew(service, queue, held, start_by)) {
+    if (!MayRenew(service, queue, held, demand.start_by)) {
       continue;
     }
-    if (auto grant = ledger_.Grant(id, message.id, now)) {
-      messages_.push_back({from, std::move(*grant)});
+    if (auto grant = ledger_.Grant(id, demand.borrow, now)) {
+      messages_.push_back({borrower, std::move(*grant)});
       if (held > Units()) {
         // Like a start: a queue that uses idle slots must not owe them to a
         // queue that comes later.
@@ -124,16 +142,10 @@
       }
     }
   }
-  queue.remote[from] = {incarnation,
-                        message.id,
-                        std::max(Units(), message.slots - slots),
-                        std::max(Units(), message.limit_units - limit_units),
-                        std::max(Units(), message.quota_units - quota_units),
-                        start_by,
-                        now + kDemandLife};
-  service.remote.insert(queue.position);
-  UpdateActive(service, queue);
-  dirty_.insert(queue.row.service);
+  demand.fresh = false;
+  demand.slots = std::max(Units(), demand.slots - slots);
+  demand.limit_units = std::max(Units(), demand.limit_units - limit_units);
+  demand.quota_units = std::max(Units(), demand.quota_units - quota_units);
 }
 
 void FairScheduler::OnGrant(const NodeId& from,
--- a/src/libdecision/fair_scheduler_starts.cc
+++ b/src/libdecision/fair_scheduler_starts.cc
@@ -21,6 +21,7 @@
     Time now,
     const UsableMinion& usable) {
   std::vector<RequestStart> starts;
+  ExpireWaiting(now);
   std::vector<ServiceId> run(dirty_.begin(), dirty_.end());
   dirty_.clear();
   // Services that share a quota take turns in being first.
@@ -53,6 +54,11 @@
                                         service.remote.end());
   for (const std::size_t position : remote) {
     FairQueue& queue = *service.queues[position];
+    for (const auto& [node, demand] : queue.remote) {
+      if (demand.fresh && demand.valid_until > now && !stopping_) {
+        RenewLoans(service, queue, node, now);
+      }
+    }
     std::erase_if(queue.remote, [&](const auto& it) {
       return it.second.valid_until <= now || it.second.Empty();
     });
--- a/src/libdecision/peer_message.h
+++ b/src/libdecision/peer_message.h
@@ -80,7 +80,9 @@
   bool operator==(const LoanGrant&) const = default;
 };
 
-/** Gives units of a loan back; the rest of the loan stays out. */
+/** Gives units of a loan back; the rest of the loan stays out. `units` are all
+ * units of the loan given back so far, so that a repeated, late or lost message
+ * does no harm. */
 struct LoanReturn {
   LoanId loan;
   std::vector<ResourceUnits> units;
--- a/tests/fair_scheduler_test.cc
+++ b/tests/fair_scheduler_test.cc
@@ -308,7 +308,7 @@
   OneNode node(kSmallBacklog);
   for (int n = 0; n < 500; ++n) {
     (void)node.Admit(n % 2 == 0 ? kBatch : kUrgent, seconds(60),
-                     Bytes(37 * (n % 11)));
+                     Bytes(std::int64_t{37} * (n % 11)));
     EXPECT_LE(node.scheduler.backlog_bytes(), Bytes(10'000));
   }
   for (std::uint64_t n = 1; n <= 500; ++n) {
@@ -389,6 +389,10 @@
     EXPECT_EQ(starts[n].id, RequestId(12 - n));
   }
   node.now += seconds(10);
+  node.Finish();
+  const auto later = node.Start();
+  ASSERT_EQ(later.size(), 3U);
+  EXPECT_EQ(later[0].id, RequestId(3));
   std::vector<RequestId> expired;
   for (const RefusedRequest& it : node.scheduler.TakeExpired(node.now)) {
     EXPECT_EQ(it.refusal.reason, Reason::kDeadlinePassed);
--- a/tests/scheduler_fleet_test.cc
+++ b/tests/scheduler_fleet_test.cc
@@ -80,6 +80,9 @@
       case 4:
         Pass(seconds(b % 20));
         break;
+      case 5:
+        nodes_[n].cut_until = now_ + milliseconds(b % 60000);
+        break;
       default:
         Pass(milliseconds(b % 3000));
         break;
@@ -91,6 +94,7 @@
     faults_ = false;
     for (std::size_t n = 0; n < kNodes; ++n) {
       nodes_[n].paused_until = now_;
+      nodes_[n].cut_until = now_;
       if (!nodes_[n].scheduler) {
         Start(n);
       }
@@ -128,6 +132,8 @@
     std::size_t view = 0;
     std::map<NodeId, std::uint64_t> heard;
     Time paused_until;
+    /** Reads no log until then, but peers hear it. */
+    Time cut_until;
   };
   struct Use {
     std::size_t node = 0;
@@ -260,7 +266,8 @@
   void Act(std::size_t n) {
     Node& node = nodes_[n];
     FairScheduler& scheduler = *node.scheduler;
-    if (node.view < views_.size() && (!faults_ || chance_() % 40 == 0)) {
+    if (node.view < views_.size() && now_ >= node.cut_until &&
+        (!faults_ || chance_() % 40 == 0)) {
       Adopt(node);
     }
     if (chance_() % 20 == 0) {
