net: end the log's long poll on stop and seek, set the incarnation

Cause: a node took up to 2 s longer to stop, and to follow the fold to another offset, as it waited for the end of the long poll; the incarnation was 0. Change: Stop() and SeekTo() shut the connection down; the first reads do not wait; RunNode() takes the wall clock as incarnation if none is given.

--- a/src/baobabfront/node_runner.cc
+++ b/src/baobabfront/node_runner.cc
@@ -48,6 +48,13 @@
   return name == "error" ? LogLevel::kError : LogLevel::kInfo;
 }
 
+Incarnation IncarnationNow() {
+  const auto since_epoch =
+      std::chrono::duration_cast<std::chrono::microseconds>(
+          std::chrono::system_clock::now().time_since_epoch());
+  return Incarnation(static_cast<std::uint64_t>(since_epoch.count()));
+}
+
 /** Reads SIGTERM and SIGINT from a descriptor. Must be made before any thread,
  * since threads inherit the blocked signals. */
 class StopSignals {
@@ -260,7 +267,11 @@
 
 }  // namespace
 
-int RunNode(const Settings& settings) {
+int RunNode(const Settings& given) {
+  Settings settings = given;
+  if (settings.node.incarnation == Incarnation()) {
+    settings.node.incarnation = IncarnationNow();
+  }
   SetLogLevel(ToLevel(settings.log_level));
   StopSignals signals;
   caf::actor_system_config config;
--- a/src/libnet/log_reader.cc
+++ b/src/libnet/log_reader.cc
@@ -1,5 +1,8 @@
 #include "libnet/log_reader.h"
 
+#include <fcntl.h>
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <random>
 #include <utility>
@@ -44,11 +47,15 @@
   std::minstd_rand random(std::random_device{}());
   Duration backoff = kMinBackoff;
   while (!thread_.stopping()) {
+    TakeSeek();
     auto read = ReadOnce();
     if (read) {
       backoff = kMinBackoff;
       continue;
     }
+    if (IsInterrupted()) {
+      continue;
+    }
     metrics_.Count("log_read_failures");
     Log(LogLevel::kWarning, "log", "{}", ToString(read.error()));
     post_(LogReadFailed{std::move(read.error())});
@@ -62,13 +69,70 @@
   }
 }
 
-Result<void> LogReader::ReadOnce() {
+void LogReader::Stop() {
+  {
+    const std::lock_guard lock(mutex_);
+    stopped_ = true;
+    EndConnection();
+  }
+  thread_.Stop();
+}
+
+void LogReader::SeekTo(Offset offset) {
+  const std::lock_guard lock(mutex_);
+  seek_ = offset;
+  EndConnection();
+}
+
+void LogReader::EndConnection() {
+  if (connection_.valid()) {
+    ::shutdown(connection_.get(), SHUT_RDWR);
+  }
+}
+
+void LogReader::TakeSeek() {
+  const std::lock_guard lock(mutex_);
+  if (seek_) {
+    from_ = *seek_;
+    seek_.reset();
+    caught_up_ = false;
+  }
+}
+
+bool LogReader::IsInterrupted() {
+  const std::lock_guard lock(mutex_);
+  return stopped_ || seek_.has_value();
+}
+
+tl::expected<HttpAnswer, CallFailure> LogReader::Get(
+    const std::string& target) {
+  const SocketTime now = SocketClock::now();
+  auto fd = ConnectTcp(endpoint_, now + kConnectTimeout);
+  if (!fd) {
+    return tl::make_unexpected(CallFailure{true, false, fd.error().message});
+  }
+  {
+    const std::lock_guard lock(mutex_);
+    if (stopped_) {
+      return tl::make_unexpected(CallFailure{true, false, "stopping"});
+    }
+    connection_ = UniqueFd(::fcntl(fd->get(), F_DUPFD_CLOEXEC, 0));
+  }
   HttpRequest request;
-  request.target = fmt::format(
+  request.target = target;
+  auto answer = HttpCall(std::move(*fd), now + kWait + kSilence)
+                    .Run(request, {{"Host", ToString(endpoint_)},
+                                   {"Connection", "close"}});
+  const std::lock_guard lock(mutex_);
+  connection_.Reset();
+  return answer;
+}
+
+Result<void> LogReader::ReadOnce() {
+  const Duration wait = caught_up_ ? kWait : Duration(0);
+  const auto answer = Get(fmt::format(
       "/read?from={}&max={}&wait_ms={}", from_.value(), kMaxRecords,
-      std::chrono::duration_cast<std::chrono::milliseconds>(kWait).count());
-  const auto answer =
-      CallOnce(endpoint_, request, kConnectTimeout, kWait + kSilence);
+      std::chrono::duration_cast<std::chrono::milliseconds>(wait).count()));
   if (!answer) {
     return ReadFault(endpoint_, answer.error().message);
   }
@@ -88,6 +152,7 @@
     }
     from_ = Offset(it.offset.value() + 1);
   }
+  caught_up_ = read->entries.empty() || from_ >= read->next;
   metrics_.Count("log_records_read",
                  static_cast<std::int64_t>(read->entries.size()));
   post_(std::move(*read));
--- a/src/libnet/log_reader.h
+++ b/src/libnet/log_reader.h
@@ -1,6 +1,10 @@
 #ifndef SRC_LIBNET_LOG_READER_H_
 #define SRC_LIBNET_LOG_READER_H_
 
+#include <mutex>
+#include <optional>
+
+#include "libnet/http_call.h"
 #include "libnet/post_event.h"
 #include "libnet/sockets.h"
 #include "libnet/stoppable_thread.h"
@@ -16,10 +20,19 @@
   LogReader(Endpoint endpoint, Metrics& metrics, PostEvent post);
 
   void Start();
-  void Stop() { thread_.Stop(); }
+  /** Also ends a long poll that waits. */
+  void Stop();
+
+  /** Continues at this offset and ends a long poll that waits. Thread-safe. */
+  void SeekTo(Offset offset);
 
  private:
   void Run();
+  void TakeSeek();
+  /** True if Stop() or SeekTo() ended the read in progress. */
+  bool IsInterrupted();
+  void EndConnection();
+  tl::expected<HttpAnswer, CallFailure> Get(const std::string& target);
   /** Errors: the log is unreachable, too slow or answers nonsense. */
   Result<void> ReadOnce();
   /** Errors: the answer names no later first offset. */
@@ -29,6 +42,13 @@
   Metrics& metrics_;
   PostEvent post_;
   Offset from_;
+  /** A read brought no more records: later ones may wait for the next. */
+  bool caught_up_ = false;
+  std::mutex mutex_;
+  std::optional<Offset> seek_;
+  /** A second descriptor of the connection in use, to end it from Stop(). */
+  UniqueFd connection_;
+  bool stopped_ = false;
   StoppableThread thread_;
 };
 
--- a/tests/net_backend_test.cc
+++ b/tests/net_backend_test.cc
@@ -339,5 +339,44 @@
   EXPECT_EQ(targets[2], "GET /read?from=7");
 }
 
+// Guards against a start or a stop that waits for the end of a long poll.
+TEST(LogReaderTest, SeekAndStopEndALongPoll) {
+  std::mutex mutex;
+  std::vector<std::string> targets;
+  RawServer server([&](RawSocket& socket, int n) {
+    const std::string request = socket.ReceiveUntil("\r\n\r\n");
+    {
+      const std::lock_guard lock(mutex);
+      targets.push_back(request.substr(0, request.find(" HTTP")));
+    }
+    if (n == 0) {
+      const std::string body = R"({"first":0,"next":0,"records":[]})";
+      socket.Send("HTTP/1.1 200 OK\r\nContent-Length: " +
+                  std::to_string(body.size()) + "\r\n\r\n" + body);
+    } else {
+      socket.ReceiveUntil("never");
+    }
+  });
+  const auto count = [&] {
+    const std::lock_guard lock(mutex);
+    return targets.size();
+  };
+  Metrics metrics;
+  EventSink sink;
+  LogReader reader({"127.0.0.1", server.port()}, metrics, sink.Poster());
+  const SocketTime start = SocketClock::now();
+  reader.Start();
+  ASSERT_TRUE(Eventually([&] { return count() == 2; }));
+  reader.SeekTo(Offset(40));
+  ASSERT_TRUE(Eventually([&] { return count() == 3; }));
+  reader.Stop();
+  EXPECT_LT(SocketClock::now() - start, 1500ms);
+  const std::lock_guard lock(mutex);
+  EXPECT_EQ(targets[0], "GET /read?from=0&max=256&wait_ms=0");
+  EXPECT_EQ(targets[1], "GET /read?from=0&max=256&wait_ms=2000");
+  EXPECT_EQ(targets[2], "GET /read?from=40&max=256&wait_ms=0");
+  EXPECT_TRUE(sink.All<LogReadFailed>().empty());
+}
+
 }  // namespace
 }  // namespace baobab
