decision: blame no minion for what an abandoned caller left unsent

Cause: the caller server reports an attempt whose caller has gone as not sent; three in a row would have put a healthy minion out of service. Change: such a result is not passed to MinionHealth.

--- a/src/libdecision/request_flow.cc
+++ b/src/libdecision/request_flow.cc
@@ -341,7 +341,9 @@
     // the request.
     Violate(it->first, "result of a minion that was not called", effects);
     result = AttemptResult::kUnknown;
-  } else {
+  } else if (!request.abandoned || result != AttemptResult::kNotSent) {
+    // What is not sent because its caller has gone says nothing about the
+    // minion.
     minions_.OnAttempt(event.minion, result, event.leaving, now, effects);
   }
   if (result == AttemptResult::kAnswered) {
--- a/tests/request_flow_test.cc
+++ b/tests/request_flow_test.cc
@@ -173,6 +173,28 @@
   }
 }
 
+// Guards against a minion that is put out of service by callers who leave.
+TEST(RequestFlowTest, AbandonedAttemptsDoNotBlameTheMinion) {
+  const Time now{seconds(100)};
+  Process node(Config("a", 5));
+  node.SetUp(now);
+  for (std::uint64_t n = 1; n <= 3; ++n) {
+    Effects effects;
+    node.flow.OnArrived({RequestId(n), kQueue, false, "", Bytes(1)}, now,
+                        effects);
+    node.flow.Advance(now, effects);
+    const StartAttempt start = All<StartAttempt>(effects).at(0);
+    node.flow.OnAbandoned({RequestId(n)}, now, effects);
+    EXPECT_TRUE(All<Respond>(effects).empty());
+    node.flow.OnAttemptFinished(
+        {start.attempt, start.minion, kNotSent, false, {}}, now, effects);
+    ASSERT_EQ(All<Respond>(effects).size(), 1U);
+    EXPECT_EQ(All<Respond>(effects)[0].outcome, Outcome::kNotRun);
+    EXPECT_EQ(All<Respond>(effects)[0].reason, Reason::kAbandoned);
+    EXPECT_TRUE(node.health.Usable(start.minion));
+  }
+}
+
 // Guards against retries that multiply the load on failing minions.
 TEST(RetryBudgetTest, AllowsATenthButThreePerSecond) {
   RetryBudget budget;
