--- a/src/libdecision/fold_state.h
+++ b/src/libdecision/fold_state.h
@@ -1,6 +1,7 @@
 #ifndef SRC_LIBDECISION_FOLD_STATE_H_
 #define SRC_LIBDECISION_FOLD_STATE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -11,6 +12,17 @@
 
 namespace baobab {
 
+/** Most parts of a snapshot, of at most 256 KB each. The bounds of LogFold keep
+ * the text far below this. */
+inline constexpr std::uint32_t kMaxSnapshotParts = 64;
+
+/** Most cells that one edit may change; a table of two years' scale has about
+ * 5000 cells. */
+inline constexpr std::size_t kMaxEditCells = 16'384;
+
+/** Most bytes of the id and the author of an edit. */
+inline constexpr std::size_t kMaxEditName = 128;
+
 /** The nodes that own capacity units. */
 struct View {
   ViewNumber number;
--- a/src/libdecision/log_fold.cc
+++ b/src/libdecision/log_fold.cc
@@ -13,8 +13,8 @@
 
 constexpr std::size_t kMaxKept = 20'000;
 constexpr std::size_t kMaxWriters = 1024;
-// 1 GiB of text; a higher count can only come from a faulty record.
-constexpr std::uint32_t kMaxParts = 4096;
+// Two planners that follow each other may interleave their parts.
+constexpr std::size_t kMaxCollected = 2;
 
 }  // namespace
 
@@ -131,7 +131,7 @@
   // The term does not matter here: all states at one offset are equal, whoever
   // encoded them.
   if (part == nullptr || entry.record.format > kRecordFormat ||
-      part->parts == 0 || part->parts > kMaxParts ||
+      part->parts == 0 || part->parts > kMaxSnapshotParts ||
       part->part >= part->parts) {
     return std::nullopt;
   }
@@ -139,6 +139,13 @@
   if (part->covers < kept_.front().offset || part->covers > entry.offset) {
     return std::nullopt;
   }
+  if (collected_.size() >= kMaxCollected &&
+      !collected_.contains(part->snapshot_id)) {
+    collected_.erase(std::min_element(
+        collected_.begin(), collected_.end(), [](const auto& a, const auto& b) {
+          return a.second.covers < b.second.covers;
+        }));
+  }
   auto& collected = collected_[part->snapshot_id];
   if (collected.parts.size() != part->parts ||
       collected.covers != part->covers || part->part == 0) {
--- a/src/libdecision/log_fold.h
+++ b/src/libdecision/log_fold.h
@@ -126,6 +126,10 @@
   std::map<std::string, Collected> collected_;
 };
 
+/** The rule that an edit breaks whatever the table holds: its names or its
+ * number of cells; none if it breaks none. */
+std::optional<std::string> EditShapeFault(const TableEdit& edit);
+
 /** Explains what a record led to: edits, planner terms, views, voids. */
 void ExplainFold(const LogEntry& entry,
                  const FoldResult& result,
--- a/src/libdecision/log_fold_records.cc
+++ b/src/libdecision/log_fold_records.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::size_t kMaxEdits = 1024;
+constexpr std::size_t kMaxReason = 256;
 constexpr std::size_t kMaxHistory = 256;
 constexpr std::size_t kMaxHistoryChanges = 8192;
 constexpr std::size_t kMaxAuthors = 8192;
@@ -52,6 +53,19 @@
 
 }  // namespace
 
+std::optional<std::string> EditShapeFault(const TableEdit& edit) {
+  if (edit.id.value().empty() || edit.id.value().size() > kMaxEditName ||
+      edit.author.size() > kMaxEditName) {
+    return "edit: id of 1 to " + Text(kMaxEditName) +
+           " bytes and author of at most as many";
+  }
+  if (edit.changes.empty() || edit.changes.size() > kMaxEditCells) {
+    return "edit: 1 to " + Text(kMaxEditCells) + " cells, now " +
+           Text(edit.changes.size());
+  }
+  return std::nullopt;
+}
+
 std::optional<EditDecision> LogFold::FindEdit(const EditId& id) const {
   const auto it = state_.edits.find(id);
   return it == state_.edits.end() ? std::nullopt
@@ -93,6 +107,8 @@
 }
 
 void LogFold::Decide(const EditId& id, EditDecision decision) {
+  // Cells of a void edit may have names of any length.
+  decision.reason.resize(std::min(decision.reason.size(), kMaxReason));
   state_.edits[id] = std::move(decision);
   if (state_.edits.size() > kMaxEdits) {
     state_.edits.erase(
@@ -108,6 +124,10 @@
     ++state_.void_counts["edit-duplicate"];
     return {FoldOutcome::kDuplicate, "the edit id was decided before", {}, {}};
   }
+  if (auto fault = EditShapeFault(edit)) {
+    // Not remembered: it is void whenever it is read.
+    return Void("edit-faulty", std::move(*fault));
+  }
   auto conflicts = Conflicts(edit);
   if (!conflicts.empty()) {
     const auto& first = conflicts.front();
@@ -121,16 +141,13 @@
     return result;
   }
   auto table = ApplyChanges(state_.table, edit.changes);
-  if (!table || edit.changes.empty()) {
+  if (!table) {
+    const auto& first = table.error().front();
     auto result =
-        Void("edit-faulty", table ? "the edit has no changes"
-                                  : "cell " + Text(table.error().front().cell) +
-                                        ": " + table.error().front().rule);
+        Void("edit-faulty", "cell " + Text(first.cell) + ": " + first.rule);
     Decide(edit.id, {entry.offset, EditVerdict::kFaulty, TableVersion(0),
                      result.reason});
-    if (!table) {
-      result.faults = std::move(table.error());
-    }
+    result.faults = std::move(table.error());
     return result;
   }
   state_.table = std::move(*table);
--- a/src/libdecision/table_commands.cc
+++ b/src/libdecision/table_commands.cc
@@ -56,10 +56,8 @@
 
 /** The answer without asking the log, if the edit cannot be accepted. */
 std::optional<EditReply> Check(const TableEdit& edit, const LogFold& fold) {
-  if (edit.id.value().empty() || edit.changes.empty()) {
-    return Reply(EditState::kFaulty, fold,
-                 edit.changes.empty() ? "the edit has no changes"
-                                      : "the edit has no id");
+  if (auto fault = EditShapeFault(edit)) {
+    return Reply(EditState::kFaulty, fold, std::move(*fault));
   }
   auto conflicts = fold.Conflicts(edit);
   if (!conflicts.empty()) {
--- a/tests/agreement_test.cc
+++ b/tests/agreement_test.cc
@@ -15,7 +15,7 @@
 
 constexpr Duration kTick = milliseconds(100);
 
-const char* kInitial =
+constexpr const char* kInitialTable =
     "[pools]\npool,weight,limit,min_hosts,availability_budget\n"
     "p0,1,4,0,1\np1,1,4,0,1\n"
     "[teams]\nteam,quota\n"
@@ -137,7 +137,7 @@
   }
   Run(5);
   TableEdit edit{EditId("initial"), "ada", TableVersion(0),
-                 DiffTables(Table(), *ParseTable(kInitial))};
+                 DiffTables(Table(), *ParseTable(kInitialTable))};
   submitted_.push_back({edit, {}, {}});
   SubmitTo(0, 0);
   Run(5);
--- a/tests/log_fold_test.cc
+++ b/tests/log_fold_test.cc
@@ -168,6 +168,18 @@
                  "format 2",
                  1,
                  "5"},
+        FoldCase{"no changes",
+                 {Make("a", 1, TableEdit{EditId("e"), "ada", {}, {}})},
+                 {kVoid},
+                 "1 to 16384 cells, now 0",
+                 0,
+                 ""},
+        FoldCase{"no id",
+                 {Make("a", 1, NewTeam(""))},
+                 {kVoid},
+                 "id of 1 to 128 bytes",
+                 0,
+                 ""},
         FoldCase{"unknown record",
                  {Make("a", 1, UnknownRecord{"odd body"})},
                  {FoldOutcome::kUnknownFormat},
@@ -245,13 +257,13 @@
   const LogFold full = Folded(4);
   const std::string text = EncodeFold(Folded(3).state());  // covers 4
   const auto feed = [&](LogFold& fold, std::uint64_t first, bool all_parts) {
-    std::uint64_t offset = first;
-    FoldResult result;
-    for (std::uint32_t part = 0; part < (all_parts ? 2u : 1u); ++part) {
+    auto result = fold.Apply(
+        {Offset(first),
+         Make("b", first + 1, Part(9, "s", 4, 0, 2, text.substr(0, 9)))});
+    if (all_parts) {
       result = fold.Apply(
-          {Offset(offset++), Make("b", offset,
-                                  Part(9, "s", 4, part, 2,
-                                       text.substr(part * 9, part ? -1 : 9)))});
+          {Offset(first + 1),
+           Make("b", first + 2, Part(9, "s", 4, 1, 2, text.substr(9)))});
     }
     return result.outcome;
   };
