--- a/src/bench/flood.cc
+++ b/src/bench/flood.cc
@@ -51,7 +51,6 @@
  public:
   explicit FloodRun(const FloodCase& flood)
       : flood_(flood),
-        random_(flood.seed),
         table_(FloodTable(flood.services)),
         minions_(
             FloodMinions(flood.minions, flood.services, flood.data_centres)),
@@ -335,7 +334,6 @@
   }
 
   FloodCase flood_;
-  std::mt19937_64 random_;
   Table table_;
   std::vector<MinionEntry> minions_;
   std::vector<ViewNode> view_;
--- a/src/bench/node_policy.h
+++ b/src/bench/node_policy.h
@@ -19,7 +19,7 @@
   /** False if the request is refused. */
   virtual bool Arrive(const QueuedRequest& request, Time now) = 0;
   virtual std::vector<RequestStart> Starts(Time now) = 0;
-  /** Number of requests refused while they waited. */
+  /** Requests refused while they waited. */
   virtual std::vector<RequestId> Expired(Time now) = 0;
   virtual void Finish(RequestId id, Time now) = 0;
   /** The minion had no free slot; the request waits again. */
--- a/src/libdecision/fair_scheduler_loans.cc
+++ b/src/libdecision/fair_scheduler_loans.cc
@@ -16,6 +16,9 @@
  * of the loan term, which runs from when the request was sent. */
 constexpr Duration kDemandLife = std::chrono::milliseconds(500);
 
+/** Bounds what a faulty peer can make of its deadline. */
+constexpr Duration kMostPatience = std::chrono::hours(24);
+
 /** Bounds the messages of one ask; the next ask turns to other peers. */
 constexpr std::size_t kMostLenders = 8;
 
@@ -86,14 +89,15 @@
   }
   // Loans are given and renewed by TakeStarts() only, so that a node that may
   // not use its units does not lend them either.
-  queue->remote[from] = {incarnation,
-                         message.id,
-                         message.slots,
-                         message.limit_units,
-                         message.quota_units,
-                         true,
-                         now + message.deadline_in,
-                         now + kDemandLife};
+  queue->remote[from] = {
+      incarnation,
+      message.id,
+      message.slots,
+      message.limit_units,
+      message.quota_units,
+      true,
+      now + std::clamp(message.deadline_in, Duration::zero(), kMostPatience),
+      now + kDemandLife};
   Service& service = *ServiceOf(*queue);
   service.remote.insert(queue->position);
   UpdateActive(service, *queue);
