--- a/src/libdecision/planner_view.cc
+++ b/src/libdecision/planner_view.cc
@@ -30,11 +30,13 @@
     return !host_list_known_ || listed_.contains(id);
   };
   for (const auto& [id, peer] : membership.peers()) {
-    // A node that just fell silent, or is unknown to the platform, would only
-    // be removed again.
+    // A node that just fell silent, is unknown to the platform, or is not yet
+    // heard in its data centre would only be removed again.
+    const ViewNode node{id, peer.data_centre};
     if (!in_view(id) && is_listed(id) && !peer.last.stopping &&
-        !peer.link_lost && now - peer.heard_at < kHeartbeatFar + kStopped) {
-      nodes.push_back({id, peer.data_centre});
+        !peer.link_lost && now - peer.heard_at < kHeartbeatFar + kStopped &&
+        KeepsNode(node, now, view, membership)) {
+      nodes.push_back(node);
     }
   }
   if (!in_view(config_.id)) {
