--- a/src/libnet/backend_client.cc
+++ b/src/libnet/backend_client.cc
@@ -132,8 +132,7 @@
 
 void BackendClient::KeepIdle(const std::string& address, UniqueFd fd) {
   // A node has at most one connection for each slot it uses, 8 per minion.
-  static const auto kMaxKept =
-      static_cast<std::size_t>(kSlotsPerMinion.value());
+  constexpr auto kMaxKept = static_cast<std::size_t>(kSlotsPerMinion.value());
   const std::lock_guard lock(mutex_);
   std::vector<Idle>& kept = idle_[address];
   if (kept.size() < kMaxKept) {
--- a/src/libnet/caller_http.cc
+++ b/src/libnet/caller_http.cc
@@ -57,7 +57,7 @@
 
 }  // namespace
 
-thread_local CallerHttp::Exchange* CallerHttp::current_ = nullptr;
+thread_local CallerHttp::Exchange* CallerHttp::current = nullptr;
 
 HttpAnswer NodeAnswer(int status,
                       Outcome outcome,
@@ -86,11 +86,11 @@
   // Requests with a body come as POST, others as GET or HEAD: see ReadHead().
   Post(".*", [this](const httplib::Request&, httplib::Response& response,
                     const httplib::ContentReader& reader) {
-    ReadBody(*current_, reader);
-    Answer(*current_, response);
+    ReadBody(*current, reader);
+    Answer(*current, response);
   });
   Get(".*", [this](const httplib::Request&, httplib::Response& response) {
-    Answer(*current_, response);
+    Answer(*current, response);
   });
   set_post_routing_handler(
       [this](const httplib::Request& raw, httplib::Response& response) {
@@ -163,14 +163,14 @@
   // An idle connection holds a thread, so none is kept when they get scarce.
   exchange.close =
       connection.refuse || stopping_ || busy_ > options_.threads / 2;
-  current_ = &exchange;
+  current = &exchange;
   bool closed = false;
   const bool ok = process_request(stream, exchange.close, closed,
                                   [&](httplib::Request& raw) {
                                     exchange.raw = &raw;
                                     ReadHead(exchange);
                                   });
-  current_ = nullptr;
+  current = nullptr;
   if (ok && (exchange.raw == nullptr || exchange.fault)) {
     Linger(connection.fd);
     return false;
@@ -276,7 +276,7 @@
 
 void CallerHttp::WriteHeaders(const httplib::Request& raw,
                               httplib::Response& response) {
-  Exchange& exchange = *current_;
+  Exchange& exchange = *current;
   if (!exchange.answer) {
     // cpp-httplib refused the request before any handler saw it.
     metrics_.Count("front_bad_requests");
--- a/src/libnet/caller_http.h
+++ b/src/libnet/caller_http.h
@@ -65,7 +65,7 @@
   void SetFault(Exchange& exchange, int status, const std::string& message);
 
   /** cpp-httplib passes nothing of ours to its handlers. */
-  static thread_local Exchange* current_;
+  static thread_local Exchange* current;
 
   const CallerServerOptions options_;
   Metrics& metrics_;
--- a/src/libnet/http_headers.cc
+++ b/src/libnet/http_headers.cc
@@ -166,12 +166,13 @@
 }
 
 HttpHeaders EndToEndHeaders(const HttpHeaders& headers) {
+  constexpr std::string_view kOurs = "Baobab-";
   HttpHeaders result;
   for (const HttpHeader& it : headers) {
-    const bool ours =
-        SameHeaderName(std::string_view(it.name).substr(0, 7), "Baobab-");
-    if (!ours && !HasConnectionOption(headers, it.name) &&
-        !IsForOneConnection(it.name)) {
+    const std::string_view name = it.name;
+    const bool ours = SameHeaderName(name.substr(0, kOurs.size()), kOurs);
+    if (!ours && !HasConnectionOption(headers, name) &&
+        !IsForOneConnection(name)) {
       result.push_back(it);
     }
   }
--- a/src/libnet/peer_links.cc
+++ b/src/libnet/peer_links.cc
@@ -174,8 +174,9 @@
   }
 
   bool HasSessions() const {
-    return std::any_of(links_.begin(), links_.end(),
-                       [](const auto& it) { return bool(it.second->session); });
+    return std::any_of(links_.begin(), links_.end(), [](const auto& it) {
+      return it.second->session != nullptr;
+    });
   }
 
   bool IsFlushed() const {
--- a/src/libnet/peer_outbox.cc
+++ b/src/libnet/peer_outbox.cc
@@ -1,7 +1,6 @@
 #include "libnet/peer_outbox.h"
 
 #include <algorithm>
-#include <cstring>
 
 namespace baobab {
 
@@ -46,7 +45,7 @@
   while (filled < n && !messages_.empty()) {
     const std::string& bytes = messages_.front().bytes;
     const std::size_t part = std::min(n - filled, bytes.size() - taken_);
-    std::memcpy(buf + filled, bytes.data() + taken_, part);
+    std::copy_n(bytes.data() + taken_, part, buf + filled);
     filled += part;
     taken_ += part;
     if (taken_ == bytes.size()) {
--- a/src/libnet/peer_session.cc
+++ b/src/libnet/peer_session.cc
@@ -257,8 +257,8 @@
     if (in_.size() - at - kPrefix < length) {
       break;
     }
-    const std::string fault =
-        receive_(std::string_view(in_).substr(at + kPrefix, length));
+    const std::string_view waiting = in_;
+    const std::string fault = receive_(waiting.substr(at + kPrefix, length));
     if (!fault.empty()) {
       Fail(fault);
       return false;
