tests: run the system as processes through kills, pauses and outages

Cause: the reducer's tests do not cover sockets, threads, signals and the order in which real processes fail. The minions' execution counts are compared with what every caller was told.

--- /dev/null
+++ b/tests/process_cluster.h
@@ -0,0 +1,300 @@
+#ifndef TESTS_PROCESS_CLUSTER_H_
+#define TESTS_PROCESS_CLUSTER_H_
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "libwire/wire.h"
+#include "process_fixture.h"
+
+namespace baobab {
+
+/** Waits until the condition holds; false if it does not within the time. */
+inline bool WaitUntil(std::chrono::milliseconds time,
+                      const std::function<bool()>& holds) {
+  const auto deadline = std::chrono::steady_clock::now() + time;
+  while (!holds()) {
+    if (std::chrono::steady_clock::now() > deadline) {
+      return false;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  }
+  return true;
+}
+
+/** A port that nothing uses, below the range of outgoing connections: nodes
+ * name each other's ports in their settings, so they cannot listen on port 0.
+ */
+inline int FreePort() {
+  static int next = 20000 + getpid() * 41 % 11000;
+  for (;; ++next) {
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(static_cast<std::uint16_t>(next));
+    const int ec =
+        bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    close(fd);
+    if (ec == 0) {
+      return next++;
+    }
+  }
+}
+
+/** GET as JSON; null if there is no such answer within 2 s. */
+inline nlohmann::json GetJson(int port, const std::string& path) {
+  httplib::Client client("127.0.0.1", port);
+  client.set_connection_timeout(std::chrono::seconds(2));
+  client.set_read_timeout(std::chrono::seconds(2));
+  const auto answer = client.Get(path);
+  const auto json =
+      nlohmann::json::parse(answer ? answer->body : "", nullptr, false);
+  return json.is_discarded() ? nlohmann::json() : json;
+}
+
+/** Nodes, minions of one service and the platform, as processes on this
+ * machine. The queues are "urgent" and "batch". */
+class Cluster {
+ public:
+  static constexpr int kNodes = 3;
+  static constexpr int kMinions = 6;
+
+  /** With `relay`, the first minion is reached through a relay. */
+  explicit Cluster(bool relay = false)
+      : log_("log", {"standins", "log"}),
+        hosts_("hosts", {"standins", "hosts"}),
+        minions_("minions",
+                 {"standins", "minions", "--id", "m", "--service", "svc",
+                  "--count", std::to_string(kMinions)}),
+        log_port_(log_.ReadPorts()[0]),
+        hosts_port_(hosts_.ReadPorts()[0]),
+        minion_ports_(minions_.ReadPorts()) {
+    if (relay) {
+      relay_ = std::make_unique<Process>(
+          "relay",
+          std::vector<std::string>{"standins", "relay", "--target-port",
+                                   std::to_string(minion_ports_[0])});
+      relay_ports_ = relay_->ReadPorts();
+    }
+    PutHosts();
+    for (int n = 0; n < kNodes; ++n) {
+      callers_.push_back(FreePort());
+      controls_.push_back(FreePort());
+      peers_.push_back(FreePort());
+    }
+    for (int n = 0; n < kNodes; ++n) {
+      nodes_.push_back(nullptr);
+      StartNode(n);
+    }
+  }
+
+  void StartNode(int n) {
+    const std::string name = "n" + std::to_string(n + 1);
+    const auto file = TestDirectory() / (name + ".ini");
+    std::ofstream(file) << Settings(n);
+    nodes_[n] = std::make_unique<Process>(
+        name, std::vector<std::string>{"baobabfront", "node", "--settings",
+                                       file.string()});
+  }
+
+  /** Waits until all nodes are in the view, sets the table, and waits until
+   * all nodes are ready for callers. */
+  void WaitReady() {
+    ASSERT_TRUE(WaitUntil(std::chrono::seconds(20),
+                          [this] {
+                            const auto status = Status(0);
+                            int in_view = 0;
+                            for (const auto& it : status.value(
+                                     "peers", nlohmann::json::array())) {
+                              in_view += it.value("in_view", false) ? 1 : 0;
+                            }
+                            return status.value("view", 0) > 0 &&
+                                   in_view == kNodes - 1;
+                          }))
+        << "no view of all nodes: " << Status(0).dump();
+    const auto table = ParseTable(TableText());
+    ASSERT_TRUE(table.has_value());
+    TableEdit edit;
+    edit.id = EditId("first");
+    edit.author = "test";
+    edit.changes = DiffTables(Table{}, *table);
+    const auto reply = Apply(0, edit);
+    ASSERT_EQ(reply.value("state", ""), "in-force") << reply.dump();
+    for (int n = 0; n < kNodes; ++n) {
+      ASSERT_TRUE(
+          WaitUntil(std::chrono::seconds(5), [&] { return IsReady(n); }))
+          << "not ready: " << Status(n).dump();
+    }
+  }
+
+  /** Sends an edit to a node; its reply, or null. */
+  nlohmann::json Apply(int n, const TableEdit& edit) const {
+    httplib::Client client("127.0.0.1", controls_[n]);
+    client.set_read_timeout(std::chrono::seconds(25));
+    const auto answer =
+        client.Post("/table", EncodeEdit(edit), "application/json");
+    const auto json =
+        nlohmann::json::parse(answer ? answer->body : "", nullptr, false);
+    return json.is_object() ? json : nlohmann::json::object();
+  }
+
+  nlohmann::json Status(int n) const {
+    const auto status = GetJson(controls_[n], "/status");
+    return status.is_object() ? status : nlohmann::json::object();
+  }
+
+  /** What the load balancer sees. */
+  bool IsReady(int n) const {
+    httplib::Client client("127.0.0.1", callers_[n]);
+    client.set_read_timeout(std::chrono::seconds(1));
+    const auto answer = client.Get("/healthz");
+    return answer && answer->status == 200;
+  }
+
+  /** Starts load on both queues through all nodes. */
+  std::unique_ptr<LoadProcess> StartLoad(
+      int seconds,
+      std::vector<std::string> more = {}) const {
+    more.insert(more.end(),
+                {"--duration-s", std::to_string(seconds), "--queue",
+                 "urgent:rate=150,run-ms=20,keys=0.3,callers=128", "--queue",
+                 "batch:rate=120,run-ms=150,keys=0.3,callers=128"});
+    return std::make_unique<LoadProcess>("load", callers_, minion_ports_, more);
+  }
+
+  /** All executions of a minion so far. */
+  int ExecutionsOf(int minion) const {
+    int sum = 0;
+    const auto report = GetJson(minion_ports_[minion], "/executions");
+    for (const auto& it : report.at("executions")) {
+      sum += it.get<int>();
+    }
+    return sum;
+  }
+
+  Process& node(int n) { return *nodes_[n]; }
+  std::string caller_address(int n) const { return Local(callers_[n]); }
+  int log_port() const { return log_port_; }
+  int minion_port(int n) const { return minion_ports_[n]; }
+  int relay_control() const { return relay_ports_.at(1); }
+
+ private:
+  void PutHosts() const {
+    auto list = nlohmann::json::array();
+    for (int n = 0; n < kMinions; ++n) {
+      const int port =
+          n == 0 && relay_ ? relay_ports_.at(0) : minion_ports_.at(n);
+      list.push_back({{"id", "m-" + std::to_string(n)},
+                      {"kind", "minion"},
+                      {"host", "h" + std::to_string(n)},
+                      {"service", "svc"},
+                      {"address", Local(port)},
+                      {"rack", "r1"},
+                      {"data_centre", "dc1"},
+                      {"state", "live"}});
+    }
+    for (int n = 0; n < kNodes; ++n) {
+      list.push_back({{"id", "n" + std::to_string(n + 1)},
+                      {"kind", "entry"},
+                      {"address", "127.0.0.1"},
+                      {"rack", "r1"},
+                      {"data_centre", "dc1"},
+                      {"state", "live"}});
+    }
+    httplib::Client client("127.0.0.1", hosts_port_);
+    client.Put("/hosts", nlohmann::json{{"hosts", list}}.dump(),
+               "application/json");
+  }
+
+  std::string Settings(int n) const {
+    std::ostringstream text;
+    text << "[node]\nid = n" << n + 1 << "\ndata_centre = dc1\n[listen]\n"
+         << "caller = " << Local(callers_[n])
+         << "\ncontrol = " << Local(controls_[n])
+         << "\npeer = " << Local(peers_[n])
+         << "\n[platform]\nlog_service = " << Local(log_port_)
+         << "\nhost_list = " << Local(hosts_port_) << "\n[peers]\n";
+    for (int i = 0; i < kNodes; ++i) {
+      if (i != n) {
+        text << "n" << i + 1 << " = dc1 " << Local(peers_[i]) << "\n";
+      }
+    }
+    // Shorter than the default of 30 s, so that what depends on the longest
+    // request ends within the test.
+    text << "[limits]\nrequest_timeout_ms = 3000\n[observe]\ntimeline_path = "
+         << (TestDirectory() / ("n" + std::to_string(n + 1) + ".timeline"))
+                .string()
+         << "\n";
+    return text.str();
+  }
+
+  static std::string TableText() {
+    std::string text =
+        "[pools]\npool,weight,limit,min_hosts,availability_budget\n"
+        "p,1,100,0,10\n"
+        "[teams]\nteam,quota\nt,400\n"
+        "[queues]\n"
+        "queue,service,team,pool,urgency,weight,limit,deadline_ms\n"
+        "urgent,svc,t,p,urgent,80,100,2000\n"
+        "batch,svc,t,p,batch,20,100,60000\n"
+        "[hosts]\nhost,rack,data_centre,pool,maintenance\n";
+    for (int n = 0; n < kMinions; ++n) {
+      text += "h" + std::to_string(n) + ",r1,dc1,p,\n";
+    }
+    return text;
+  }
+
+  Process log_;
+  Process hosts_;
+  Process minions_;
+  std::unique_ptr<Process> relay_;
+  int log_port_;
+  int hosts_port_;
+  std::vector<int> minion_ports_;
+  std::vector<int> relay_ports_;
+  std::vector<int> callers_;
+  std::vector<int> controls_;
+  std::vector<int> peers_;
+  std::vector<std::unique_ptr<Process>> nodes_;
+};
+
+/** Requests over all queues, and how many of them ended with an outcome. */
+inline int CountRequests(const nlohmann::json& summary) {
+  int sum = 0;
+  for (const auto& it : summary.at("queues")) {
+    sum += it.at("requests").get<int>();
+  }
+  return sum;
+}
+inline int CountOutcome(const nlohmann::json& summary,
+                        const std::string& outcome) {
+  int sum = 0;
+  for (const auto& it : summary.at("queues")) {
+    sum += it.at("outcomes").value(outcome, 0);
+  }
+  return sum;
+}
+
+/** Checks that no invariant is broken and enough requests were done. */
+inline void ExpectClean(LoadProcess& load,
+                        const nlohmann::json& summary,
+                        double least_done) {
+  ASSERT_TRUE(summary.is_object()) << load.Output();
+  EXPECT_EQ(load.exit_status(), 0) << load.Output();
+  for (const auto& [name, count] : summary["forbidden"].items()) {
+    EXPECT_EQ(count, 0) << name << "\n" << load.Output();
+  }
+  EXPECT_GT(CountRequests(summary), 400);
+  EXPECT_GE(CountOutcome(summary, "done"), least_done * CountRequests(summary))
+      << summary["queues"].dump(1);
+}
+
+}  // namespace baobab
+
+#endif  // TESTS_PROCESS_CLUSTER_H_
