--- a/scripts/demo_helper.py
+++ b/scripts/demo_helper.py
@@ -138,6 +138,13 @@
         time.sleep(0.1)
 
 
+def status_value(directory, node, name):
+    """Prints a member of the node's status."""
+    control = addresses(directory)["nodes"][node]["control"]
+    print(get_json(control, "/status").get(name))
+    return 0
+
+
 def ready(directory, node, seconds):
     """Waits until the load balancer would send callers to the node."""
     caller = addresses(directory)["nodes"][node]["caller"]
@@ -233,6 +240,6 @@
 
 if __name__ == "__main__":
     sys.exit({it.__name__: it for it in
-              (setup, address, wait_status, ready, call, issue_key, executions,
+              (setup, address, wait_status, status_value, ready, call, issue_key, executions,
                host_executions, edit_cell, load_arguments, check_load)}
              [sys.argv[1]](*sys.argv[2:]))
