bench: measure control traffic, processor time and memory by size

Change: bench measure; varies nodes, minions, queues, hosts, load and leaving minions, and folds tables.

--- a/src/bench/main.cc
+++ b/src/bench/main.cc
@@ -3,6 +3,7 @@
 
 #include <CLI/CLI.hpp>
 
+#include "bench/measure_command.h"
 #include "libbench/bench.h"
 
 namespace baobab {
@@ -138,6 +139,8 @@
   decisions->add_option("--seed", seed, "Seed of the arrivals");
   decisions->add_option("--requests", requests, "Requests per size")
       ->check(CLI::Range(1, 10'000'000));
+  CLI::App* measure = app.add_subcommand(
+      "measure", "Control traffic, processor time and memory by size");
   CLI11_PARSE(app, argc, argv);
   if (flood->parsed()) {
     baobab::PrintFloods(seed, seconds, factor);
@@ -145,5 +148,8 @@
   if (decisions->parsed()) {
     baobab::PrintAllDecisions(requests, seed);
   }
+  if (measure->parsed()) {
+    baobab::PrintCapacity();
+  }
   return 0;
 }
--- a/src/libbench/bench.h
+++ b/src/libbench/bench.h
@@ -3,6 +3,7 @@
 
 // Public header of libbench: measurements of the decisions, in one process.
 
+#include "libbench/capacity.h"
 #include "libbench/control_plane.h"
 #include "libbench/decisions.h"
 #include "libbench/flood.h"
--- /dev/null
+++ b/src/libbench/capacity.cc
@@ -0,0 +1,143 @@
+#include "libbench/capacity.h"
+
+#include <malloc.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include <fmt/format.h>
+
+#include "libbench/control_plane.h"
+#include "libbench/thread_time.h"
+#include "libdecision/fold_codec.h"
+#include "libwire/wire.h"
+
+namespace baobab {
+
+namespace {
+
+constexpr Duration kElection = std::chrono::seconds(40);
+constexpr Duration kSettling = std::chrono::seconds(30);
+
+double HeapBytes() {
+  return static_cast<double>(mallinfo2().uordblks);
+}
+
+std::vector<NodeUsage> Usages(const ControlPlane& plane) {
+  std::vector<NodeUsage> usages;
+  for (int n = 0; n < plane.size(); ++n) {
+    usages.push_back(plane.usage(n));
+  }
+  return usages;
+}
+
+/** Runs the plane while requests arrive at the first node. */
+void RunLoad(ControlPlane& plane, const CapacityCase& load) {
+  if (load.uneven_requests == 0) {
+    plane.Run(load.length);
+    return;
+  }
+  const Duration gap = std::chrono::seconds(1) / load.uneven_requests;
+  const Time end = plane.now() + load.length;
+  Time next = plane.now();
+  for (std::uint64_t id = 1; plane.now() < end;) {
+    for (; next <= plane.now(); next += gap, ++id) {
+      plane.Post(0,
+                 RequestArrived{RequestId(id),
+                                QueueId(fmt::format("q{}", id % load.services)),
+                                false, "", Bytes(100)});
+    }
+    plane.Run(std::chrono::milliseconds(1));
+  }
+}
+
+}  // namespace
+
+CapacityResult MeasureCapacity(const CapacityCase& load) {
+  const double heap = HeapBytes();
+  ControlPlaneOptions options;
+  options.data_centres = load.data_centres;
+  options.nodes_per_data_centre = load.nodes_per_data_centre;
+  options.services = load.services;
+  options.minions = load.minions;
+  ControlPlane plane(options);
+  plane.Run(kElection);
+  plane.SubmitTable(0, CommandId(1),
+                    MakeBenchTable(load.services, load.queues, load.teams,
+                                   load.pools, load.hosts));
+  plane.Run(kSettling);
+  plane.ForgetEffects();
+
+  CapacityResult result;
+  const double nodes = plane.size();
+  // Includes the messages on their way, a few for each node.
+  result.memory = (HeapBytes() - heap) / nodes;
+  const std::vector<NodeUsage> before = Usages(plane);
+  const std::size_t appends = plane.appends();
+  for (int n = 0; n < load.leaving; ++n) {
+    plane.SetSign(MinionId(fmt::format("m{}", n)));
+  }
+  RunLoad(plane, load);
+  const double seconds = std::chrono::duration<double>(load.length).count();
+  const std::vector<NodeUsage> after = Usages(plane);
+  for (std::size_t n = 0; n < after.size(); ++n) {
+    const double bytes =
+        static_cast<double>((after[n].sent - before[n].sent).value()) / seconds;
+    const double core =
+        std::chrono::duration<double>(after[n].processor - before[n].processor)
+            .count() /
+        seconds;
+    result.messages +=
+        static_cast<double>(after[n].messages - before[n].messages) / seconds /
+        nodes;
+    result.bytes += bytes / nodes;
+    result.bytes_most = std::max(result.bytes_most, bytes);
+    result.core += core / nodes;
+    result.core_most = std::max(result.core_most, core);
+  }
+  result.appends = static_cast<double>(plane.appends() - appends) / seconds;
+  return result;
+}
+
+FoldCost MeasureFold(int hosts, int edits) {
+  const Table table = MakeBenchTable(10, 86, 43, 36, hosts);
+  std::vector<std::string> records;
+  std::uint64_t sequence = 0;
+  const auto add = [&](std::vector<CellChange> changes) {
+    Record record;
+    record.writer = {NodeId("n0"), Incarnation(1)};
+    record.sequence = RecordSequence(++sequence);
+    TableEdit edit;
+    edit.id = EditId(fmt::format("e{}", sequence));
+    edit.author = "bench";
+    edit.changes = std::move(changes);
+    record.body = std::move(edit);
+    records.push_back(EncodeRecord(record));
+  };
+  add(DiffTables(Table{}, table));
+  for (int n = 0; n < edits; ++n) {
+    add({{{"queues", "q0", "weight"},
+          std::to_string(1 + n % 100),
+          std::to_string(1 + (n + 1) % 100)}});
+  }
+
+  FoldCost cost;
+  LogFold fold;
+  const auto started = ThreadTime();
+  std::chrono::nanoseconds first{0};
+  for (std::size_t n = 0; n < records.size(); ++n) {
+    fold.Apply({Offset(n), DecodeRecord(records[n])});
+    if (n == 0) {
+      first = ThreadTime() - started;
+    }
+  }
+  const auto total = ThreadTime() - started;
+  cost.cold_start_ms = std::chrono::duration<double, std::milli>(total).count();
+  cost.microseconds_per_edit =
+      std::chrono::duration<double, std::micro>(total - first).count() / edits;
+  cost.snapshot_bytes = static_cast<double>(EncodeFold(fold.state()).size());
+  return cost;
+}
+
+}  // namespace baobab
--- a/src/libbench/control_plane.cc
+++ b/src/libbench/control_plane.cc
@@ -1,11 +1,11 @@
 #include "libbench/control_plane.h"
 
-#include <ctime>
 #include <tuple>
 #include <utility>
 
 #include <fmt/format.h>
 
+#include "libbench/thread_time.h"
 #include "libwire/wire.h"
 
 namespace baobab {
@@ -17,13 +17,6 @@
 /** Framing of a peer message: HTTP/2 DATA frame header and length prefix. */
 constexpr std::int64_t kFrameBytes = 9 + 4;
 
-std::chrono::nanoseconds ThreadTime() {
-  timespec time{};
-  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
-  return std::chrono::seconds(time.tv_sec) +
-         std::chrono::nanoseconds(time.tv_nsec);
-}
-
 NodeId NodeName(int n) {
   return NodeId(fmt::format("n{}", n));
 }
--- a/src/libbench/control_plane.h
+++ b/src/libbench/control_plane.h
@@ -72,6 +72,7 @@
   const std::vector<std::pair<int, Effect>>& effects() const {
     return effects_;
   }
+  void ForgetEffects() { effects_.clear(); }
   const std::vector<TimelineEntry>& violations() const { return violations_; }
 
  private:
