decision: cover five protections that trials showed untested

Cause: on a scratch copy, these changes passed all tests: lending more than is free, returning grants of an earlier process, no hold after the first view, no correction of the charge at the end, keeping a loan for an empty queue. Change: one test or check for each.

--- a/tests/fair_scheduler_test.cc
+++ b/tests/fair_scheduler_test.cc
@@ -180,6 +180,19 @@
                     ShareCase{1, 1, milliseconds(100), milliseconds(900)},
                     ShareCase{1, 1, milliseconds(2000), milliseconds(50)}));
 
+// Guards against slot time that is never charged because requests got longer
+// than the mean.
+TEST(FairScheduler, LongerRequestsAreChargedWhenTheyEnd) {
+  OneNode node({.urgent_deadline = seconds(60)});
+  node.Run(Time() + seconds(10), {{kUrgent, 20}, {kBatch, 20}});
+  node.used.clear();
+  node.slot_time[kBatch] = milliseconds(1500);
+  node.Run(Time() + seconds(18), {{kUrgent, 20}, {kBatch, 20}});
+  const auto all =
+      static_cast<double>((node.used[kUrgent] + node.used[kBatch]).count());
+  EXPECT_NEAR(static_cast<double>(node.used[kBatch].count()) / all, 0.5, 0.08);
+}
+
 struct CapCase {
   Setup setup;
   QueueId queue;
@@ -525,6 +538,21 @@
   EXPECT_EQ(ask(3), 0);
 }
 
+/** Lets `from` decide and passes its messages to `to`. */
+void Exchange(OneNode& from, OneNode& to, const char* name) {
+  from.Start();
+  for (const SendPeer& it : from.scheduler.TakeMessages()) {
+    const NodeId id(name);
+    if (const auto* ask = std::get_if<BorrowRequest>(&it.message)) {
+      to.scheduler.OnBorrow(id, Incarnation(1'000'000), *ask, to.now);
+    } else if (const auto* loan = std::get_if<LoanGrant>(&it.message)) {
+      to.scheduler.OnGrant(id, Incarnation(1'000'000), *loan, to.now);
+    } else if (const auto* back = std::get_if<LoanReturn>(&it.message)) {
+      to.scheduler.OnReturn(id, Incarnation(1'000'000), *back, to.now);
+    }
+  }
+}
+
 // Guards against a borrower that keeps units it does not need.
 TEST(FairScheduler, ReturnsIdleUnitsWhenTheQueueIsEmpty) {
   OneNode lender({.minions = 4}, kTwoNodes, "n0");
@@ -532,32 +560,36 @@
   for (int n = 0; n < 32; ++n) {
     ASSERT_TRUE(borrower.Admit(kUrgent));
   }
-  const auto exchange = [&](OneNode& from, OneNode& to, const char* name) {
-    from.Start();
-    for (const SendPeer& it : from.scheduler.TakeMessages()) {
-      const NodeId id(name);
-      if (const auto* ask = std::get_if<BorrowRequest>(&it.message)) {
-        to.scheduler.OnBorrow(id, Incarnation(1'000'000), *ask, to.now);
-      } else if (const auto* loan = std::get_if<LoanGrant>(&it.message)) {
-        to.scheduler.OnGrant(id, Incarnation(1'000'000), *loan, to.now);
-      } else if (const auto* back = std::get_if<LoanReturn>(&it.message)) {
-        to.scheduler.OnReturn(id, Incarnation(1'000'000), *back, to.now);
-      }
-    }
-  };
-  exchange(borrower, lender, "n1");
-  exchange(lender, borrower, "n0");
+  Exchange(borrower, lender, "n1");
+  Exchange(lender, borrower, "n0");
   borrower.Start();
   EXPECT_EQ(borrower.InFlight(kUrgent), 32);
   EXPECT_EQ(lender.scheduler.Loads().size(), 0U);
   borrower.now = lender.now = Time() + milliseconds(200);
   borrower.Finish();
-  exchange(borrower, lender, "n1");
+  Exchange(borrower, lender, "n1");
   const auto loads = lender.scheduler.Loads();
   ASSERT_EQ(loads.size(), 1U);
   const auto own = borrower.scheduler.Loads();
   EXPECT_EQ(loads[0].spare + own[0].spare, Units(32));
 }
 
+// Guards against a loan that arrives too late for its queue and stays unused.
+TEST(FairScheduler, ReturnsLoanThatArrivesForAnEmptyQueue) {
+  OneNode lender({.minions = 4}, kTwoNodes, "n0");
+  OneNode borrower({.minions = 4}, kTwoNodes, "n1");
+  for (int n = 0; n < 32; ++n) {
+    ASSERT_TRUE(borrower.Admit(kUrgent));
+  }
+  Exchange(borrower, lender, "n1");
+  for (std::uint64_t n = 1; n <= 32; ++n) {
+    borrower.scheduler.Withdraw(RequestId(n));
+  }
+  Exchange(lender, borrower, "n0");
+  EXPECT_FALSE(lender.scheduler.ledger().given().empty());
+  Exchange(borrower, lender, "n1");
+  EXPECT_TRUE(lender.scheduler.ledger().given().empty());
+}
+
 }  // namespace
 }  // namespace baobab
--- a/tests/slot_ledger_test.cc
+++ b/tests/slot_ledger_test.cc
@@ -146,6 +146,28 @@
       Node(0),
       {BorrowId(5), LoanId(8), kQueue, {{kMinion, Units(1)}}, kLoanTerm},
       At(10)));
+  // Requests of the earlier process may still run on these units.
+  EXPECT_EQ(borrower.TakeMessages().size(), 2U);
+}
+
+// Guards against a loan of more units than are free.
+TEST(SlotLedger, LendsNoMoreThanIsFree) {
+  SlotLedger ledger = LoneLedger(0);
+  EXPECT_FALSE(ledger.Lend(Node(1), Incarnation(9), kQueue, {kMinion, Units(9)},
+                           Time()));
+  EXPECT_EQ(ledger.TakeViolations().size(), 1U);
+  EXPECT_EQ(ledger.OwnFree(kMinion), Units(8));
+  EXPECT_TRUE(ledger.given().empty());
+}
+
+// Guards against a restarted node that passes units on while an owner before
+// its first view may still use them.
+TEST(SlotLedger, RestartedNodeHoldsTheNextViewBack) {
+  SlotLedger ledger(Config(0, 1'000'000), Time());
+  ledger.SetView(ViewNumber(3), Nodes({0}), {}, Time());
+  ledger.SetView(ViewNumber(4), Nodes({1}), {}, At(1));
+  EXPECT_LT(ledger.AnnouncedView(At(44.9)), ViewNumber(4));
+  EXPECT_EQ(ledger.AnnouncedView(At(45)), ViewNumber(4));
 }
 
 struct ViewCase {
