--- a/src/libdecision/fair_scheduler.h
+++ b/src/libdecision/fair_scheduler.h
@@ -47,8 +47,10 @@
   tl::expected<void, Refusal> Admit(const QueuedRequest& request, Time now);
   /** Drops a waiting request; does nothing if it has started or is unknown. */
   void Withdraw(RequestId id);
-  /** Starts what may start now, gives loans and asks peers for units. To be
-   * called after every event, but only while the node may use its units. */
+  /** Starts what may start now, gives and renews loans and asks peers for
+   * units. Requests past their start_by are not started; TakeExpired() has
+   * them. To be called after every event, but only while the node is confirmed:
+   * no other method uses or lends a unit. */
   std::vector<RequestStart> TakeStarts(Time now, const UsableMinion& usable);
   /** Removes waiting requests that are past their start_by, or whose queue has
    * left the table. */
--- a/src/libdecision/unit_owners.h
+++ b/src/libdecision/unit_owners.h
@@ -69,8 +69,8 @@
    * requests running. */
   Time RestartWaitEnd() const { return restart_wait_end_; }
 
-  /** Until then, a unit that passed through this node in quick view changes may
-   * still be used by an owner before it. */
+  /** Until then, a unit that passed through this node in quick view changes, or
+   * soon after its start, may still be used by an owner before it. */
   Time HoldUntil() const { return hold_until_; }
 
   ViewNumber number() const { return number_; }
