--- a/src/libdecision/fair_scheduler.h
+++ b/src/libdecision/fair_scheduler.h
@@ -48,8 +48,10 @@
                                     Time now) override;
   /** Drops a waiting request; does nothing if it has started or is unknown. */
   void Withdraw(RequestId id) override;
-  /** Starts what may start now, gives loans and asks peers for units. To be
-   * called after every event, but only while the node may use its units. */
+  /** Starts what may start now, gives and renews loans and asks peers for
+   * units. Requests past their start_by are not started; TakeExpired() has
+   * them. To be called after every event, but only while the node is confirmed:
+   * no other method uses or lends a unit. */
   std::vector<RequestStart> TakeStarts(Time now,
                                        const UsableMinion& usable) override;
   /** Removes waiting requests that are past their start_by, or whose queue has
