membership: confirm a node by the view that peers use, not the one they released

Cause: heartbeats carried one view number, that of which the lost units were released. It lags behind the view in use by up to 45 s, so a node cut off from the log in an old view was still confirmed by peers in the new one, and two nodes could use one unit. Change: heartbeats carry both; confirmation counts the view in use, handover the released one. Nodes that left the view and released it count for the handover too. The scheduler is told of every view of a batch. A replay of the log is not explained again. The unused log_fresh is dropped.

--- a/src/libdecision/membership.cc
+++ b/src/libdecision/membership.cc
@@ -91,9 +91,9 @@
   Heartbeat it;
   it.data_centre = config_.data_centre;
   it.view = local.view;
+  it.released_view = local.released_view;
   it.next_offset = local.next_offset;
   it.version = local.version;
-  it.log_fresh = LogFresh(now);
   it.stopping = local.stopping;
   for (const auto& [id, peer] : peers_) {
     if (Hears(id, now)) {
@@ -211,9 +211,9 @@
   return lacking;
 }
 
-bool Membership::Adopted(const NodeId& node, ViewNumber view) const {
+bool Membership::Released(const NodeId& node, ViewNumber view) const {
   const auto it = peers_.find(node);
-  return it != peers_.end() && it->second.last.view >= view;
+  return it != peers_.end() && it->second.last.released_view >= view;
 }
 
 std::set<MinionId> Membership::LeavingMinions(Time now) const {
--- a/src/libdecision/membership.h
+++ b/src/libdecision/membership.h
@@ -27,6 +27,7 @@
 /** What this node reports of itself in heartbeats. */
 struct LocalStatus {
   ViewNumber view;
+  ViewNumber released_view;
   Offset next_offset;
   TableVersion version;
   bool stopping = false;
@@ -88,8 +89,9 @@
   /** View nodes other than this that did not report this version. */
   std::vector<NodeId> Lacking(TableVersion version, const View& view) const;
 
-  /** The node said that it adopted this or a later view. */
-  bool Adopted(const NodeId& node, ViewNumber view) const;
+  /** The node said that it released all units it lost in this or an earlier
+   * view. */
+  bool Released(const NodeId& node, ViewNumber view) const;
 
   /** Minions that peers heard lately report as leaving. */
   std::set<MinionId> LeavingMinions(Time now) const;
--- a/src/libdecision/peer_message.h
+++ b/src/libdecision/peer_message.h
@@ -42,11 +42,13 @@
 
 struct Heartbeat {
   DataCentreId data_centre;
+  /** View in use at the sender. */
   ViewNumber view;
+  /** Highest view of which the sender has released all units that it lost. It
+   * may be lower than `view`. */
+  ViewNumber released_view;
   Offset next_offset;
   TableVersion version;
-  /** The sender read the log within the confirmation time. */
-  bool log_fresh = false;
   bool stopping = false;
   /** Peers whose heartbeats the sender heard lately. */
   std::vector<NodeId> hears;
--- a/src/libdecision/reducer.cc
+++ b/src/libdecision/reducer.cc
@@ -67,8 +67,16 @@
     state_.reading.OnRead(
         event, state_.fold,
         [this](const LogEntry& entry, const FoldResult& result) {
-          ExplainFold(entry, result, effects_);
+          // A replay of the whole log is no news.
+          if (state_.fold.caught_up()) {
+            ExplainFold(entry, result, effects_);
+          }
           state_.planner.OnFolded(entry, result, now_);
+          // The scheduler needs every view, or it waits as if the owners in
+          // between were unknown.
+          if (std::holds_alternative<ViewChange>(entry.record.body)) {
+            FollowFold();
+          }
         });
     FollowFold();
   }
@@ -194,10 +202,11 @@
     const View& view = state_.fold.view();
     const auto number = static_cast<std::int64_t>(view.number.value());
     std::set<NodeId> adopted;
-    for (const ViewNode& it : view.nodes) {
-      if (it.id == state_.config.id ||
-          state_.membership.Adopted(it.id, view.number)) {
-        adopted.insert(it.id);
+    adopted.insert(state_.config.id);
+    // A node that left the view counts too: it may have owned units.
+    for (const auto& [id, peer] : state_.membership.peers()) {
+      if (peer.last.released_view >= view.number) {
+        adopted.insert(id);
       }
     }
     if (number == state_.view_in_use && adopted == state_.adopted) {
@@ -240,7 +249,8 @@
 
   LocalStatus Local() const {
     LocalStatus local;
-    local.view = state_.scheduler.AnnouncedView(now_);
+    local.view = state_.fold.view().number;
+    local.released_view = state_.scheduler.AnnouncedView(now_);
     local.next_offset = state_.fold.next_offset();
     local.version = state_.fold.version();
     local.stopping = state_.requests.stopping();
--- a/src/libwire/peer_shapes.h
+++ b/src/libwire/peer_shapes.h
@@ -50,9 +50,9 @@
   static constexpr auto kFields =
       std::make_tuple(Field{"data_centre", &Heartbeat::data_centre},
                       Field{"view", &Heartbeat::view},
+                      Field{"released_view", &Heartbeat::released_view},
                       Field{"next_offset", &Heartbeat::next_offset},
                       Field{"version", &Heartbeat::version},
-                      Field{"log_fresh", &Heartbeat::log_fresh},
                       Field{"stopping", &Heartbeat::stopping},
                       Field{"hears", &Heartbeat::hears},
                       Field{"loads", &Heartbeat::loads},
--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -149,6 +149,9 @@
       beat.hears.push_back(NodeId("self"));
     }
     beat.view = ViewNumber(state == '>' ? 4 : 3);
+    // A peer announces a release up to 45 s after it uses the view; only the
+    // view in use may count here.
+    beat.released_view = ViewNumber(3);
     if (state != '?') {
       membership.OnHeartbeat(peers[i].id, Incarnation(1), beat,
                              now - seconds(it.heartbeat_age));
--- a/tests/scheduler_fleet_test.cc
+++ b/tests/scheduler_fleet_test.cc
@@ -248,7 +248,7 @@
     const NodeId from = Id(message.from);
     if (const auto* beat = std::get_if<Heartbeat>(&message.body)) {
       auto& heard = node.heard[from];
-      heard = std::max(heard, beat->view.value());
+      heard = std::max(heard, beat->released_view.value());
       scheduler.SetPeerLoads(from, beat->loads);
       if (node.view > 0 && heard >= node.view) {
         scheduler.SetView(ViewNumber(node.view), views_[node.view - 1].first,
@@ -272,7 +272,7 @@
     }
     if (chance_() % 20 == 0) {
       Heartbeat beat;
-      beat.view = scheduler.AnnouncedView(now_);
+      beat.released_view = scheduler.AnnouncedView(now_);
       beat.loads = scheduler.Loads();
       for (std::size_t to = 0; to < kNodes; ++to) {
         if (to != n) {
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -271,15 +271,12 @@
 // Guards against heartbeats that outgrow the 4 KB/s of a node at 81 nodes:
 // 8 peers each second with loads, 72 every 10 s without.
 TEST(WireTest, HeartbeatsFitTheTrafficBudget) {
-  Heartbeat heartbeat{DataCentreId("lag1"),
-                      ViewNumber(41),
-                      Offset(123456),
-                      TableVersion(312),
-                      true,
-                      false,
-                      {},
-                      {},
-                      {}};
+  Heartbeat heartbeat;
+  heartbeat.data_centre = DataCentreId("lag1");
+  heartbeat.view = ViewNumber(41);
+  heartbeat.released_view = ViewNumber(41);
+  heartbeat.next_offset = Offset(123456);
+  heartbeat.version = TableVersion(312);
   for (int n = 2; n <= 9; ++n) {
     heartbeat.hears.emplace_back("lag1-n" + std::to_string(n));
   }
