membership: name only nodes of the own data centre and the receiver in heartbeats

Cause: each heartbeat named all nodes that the sender hears, so traffic grew with the square of the nodes. Change: hears holds nodes of the own data centre, which alone are judged by it, and the receiver. Conclusion: heartbeat size no longer depends on the number of data centres.

--- a/src/libbench/capacity.cc
+++ b/src/libbench/capacity.cc
@@ -38,7 +38,7 @@
     plane.Run(load.length);
     return;
   }
-  const Duration gap = std::chrono::seconds(1) / load.uneven_requests;
+  const Duration gap = Duration(std::chrono::seconds(1)) / load.uneven_requests;
   const Time end = plane.now() + load.length;
   Time next = plane.now();
   for (std::uint64_t id = 1; plane.now() < end;) {
--- a/src/libdecision/membership.cc
+++ b/src/libdecision/membership.cc
@@ -87,7 +87,8 @@
 
 Heartbeat Membership::Make(Time now,
                            const LocalStatus& local,
-                           bool near) const {
+                           const NodeId& to) const {
+  const bool near = IsNear(targets_.at(to));
   Heartbeat it;
   it.data_centre = config_.data_centre;
   it.view = local.view;
@@ -96,7 +97,10 @@
   it.version = local.version;
   it.stopping = local.stopping;
   for (const auto& [id, peer] : peers_) {
-    if (Hears(id, now)) {
+    // All nodes in each heartbeat would cost 5.4 KB/s at 81 nodes. Only nodes
+    // of the own data centre are judged by it, and the receiver must see
+    // itself.
+    if (Hears(id, now) && (IsNear(peer.data_centre) || id == to)) {
       it.hears.push_back(id);
     }
   }
@@ -131,7 +135,7 @@
     }
     const bool near = IsNear(data_centre);
     const Duration interval = near ? kHeartbeatNear : kHeartbeatFar;
-    effects.push_back(SendPeer{id, Make(now, local, near)});
+    effects.push_back(SendPeer{id, Make(now, local, id)});
     // Keeps the phase, and sends no burst after a pause.
     due = phase_[id];
     if (due <= now) {
@@ -144,7 +148,7 @@
                            const LocalStatus& local,
                            Effects& effects) {
   for (const auto& [id, data_centre] : targets_) {
-    effects.push_back(SendPeer{id, Make(now, local, IsNear(data_centre))});
+    effects.push_back(SendPeer{id, Make(now, local, id)});
   }
 }
 
--- a/src/libdecision/membership.h
+++ b/src/libdecision/membership.h
@@ -104,7 +104,7 @@
  private:
   /** A paused node heard nobody, which says nothing about its peers. */
   void ForgivePause(Time now);
-  Heartbeat Make(Time now, const LocalStatus& local, bool near) const;
+  Heartbeat Make(Time now, const LocalStatus& local, const NodeId& to) const;
   bool IsNear(const DataCentreId& data_centre) const;
   /** The peer said within two of its heartbeats that it hears this node. */
   bool ConfirmsSelf(const NodeId& peer, Time now, ViewNumber view) const;
--- a/src/libdecision/peer_message.h
+++ b/src/libdecision/peer_message.h
@@ -50,7 +50,8 @@
   Offset next_offset;
   TableVersion version;
   bool stopping = false;
-  /** Peers whose heartbeats the sender heard lately. */
+  /** Of the nodes in the sender's data centre and the receiver, those whose
+   * heartbeats the sender heard lately. */
   std::vector<NodeId> hears;
   std::vector<ServiceLoad> loads;
   std::vector<MinionId> leaving;
