--- a/src/baobabfront/node_runner.cc
+++ b/src/baobabfront/node_runner.cc
@@ -15,6 +15,7 @@
 
 #include <caf/actor_system.hpp>
 #include <caf/actor_system_config.hpp>
+#include <caf/atom.hpp>
 #include <caf/send.hpp>
 
 #include "baobabfront/node_actor.h"
@@ -292,6 +293,9 @@
   StopSignals signals;
   caf::actor_system_config config;
   config.set("scheduler.max-threads", kActorThreads);
+  // Idle threads of the default work-stealing policy poll each 50 us, which
+  // took 8.5 % of a core with a 50 ms tick.
+  config.set("scheduler.policy", caf::atom("sharing"));
   caf::actor_system system(config);
   Node node(settings, system);
   if (const auto started = node.Start(); !started) {
