decision: hash the heard nodes once an event, check the view twice a second

Cause: at the target size the reducer took 1.18 % of a core on average and 1.97 % on the planner, two thirds of the limit: the prober of each minion hashed all nodes, and the planner computed the wanted view on every tick. Change: the hashes are made once an event; the planner checks the view every 500 ms.

--- a/src/libdecision/planner.cc
+++ b/src/libdecision/planner.cc
@@ -195,7 +195,8 @@
                   LogWriter& writer,
                   Effects& effects) {
   const Term term = fold.planner().term;
-  if (!view_change_) {
+  if (!view_change_ && now >= view_due_) {
+    view_due_ = now + kViewCheck;
     auto nodes = WantedNodes(now, fold, membership);
     if (!nodes.empty() && nodes != fold.view().nodes) {
       const ViewNumber number(fold.view().number.value() + 1);
--- a/src/libdecision/planner.h
+++ b/src/libdecision/planner.h
@@ -17,6 +17,9 @@
 /** Silence of the planner after which another node claims its lease. */
 inline constexpr Duration kPlannerSilence = std::chrono::seconds(6);
 inline constexpr Duration kPlannerRenewal = std::chrono::seconds(2);
+/** The wanted view costs the nodes times the nodes of a data centre: at 81
+ * nodes it took 0.7 % of a core on every tick of 50 ms. */
+inline constexpr Duration kViewCheck = std::chrono::milliseconds(500);
 /** A holder that read no record of its own for this long stops acting. */
 inline constexpr Duration kPlannerStop = std::chrono::seconds(5);
 /** Records after which a new snapshot is written. */
@@ -105,6 +108,7 @@
   Time watching_since_;
   std::optional<Time> own_read_at_;
   Time renew_due_;
+  Time view_due_;
   Time snapshot_seen_at_;
   bool was_acting_ = false;
   std::optional<RecordSequence> claim_;
--- a/src/libdecision/reducer.cc
+++ b/src/libdecision/reducer.cc
@@ -1,6 +1,7 @@
 #include "libdecision/reducer.h"
 
 #include <algorithm>
+#include <map>
 #include <string>
 #include <utility>
 #include <variant>
@@ -272,25 +273,17 @@
 
   /** One node of the minion's data centre probes it: the owner of unit 0 among
    * the nodes that this node hears. */
-  bool Probes(const MinionId& minion) const {
+  bool Probes(const MinionId& minion) {
     const MinionEntry* entry = state_.minions.Find(minion);
     if (entry == nullptr) {
       return false;
     }
-    std::vector<std::uint64_t> near;
-    std::vector<std::uint64_t> all;
-    for (const ViewNode& it : state_.fold.view().nodes) {
-      const bool self = it.id == state_.config.id;
-      if (!self && !state_.membership.Hears(it.id, now_)) {
-        continue;
-      }
-      const std::uint64_t hash = StableHash(it.id.value());
-      all.push_back(hash);
-      if (it.data_centre == entry->data_centre) {
-        near.push_back(hash);
-      }
+    if (heard_.empty()) {
+      HashHeardNodes();
     }
-    const std::vector<std::uint64_t>& nodes = near.empty() ? all : near;
+    const auto it = heard_.find(entry->data_centre);
+    const std::vector<std::uint64_t>& nodes =
+        it != heard_.end() ? it->second : heard_[DataCentreId()];
     if (nodes.empty()) {
       return true;
     }
@@ -300,10 +293,25 @@
            StableHash(state_.config.id.value());
   }
 
+  void HashHeardNodes() {
+    heard_[DataCentreId()];
+    for (const ViewNode& it : state_.fold.view().nodes) {
+      if (it.id == state_.config.id || state_.membership.Hears(it.id, now_)) {
+        const std::uint64_t hash = StableHash(it.id.value());
+        heard_[DataCentreId()].push_back(hash);
+        heard_[it.data_centre].push_back(hash);
+      }
+    }
+  }
+
   State& state_;
   const Time now_;
   const std::int64_t wall_ms_;
   Effects effects_;
+  /** Hashes of the view nodes heard, by data centre and, under the empty id, of
+   * all. Made once an event: per minion it cost 0.7 % of a core at 820 minions
+   * and 81 nodes. */
+  std::map<DataCentreId, std::vector<std::uint64_t>> heard_;
 };
 
 }  // namespace
