peer: space the PINGs of a node with many peers

Cause: a PING and its answer take 34 B; one a second to each of 80 peers is 2.7 KB/s of the 4 KB/s for control. Change: above 20 peers the interval grows by 50 ms a peer. Conclusion: larger sizes are to be measured again.

--- a/src/baobabfront/node_runner.cc
+++ b/src/baobabfront/node_runner.cc
@@ -5,6 +5,7 @@
 #include <sys/signalfd.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
@@ -28,6 +29,12 @@
 constexpr int kProbeThreads = 4;
 constexpr std::size_t kActorThreads = 2;
 
+// A PING and its answer take 34 bytes. One a second to each of 80 peers would
+// take two thirds of the 4 KB/s that a node may use for control.
+constexpr Duration kPingShare = std::chrono::milliseconds(50);
+constexpr Duration kPingInterval = std::chrono::seconds(1);
+constexpr Duration kPingAnswer = std::chrono::seconds(2);
+
 // A load balancer that polls /healthz gets its answer or gives up soon.
 constexpr Duration kReadyTimeout = std::chrono::seconds(1);
 
@@ -182,6 +189,9 @@
         options.peers.push_back({it.id, ToEndpoint(it.address)});
       }
     }
+    const auto count = static_cast<int>(options.peers.size());
+    options.ping_interval = std::max(kPingInterval, kPingShare * count);
+    options.ping_timeout = options.ping_interval + kPingAnswer;
     return options;
   }
 
