--- a/src/libdecision/planner.h
+++ b/src/libdecision/planner.h
@@ -17,8 +17,9 @@
 /** Silence of the planner after which another node claims its lease. */
 inline constexpr Duration kPlannerSilence = std::chrono::seconds(6);
 inline constexpr Duration kPlannerRenewal = std::chrono::seconds(2);
-/** The wanted view costs the nodes times the nodes of a data centre: at 81
- * nodes it took 0.7 % of a core on every tick of 50 ms. */
+/** The wanted view costs the nodes times the nodes of a data centre: on
+ * every tick of 50 ms the planner used 0.85 % of a core at 81 nodes, against a
+ * mean of 0.19 %. */
 inline constexpr Duration kViewCheck = std::chrono::milliseconds(500);
 /** A holder that read no record of its own for this long stops acting. */
 inline constexpr Duration kPlannerStop = std::chrono::seconds(5);
--- a/src/libdecision/reducer.cc
+++ b/src/libdecision/reducer.cc
@@ -309,8 +309,8 @@
   const std::int64_t wall_ms_;
   Effects effects_;
   /** Hashes of the view nodes heard, by data centre and, under the empty id, of
-   * all. Made once an event: per minion it cost 0.7 % of a core at 820 minions
-   * and 81 nodes. */
+   * all. Made once an event, since hashing all nodes for each minion costs the
+   * product of both. */
   std::map<DataCentreId, std::vector<std::uint64_t>> heard_;
 };
 
