--- a/src/baobabfront/main.cc
+++ b/src/baobabfront/main.cc
@@ -1,5 +1,6 @@
 #include "baobabfront/commands.h"
 #include "baobabfront/exit_code.h"
+#include "platform/platform_command.h"
 
 int main(int argc, char** argv) {
   CLI::App app(
@@ -15,6 +16,7 @@
 
   baobab::CommandAction action;
   baobab::AddNodeCommand(app, action);
+  baobab::platform::AddPlatformCommand(app, action);
   baobab::AddSettingsCommand(app, action);
   baobab::AddTableCommand(app, action);
   baobab::AddStatusCommand(app, action);
--- /dev/null
+++ b/src/libfleet/decision_log.cc
@@ -0,0 +1,77 @@
+#include "libfleet/decision_log.h"
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <iterator>
+#include <utility>
+
+#include "libfleet/loop_timer.h"
+
+namespace baobab {
+
+DecisionLog::DecisionLog(std::string node) : node_(std::move(node)) {}
+
+DecisionLog::~DecisionLog() {
+  Flush();
+}
+
+void DecisionLog::Write(std::string_view event,
+                        std::string_view job,
+                        std::string_view fields) {
+  const auto wall_ms = WallMilliseconds();
+  if (wall_ms / 1000 != second_) {
+    second_ = wall_ms / 1000;
+    lines_ = 0;
+    if (left_out_ > 0 && buffer_.size() < kMostBuffered) {
+      Append(wall_ms, "log-lines-left-out", "",
+             fmt::format("count={}", std::exchange(left_out_, 0)));
+    }
+  }
+  if (++lines_ > kMostLinesPerSecond || buffer_.size() >= kMostBuffered) {
+    ++left_out_;
+    return;
+  }
+  Append(wall_ms, event, job, fields);
+}
+
+void DecisionLog::Append(std::int64_t wall_ms,
+                         std::string_view event,
+                         std::string_view job,
+                         std::string_view fields) {
+  const auto begin = buffer_.size();
+  fmt::format_to(std::back_inserter(buffer_), "time={} node={} event={}",
+                 wall_ms, node_, event);
+  if (!job.empty()) {
+    fmt::format_to(std::back_inserter(buffer_), " job={}", job);
+  }
+  fmt::format_to(std::back_inserter(buffer_), " {}", fields);
+  for (auto i = begin; i < buffer_.size(); ++i) {
+    const auto byte = static_cast<unsigned char>(buffer_[i]);
+    if (byte < 0x20 || byte == 0x7F) {
+      buffer_[i] = '?';
+    }
+  }
+  buffer_.push_back('\n');
+}
+
+void DecisionLog::Flush() {
+  while (buffer_.size() > 0) {
+    pollfd ready{STDOUT_FILENO, POLLOUT, 0};
+    if (::poll(&ready, 1, 0) != 1 || (ready.revents & POLLOUT) == 0) {
+      return;
+    }
+    // A pipe that is ready takes PIPE_BUF bytes without blocking.
+    constexpr std::size_t kAtOnce = 4096;
+    const auto n = ::write(STDOUT_FILENO, buffer_.data(),
+                           std::min(buffer_.size(), kAtOnce));
+    if (n <= 0) {
+      return;
+    }
+    const auto rest = buffer_.size() - static_cast<std::size_t>(n);
+    std::copy(buffer_.begin() + n, buffer_.end(), buffer_.begin());
+    buffer_.resize(rest);
+  }
+}
+
+}  // namespace baobab
--- /dev/null
+++ b/src/libfleet/decision_log.h
@@ -0,0 +1,48 @@
+#ifndef SRC_LIBFLEET_DECISION_LOG_H_
+#define SRC_LIBFLEET_DECISION_LOG_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include <fmt/format.h>
+
+namespace baobab {
+
+/** Writes one line for each decision to standard output. Lines are collected
+ * and written together, without waiting for a slow reader; what exceeds the
+ * rate or the buffer is left out and counted in a later line. Used from the
+ * event loop only. */
+class DecisionLog {
+ public:
+  explicit DecisionLog(std::string node);
+  ~DecisionLog();
+
+  /** "time=.. node=.. event=.. job=.. FIELDS"; `job` may be empty. */
+  void Write(std::string_view event,
+             std::string_view job,
+             std::string_view fields);
+
+  /** Writes what was collected, as far as the reader takes it. */
+  void Flush();
+
+ private:
+  /** Lines a second; about ten times the decisions of a busy node. */
+  static constexpr int kMostLinesPerSecond = 3000;
+  static constexpr std::size_t kMostBuffered = 512u << 10;
+
+  void Append(std::int64_t wall_ms,
+              std::string_view event,
+              std::string_view job,
+              std::string_view fields);
+
+  const std::string node_;
+  fmt::memory_buffer buffer_;
+  std::int64_t second_ = 0;
+  int lines_ = 0;
+  std::uint64_t left_out_ = 0;
+};
+
+}  // namespace baobab
+
+#endif  // SRC_LIBFLEET_DECISION_LOG_H_
--- /dev/null
+++ b/src/libfleet/fleet_node.cc
@@ -0,0 +1,455 @@
+#include "libfleet/fleet_node.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+namespace baobab {
+
+namespace {
+
+/** Renewals of the membership in its lifetime, so that two may be lost. */
+constexpr int kRenewals = 3;
+constexpr Duration kRetryDelay = std::chrono::milliseconds(200);
+/** Between readings of the workers' list; a worker that begins to leave is
+ * seen after this time and the list's own lag. */
+constexpr Duration kWorkerInterval = std::chrono::milliseconds(300);
+/** Between readings of the owners, and after a failed call of one. */
+constexpr Duration kOwnerInterval = std::chrono::milliseconds(2000);
+constexpr Duration kOwnerRefresh = std::chrono::milliseconds(150);
+/** Timers of the engines are multiples of this. */
+constexpr Duration kTickInterval = std::chrono::milliseconds(50);
+/** An owner that could not renew for this long stops giving orders, since
+ * another node may own its shards by now. PoolTuning::former_owner exceeds
+ * it. */
+constexpr Duration kOrderLimit = std::chrono::milliseconds(4000);
+/** Without the store for this long the node leaves the rotation. */
+constexpr Duration kReadyLimit = std::chrono::milliseconds(6000);
+/** One try to reach an owner, and the pause before the next. */
+constexpr Duration kTryTimeout = std::chrono::milliseconds(900);
+constexpr Duration kTryPause = std::chrono::milliseconds(120);
+/** Longest search for the owner of a shard before a caller is told to come
+ * back; a takeover takes about this long. */
+constexpr Duration kSearchLimit = std::chrono::milliseconds(2200);
+/** What is left of the caller's time for the answer's way. */
+constexpr Duration kAnswerMargin = std::chrono::milliseconds(150);
+
+}  // namespace
+
+template <typename T>
+struct FleetNode::Forward {
+  ShardId shard;
+  Time deadline;
+  /** Starts a try on this node, or on another. */
+  std::function<void(ShardOwner&,
+                     std::function<void(tl::expected<T, PeerFault>)>)>
+      local;
+  std::function<void(const std::string& peer,
+                     Duration timeout,
+                     std::function<void(tl::expected<T, PeerFault>)>)>
+      remote;
+  std::function<void(tl::expected<T, PeerFault>, bool any_unknown)> done;
+  /** A former try may have been carried out. */
+  bool any_unknown = false;
+};
+
+FleetNode::FleetNode(const Ports& ports, const FleetNodeConfig& config)
+    : ports_(ports),
+      config_(config),
+      peers_(ports.client),
+      peer_server_(
+          ports.loop,
+          [this](HttpRequest request, AsyncHttpServer::Responder respond) {
+            ServePeer(
+                request, [this](ShardId it) { return FindLoaded(it); },
+                std::move(respond));
+          }),
+      join_timer_(ports.loop),
+      policy_timer_(ports.loop),
+      worker_timer_(ports.loop),
+      owner_timer_(ports.loop),
+      tick_timer_(ports.loop) {}
+
+void FleetNode::Start() {
+  const auto endpoint = ParseEndpoint(config_.peer_address);
+  const auto listening =
+      endpoint ? peer_server_.Listen(*endpoint) : Result<void>();
+  ports_.log.Write("start-node", "",
+                   fmt::format("peer={} listening={}", config_.peer_address,
+                               endpoint && listening ? "yes" : "no"));
+  store_seen_at_ = SteadyNow();
+  joined_at_ = SteadyNow();
+  // A former process of this node may still be a member; its shards are dealt
+  // anew with a higher generation.
+  ports_.store.Leave([this] { JoinLoop(); });
+  PolicyLoop();
+  OwnerLoop();
+  WorkerLoop();
+  TickLoop();
+}
+
+void FleetNode::Leave() {
+  leaving_ = true;
+  join_timer_.Cancel();
+  for (auto& [id, shard] : std::exchange(shards_, {})) {
+    shard->Stop();
+  }
+  ports_.store.Leave([] {});
+  ports_.log.Write("leave-group", "", "");
+}
+
+bool FleetNode::IsReady() const {
+  return policies_ && !leaving_ && SteadyNow() - store_seen_at_ < kReadyLimit;
+}
+
+void FleetNode::JoinLoop() {
+  if (leaving_) {
+    return;
+  }
+  const auto sent_at = SteadyNow();
+  ports_.store.Join(generation_, [this, sent_at](Result<Membership> joined) {
+    if (leaving_) {
+      return;
+    }
+    if (joined) {
+      if (std::exchange(store_away_, false)) {
+        ports_.log.Write("store-regained", "", "");
+      }
+      joined_at_ = sent_at;
+      store_seen_at_ = SteadyNow();
+      OnJoined(*joined);
+    } else if (!std::exchange(store_away_, true)) {
+      ports_.log.Write("store-lost", "",
+                       fmt::format("fault=\"{}\"", ToString(joined.error())));
+    }
+    const auto interval = ports_.store.MemberLifetime() / kRenewals;
+    join_timer_.Set(joined ? interval : kRetryDelay, [this] { JoinLoop(); });
+  });
+}
+
+void FleetNode::OnJoined(const Membership& membership) {
+  if (membership.generation < generation_) {
+    return;
+  }
+  generation_ = membership.generation;
+  const std::set<ShardId> held(membership.shards.begin(),
+                               membership.shards.end());
+  for (auto it = shards_.begin(); it != shards_.end();) {
+    if (held.contains(it->first)) {
+      ++it;
+      continue;
+    }
+    it->second->Stop();
+    it = shards_.erase(it);
+  }
+  const ShardOwner::Ports ports{
+      ports_.loop,
+      ports_.store,
+      ports_.workers,
+      ports_.log,
+      [this] { return SteadyNow() - joined_at_ < kOrderLimit; },
+      [this](ShardId it) { OnFenced(it); }};
+  for (const auto& it : held) {
+    if (shards_.contains(it)) {
+      continue;
+    }
+    auto shard = std::make_shared<ShardOwner>(
+        ports, it, FenceToken(generation_), config_.tuning);
+    shards_.emplace(it, shard);
+    owners_[it] = config_.peer_address;
+    shard->Start();
+    if (policies_) {
+      shard->SetPolicies(policies_);
+    }
+    if (worker_list_) {
+      shard->SetWorkers(worker_list_);
+    }
+  }
+}
+
+void FleetNode::OnFenced(ShardId shard) {
+  ports_.log.Write("shard-fenced", "", fmt::format("shard={}", shard.value()));
+  // Not called from within the shard, which is destroyed here.
+  boost::asio::post(ports_.loop, [this, shard] {
+    const auto it = shards_.find(shard);
+    if (it != shards_.end()) {
+      it->second->Stop();
+      shards_.erase(it);
+    }
+    owners_.erase(shard);
+    RefreshOwners();
+  });
+}
+
+ShardOwner* FleetNode::FindLoaded(ShardId shard) {
+  const auto it = shards_.find(shard);
+  return it == shards_.end() || !it->second->IsLoaded() ? nullptr
+                                                        : it->second.get();
+}
+
+void FleetNode::PolicyLoop() {
+  ports_.feed.AwaitPolicies([this](
+                                Result<std::shared_ptr<const PolicySet>> read) {
+    if (!read) {
+      policy_timer_.Set(kRetryDelay, [this] { PolicyLoop(); });
+      return;
+    }
+    store_seen_at_ = SteadyNow();
+    if (*read && (!policies_ || (*read)->version > policies_->version)) {
+      policies_ = *read;
+      ports_.log.Write("use-policies", "",
+                       fmt::format("version={} queues={}", policies_->version,
+                                   policies_->queues.size()));
+      for (auto& [id, shard] : shards_) {
+        shard->SetPolicies(policies_);
+      }
+    }
+    PolicyLoop();
+  });
+}
+
+void FleetNode::WorkerLoop() {
+  const auto again = [this] {
+    worker_timer_.Set(kWorkerInterval, [this] { WorkerLoop(); });
+  };
+  if (shards_.empty()) {
+    again();
+    return;
+  }
+  ports_.feed.ReadWorkers(
+      [this,
+       again](Result<std::shared_ptr<const std::vector<WorkerEntry>>> read) {
+        if (read) {
+          worker_list_ = *read;
+          for (auto& [id, shard] : shards_) {
+            shard->SetWorkers(worker_list_);
+          }
+        }
+        again();
+      });
+}
+
+void FleetNode::OwnerLoop() {
+  RefreshOwners();
+  owner_timer_.Set(kOwnerInterval, [this] { OwnerLoop(); });
+}
+
+void FleetNode::RefreshOwners() {
+  if (reading_owners_ || SteadyNow() - owners_read_at_ < kOwnerRefresh) {
+    return;
+  }
+  reading_owners_ = true;
+  owners_read_at_ = SteadyNow();
+  ports_.store.ReadOwners(
+      [this](Result<std::map<ShardId, std::string>> owners) {
+        reading_owners_ = false;
+        if (owners) {
+          owners_ = std::move(*owners);
+        }
+      });
+}
+
+void FleetNode::TickLoop() {
+  for (auto& [id, shard] : shards_) {
+    if (shard->IsLoaded()) {
+      shard->Tick();
+    }
+  }
+  ports_.log.Flush();
+  tick_timer_.Set(kTickInterval, [this] { TickLoop(); });
+}
+
+template <typename T>
+void FleetNode::Try(std::shared_ptr<Forward<T>> forward) {
+  // An owner may wait for the store longer than the caller waits for it.
+  auto timer = std::make_shared<LoopTimer>(ports_.loop);
+  auto settled = std::make_shared<bool>(false);
+  const auto settle = [this, forward, timer,
+                       settled](tl::expected<T, PeerFault> answer) {
+    if (!std::exchange(*settled, true)) {
+      timer->Cancel();
+      Settle<T>(forward, std::move(answer));
+    }
+  };
+  const auto left = forward->deadline - SteadyNow();
+  if (auto* owner = FindLoaded(forward->shard)) {
+    forward->local(*owner, settle);
+    if (!*settled) {
+      timer->Set(std::max(left, Duration(0)),
+                 [settle] { settle(tl::unexpected(PeerFault::kUnknown)); });
+    }
+    return;
+  }
+  const auto owner = owners_.find(forward->shard);
+  if (owner == owners_.end() || owner->second == config_.peer_address) {
+    settle(tl::unexpected(PeerFault::kNotDone));
+    return;
+  }
+  forward->remote(owner->second, std::min(left, kTryTimeout), settle);
+}
+
+template <typename T>
+void FleetNode::Settle(std::shared_ptr<Forward<T>> forward,
+                       tl::expected<T, PeerFault> answer) {
+  const bool failed = !answer;
+  if (failed && answer.error() == PeerFault::kUnknown) {
+    forward->any_unknown = true;
+  }
+  if (!failed || SteadyNow() + kTryPause * 2 > forward->deadline) {
+    forward->done(std::move(answer), forward->any_unknown);
+    return;
+  }
+  RefreshOwners();
+  auto timer = std::make_shared<LoopTimer>(ports_.loop);
+  timer->Set(kTryPause, [this, forward, timer] { Try<T>(forward); });
+}
+
+void FleetNode::Submit(const JobId& job,
+                       const QueuePolicy& queue,
+                       const JobSpec& spec,
+                       Duration time_left,
+                       std::function<void(SubmitOutcome)> done) {
+  using T = SubmitAnswer;
+  auto forward = std::make_shared<Forward<T>>();
+  forward->shard = ShardOf(queue.service, config_.tuning.shards);
+  forward->deadline =
+      SteadyNow() + std::min(time_left - kAnswerMargin, kSearchLimit);
+  forward->local = [job, queue, spec](ShardOwner& owner, auto settle) {
+    owner.Submit(job, queue, spec, [settle](Result<SubmitAnswer> answer) {
+      if (answer) {
+        settle(std::move(*answer));
+      } else {
+        settle(tl::unexpected(PeerFault::kUnknown));
+      }
+    });
+  };
+  forward->remote = [this, shard = forward->shard, job, queue, spec](
+                        const std::string& peer, Duration timeout,
+                        auto settle) {
+    peers_.Submit(peer, shard, job, queue, spec, timeout, settle);
+  };
+  forward->done = [done = std::move(done)](tl::expected<T, PeerFault> answer,
+                                           bool any_unknown) {
+    SubmitOutcome outcome;
+    if (!answer) {
+      outcome.outcome =
+          any_unknown ? CallOutcome::kUnknown : CallOutcome::kNotDone;
+      outcome.retry_after = std::chrono::milliseconds(1000);
+      outcome.reason = "owner-unreachable";
+    } else if (answer->verdict == SubmitVerdict::kAccepted) {
+      outcome.outcome = CallOutcome::kDone;
+    } else {
+      // A former try may still arrive at an owner, so a refusal is not final.
+      outcome.outcome = any_unknown ? CallOutcome::kUnknown
+                        : answer->verdict == SubmitVerdict::kInvalid
+                            ? CallOutcome::kInvalid
+                            : CallOutcome::kNotDone;
+      outcome.retry_after = answer->retry_after;
+      outcome.reason = answer->reason;
+    }
+    done(std::move(outcome));
+  };
+  Try<T>(forward);
+}
+
+void FleetNode::Cancel(const JobId& job,
+                       const QueuePolicy& queue,
+                       Duration time_left,
+                       std::function<void(CallOutcome)> done) {
+  using T = bool;
+  auto forward = std::make_shared<Forward<T>>();
+  forward->shard = ShardOf(queue.service, config_.tuning.shards);
+  forward->deadline = SteadyNow() + time_left - kAnswerMargin;
+  forward->local = [job](ShardOwner& owner, auto settle) {
+    owner.Cancel(job, [settle](Result<bool> found) {
+      if (found) {
+        settle(*found);
+      } else {
+        settle(tl::unexpected(PeerFault::kUnknown));
+      }
+    });
+  };
+  forward->remote = [this, shard = forward->shard, job](const std::string& peer,
+                                                        Duration timeout,
+                                                        auto settle) {
+    peers_.Cancel(peer, shard, job, timeout, settle);
+  };
+  forward->done = [done = std::move(done)](tl::expected<T, PeerFault> answer,
+                                           bool any_unknown) {
+    if (!answer) {
+      done(any_unknown ? CallOutcome::kUnknown : CallOutcome::kNotDone);
+    } else {
+      done(*answer ? CallOutcome::kDone : CallOutcome::kInvalid);
+    }
+  };
+  Try<T>(forward);
+}
+
+void FleetNode::Ask(const JobId& job,
+                    const QueuePolicy& queue,
+                    Duration time_left,
+                    std::function<void(CallOutcome, JobAnswer)> done) {
+  using T = JobAnswer;
+  auto forward = std::make_shared<Forward<T>>();
+  forward->shard = ShardOf(queue.service, config_.tuning.shards);
+  forward->deadline = SteadyNow() + time_left - kAnswerMargin;
+  forward->local = [job](ShardOwner& owner, auto settle) {
+    settle(JobAnswer{owner.engine().StateOf(job)});
+  };
+  forward->remote = [this, shard = forward->shard, job](const std::string& peer,
+                                                        Duration timeout,
+                                                        auto settle) {
+    peers_.Ask(peer, shard, job, timeout, settle);
+  };
+  forward->done = [done = std::move(done)](tl::expected<T, PeerFault> answer,
+                                           bool) {
+    done(answer ? CallOutcome::kDone : CallOutcome::kNotDone,
+         answer ? *answer : JobAnswer{});
+  };
+  Try<T>(forward);
+}
+
+void FleetNode::Pending(const QueuePolicy& queue,
+                        Duration time_left,
+                        std::function<void(CallOutcome, int)> done) {
+  using T = int;
+  auto forward = std::make_shared<Forward<T>>();
+  forward->shard = ShardOf(queue.service, config_.tuning.shards);
+  forward->deadline = SteadyNow() + time_left - kAnswerMargin;
+  forward->local = [name = queue.name](ShardOwner& owner, auto settle) {
+    settle(owner.engine().Pending(name));
+  };
+  forward->remote = [this, shard = forward->shard, name = queue.name](
+                        const std::string& peer, Duration timeout,
+                        auto settle) {
+    peers_.Pending(peer, shard, name, timeout, settle);
+  };
+  forward->done = [done = std::move(done)](tl::expected<T, PeerFault> answer,
+                                           bool) {
+    done(answer ? CallOutcome::kDone : CallOutcome::kNotDone,
+         answer.value_or(0));
+  };
+  Try<T>(forward);
+}
+
+std::string FleetNode::StatusText() const {
+  std::string text =
+      fmt::format("node {} ready {} generation {} policies {}\n",
+                  config_.node.value(), IsReady() ? "yes" : "no", generation_,
+                  policies_ ? policies_->version : 0);
+  const auto now = SteadyNow();
+  for (const auto& [id, shard] : shards_) {
+    const auto report = shard->engine().Report(now);
+    text += fmt::format(
+        "shard {} token {} loaded {} jobs {} ended {} waiting-steps {} "
+        "workers {} usable {} runs {}\n",
+        id.value(), shard->token().value(), shard->IsLoaded() ? "yes" : "no",
+        report.open_jobs, report.ended_jobs, report.waiting_steps,
+        report.workers, report.usable_workers, report.runs);
+  }
+  return text;
+}
+
+}  // namespace baobab
--- /dev/null
+++ b/src/libfleet/fleet_node.h
@@ -0,0 +1,130 @@
+#ifndef SRC_LIBFLEET_FLEET_NODE_H_
+#define SRC_LIBFLEET_FLEET_NODE_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "libfleet/peer_calls.h"
+#include "libnet/async_http_server.h"
+
+namespace baobab {
+
+struct FleetNodeConfig {
+  NodeId node;
+  /** "ip:port" at which other nodes reach this one. */
+  std::string peer_address;
+  PoolTuning tuning;
+};
+
+/** How a caller's request ended. */
+enum class CallOutcome {
+  kDone,
+  /** Certainly not done; a later attempt may succeed. */
+  kNotDone,
+  /** The request itself is at fault. */
+  kInvalid,
+  kUnknown,
+};
+
+struct SubmitOutcome {
+  CallOutcome outcome = CallOutcome::kUnknown;
+  Duration retry_after{0};
+  std::string reason;
+};
+
+/** One node: membership, the shards that it owns, and the way of callers'
+ * requests to the owners on other nodes. */
+class FleetNode {
+ public:
+  struct Ports {
+    boost::asio::io_context& loop;
+    AsyncHttpClient& client;
+    JobStore& store;
+    FleetFeed& feed;
+    WorkerCalls& workers;
+    DecisionLog& log;
+  };
+
+  FleetNode(const Ports& ports, const FleetNodeConfig& config);
+
+  void Start();
+  /** Hands over the shards; callers are still served through other nodes. */
+  void Leave();
+
+  /** Null before the first configuration was read. */
+  std::shared_ptr<const PolicySet> policies() const { return policies_; }
+  /** The balancer may send callers here. */
+  bool IsReady() const;
+
+  void Submit(const JobId& job,
+              const QueuePolicy& queue,
+              const JobSpec& spec,
+              Duration time_left,
+              std::function<void(SubmitOutcome)> done);
+  /** `done` gets kInvalid if there is no such job. */
+  void Cancel(const JobId& job,
+              const QueuePolicy& queue,
+              Duration time_left,
+              std::function<void(CallOutcome)> done);
+  void Ask(const JobId& job,
+           const QueuePolicy& queue,
+           Duration time_left,
+           std::function<void(CallOutcome, JobAnswer)> done);
+  void Pending(const QueuePolicy& queue,
+               Duration time_left,
+               std::function<void(CallOutcome, int)> done);
+
+  /** Lines for the status page. */
+  std::string StatusText() const;
+
+ private:
+  /** One caller's request on its way to the owner, over several tries. */
+  template <typename T>
+  struct Forward;
+
+  void JoinLoop();
+  void OnJoined(const Membership& membership);
+  void PolicyLoop();
+  void WorkerLoop();
+  void OwnerLoop();
+  void RefreshOwners();
+  void TickLoop();
+  void OnFenced(ShardId shard);
+  ShardOwner* FindLoaded(ShardId shard);
+
+  template <typename T>
+  void Try(std::shared_ptr<Forward<T>> forward);
+  template <typename T>
+  void Settle(std::shared_ptr<Forward<T>> forward,
+              tl::expected<T, PeerFault> answer);
+
+  const Ports ports_;
+  const FleetNodeConfig config_;
+  PeerCalls peers_;
+  AsyncHttpServer peer_server_;
+  LoopTimer join_timer_;
+  LoopTimer policy_timer_;
+  LoopTimer worker_timer_;
+  LoopTimer owner_timer_;
+  LoopTimer tick_timer_;
+
+  std::shared_ptr<const PolicySet> policies_;
+  std::shared_ptr<const std::vector<WorkerEntry>> worker_list_;
+  std::map<ShardId, std::shared_ptr<ShardOwner>> shards_;
+  std::map<ShardId, std::string> owners_;
+  bool reading_owners_ = false;
+  Time owners_read_at_;
+  std::int64_t generation_ = 0;
+  /** When the newest answered renewal of the membership was sent. */
+  Time joined_at_;
+  Time store_seen_at_;
+  bool leaving_ = false;
+  bool store_away_ = false;
+};
+
+}  // namespace baobab
+
+#endif  // SRC_LIBFLEET_FLEET_NODE_H_
--- /dev/null
+++ b/src/libfleet/peer_calls.cc
@@ -0,0 +1,209 @@
+#include "libfleet/peer_calls.h"
+
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "libjobs/stored_job.h"
+
+namespace baobab {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNotOwner = 421;
+/** The owner lost the shard while the request was under way. */
+constexpr int kOutcomeUnknown = 504;
+
+std::string Pack(const Json& json) {
+  std::string out;
+  Json::to_msgpack(json, out);
+  return out;
+}
+
+HttpRequest MakeRequest(const char* target, const Json& body) {
+  HttpRequest request;
+  request.method = "POST";
+  request.target = target;
+  request.body = Pack(body);
+  return request;
+}
+
+/** Turns an answer into a value with `read`, which may throw. */
+template <typename T>
+AsyncHttpClient::Callback Reading(PeerCalls::Done<T> done,
+                                  T (*read)(const Json&)) {
+  return [done = std::move(done),
+          read](tl::expected<HttpAnswer, CallFailure> answer) {
+    if (!answer) {
+      done(tl::unexpected(answer.error().not_sent ? PeerFault::kNotDone
+                                                  : PeerFault::kUnknown));
+      return;
+    }
+    if (answer->status != kOk) {
+      done(tl::unexpected(answer->status == kOutcomeUnknown
+                              ? PeerFault::kUnknown
+                              : PeerFault::kNotDone));
+      return;
+    }
+    T value;
+    try {
+      value = read(Json::from_msgpack(answer->body));
+    } catch (const std::exception&) {
+      done(tl::unexpected(PeerFault::kUnknown));
+      return;
+    }
+    done(std::move(value));
+  };
+}
+
+void Answer(const std::function<void(HttpAnswer)>& respond, const Json& body) {
+  respond({kOk, {}, Pack(body)});
+}
+
+void ServeSubmit(ShardOwner& owner,
+                 const Json& body,
+                 std::function<void(HttpAnswer)> respond) {
+  const JobId id(body.at(1).get<std::string>());
+  const auto loaded =
+      DecodeJobs({{AcceptanceKey(id), body.at(2).get<std::string>()}});
+  if (!loaded.jobs.contains(id)) {
+    respond({kBadRequest, {}, ""});
+    return;
+  }
+  const Job& job = loaded.jobs.at(id);
+  QueuePolicy queue;
+  queue.name = job.queue;
+  queue.service = job.service;
+  queue.priority = job.priority;
+  queue.max_attempts = job.max_attempts;
+  queue.stretch = job.stretch;
+  queue.target = job.target;
+  owner.Submit(id, queue, job.spec,
+               [respond = std::move(respond)](Result<SubmitAnswer> answer) {
+                 if (!answer) {
+                   respond({kOutcomeUnknown, {}, ""});
+                   return;
+                 }
+                 Answer(respond, Json::array({static_cast<int>(answer->verdict),
+                                              answer->retry_after.count(),
+                                              answer->reason}));
+               });
+}
+
+void ServeCancel(ShardOwner& owner,
+                 const Json& body,
+                 std::function<void(HttpAnswer)> respond) {
+  owner.Cancel(JobId(body.at(1).get<std::string>()),
+               [respond = std::move(respond)](Result<bool> found) {
+                 if (!found) {
+                   respond({kOutcomeUnknown, {}, ""});
+                   return;
+                 }
+                 Answer(respond, Json::array({*found}));
+               });
+}
+
+}  // namespace
+
+void PeerCalls::Submit(const std::string& peer,
+                       ShardId shard,
+                       const JobId& job,
+                       const QueuePolicy& queue,
+                       const JobSpec& spec,
+                       Duration timeout,
+                       Done<SubmitAnswer> done) {
+  Job carrier;
+  carrier.id = job;
+  carrier.queue = queue.name;
+  carrier.service = queue.service;
+  carrier.priority = queue.priority;
+  carrier.max_attempts = queue.max_attempts;
+  carrier.stretch = queue.stretch;
+  carrier.target = queue.target;
+  carrier.spec = spec;
+  client_.Call(
+      peer,
+      MakeRequest("/submit", Json::array({shard.value(), job.value(),
+                                          EncodeAcceptance(carrier)})),
+      timeout, Reading<SubmitAnswer>(std::move(done), [](const Json& json) {
+        return SubmitAnswer{static_cast<SubmitVerdict>(json.at(0).get<int>()),
+                            Duration(json.at(1).get<std::int64_t>()),
+                            json.at(2).get<std::string>()};
+      }));
+}
+
+void PeerCalls::Cancel(const std::string& peer,
+                       ShardId shard,
+                       const JobId& job,
+                       Duration timeout,
+                       Done<bool> done) {
+  client_.Call(
+      peer, MakeRequest("/cancel", Json::array({shard.value(), job.value()})),
+      timeout, Reading<bool>(std::move(done), [](const Json& json) {
+        return json.at(0).get<bool>();
+      }));
+}
+
+void PeerCalls::Ask(const std::string& peer,
+                    ShardId shard,
+                    const JobId& job,
+                    Duration timeout,
+                    Done<JobAnswer> done) {
+  client_.Call(
+      peer, MakeRequest("/ask", Json::array({shard.value(), job.value()})),
+      timeout, Reading<JobAnswer>(std::move(done), [](const Json& json) {
+        JobAnswer answer;
+        if (json.at(0).get<int>() >= 0) {
+          answer.state = static_cast<JobState>(json.at(0).get<int>());
+        }
+        return answer;
+      }));
+}
+
+void PeerCalls::Pending(const std::string& peer,
+                        ShardId shard,
+                        const QueueId& queue,
+                        Duration timeout,
+                        Done<int> done) {
+  client_.Call(
+      peer,
+      MakeRequest("/pending", Json::array({shard.value(), queue.value()})),
+      timeout, Reading<int>(std::move(done), [](const Json& json) {
+        return json.at(0).get<int>();
+      }));
+}
+
+void ServePeer(const HttpRequest& request,
+               const FindShard& find,
+               std::function<void(HttpAnswer)> respond) {
+  try {
+    const auto body = Json::from_msgpack(request.body);
+    ShardOwner* owner = find(ShardId(body.at(0).get<int>()));
+    if (!owner) {
+      respond({kNotOwner, {}, ""});
+      return;
+    }
+    if (request.target == "/submit") {
+      ServeSubmit(*owner, body, respond);
+    } else if (request.target == "/cancel") {
+      ServeCancel(*owner, body, respond);
+    } else if (request.target == "/ask") {
+      const auto state =
+          owner->engine().StateOf(JobId(body.at(1).get<std::string>()));
+      Answer(respond, Json::array({state ? static_cast<int>(*state) : -1}));
+    } else if (request.target == "/pending") {
+      Answer(respond, Json::array({owner->engine().Pending(
+                          QueueId(body.at(1).get<std::string>()))}));
+    } else {
+      respond({kBadRequest, {}, ""});
+    }
+  } catch (const std::exception&) {
+    respond({kBadRequest, {}, ""});
+  }
+}
+
+}  // namespace baobab
--- /dev/null
+++ b/src/libfleet/peer_calls.h
@@ -0,0 +1,74 @@
+#ifndef SRC_LIBFLEET_PEER_CALLS_H_
+#define SRC_LIBFLEET_PEER_CALLS_H_
+
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "libfleet/shard_owner.h"
+#include "libnet/async_http_client.h"
+
+namespace baobab {
+
+/** Why another node gave no answer to a forwarded request. */
+enum class PeerFault {
+  /** It certainly did nothing: it was not reached, or is not the owner. */
+  kNotDone,
+  /** No answer; it may have been done, or be done later. */
+  kUnknown,
+};
+
+/** What the owner knows of a job. */
+struct JobAnswer {
+  /** Empty if there is no such job. */
+  std::optional<JobState> state;
+};
+
+/** Forwards callers' requests to the owner of a shard on another node: a small
+ * HTTP interface with MessagePack bodies on the peer port. */
+class PeerCalls {
+ public:
+  template <typename T>
+  using Done = std::function<void(tl::expected<T, PeerFault>)>;
+
+  explicit PeerCalls(AsyncHttpClient& client) : client_(client) {}
+
+  void Submit(const std::string& peer,
+              ShardId shard,
+              const JobId& job,
+              const QueuePolicy& queue,
+              const JobSpec& spec,
+              Duration timeout,
+              Done<SubmitAnswer> done);
+  void Cancel(const std::string& peer,
+              ShardId shard,
+              const JobId& job,
+              Duration timeout,
+              Done<bool> done);
+  void Ask(const std::string& peer,
+           ShardId shard,
+           const JobId& job,
+           Duration timeout,
+           Done<JobAnswer> done);
+  void Pending(const std::string& peer,
+               ShardId shard,
+               const QueueId& queue,
+               Duration timeout,
+               Done<int> done);
+
+ private:
+  AsyncHttpClient& client_;
+};
+
+/** The owner's side: finds the shard on this node; null if it is not loaded
+ * here. */
+using FindShard = std::function<ShardOwner*(ShardId)>;
+
+/** Answers a forwarded request; `respond` is called once. */
+void ServePeer(const HttpRequest& request,
+               const FindShard& find,
+               std::function<void(HttpAnswer)> respond);
+
+}  // namespace baobab
+
+#endif  // SRC_LIBFLEET_PEER_CALLS_H_
--- /dev/null
+++ b/src/libfleet/shard_owner.cc
@@ -0,0 +1,256 @@
+#include "libfleet/shard_owner.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+namespace baobab {
+
+namespace {
+
+/** Between tries while the store does not answer. */
+constexpr Duration kRetryDelay = std::chrono::milliseconds(150);
+
+constexpr Duration kUnknownDelay = std::chrono::milliseconds(20);
+
+/** First time limit of an append: over ten times what it takes on a calm
+ * store. It doubles with each try, for a store that has become slow. */
+constexpr Duration kFirstAppendTimeout = std::chrono::milliseconds(600);
+constexpr int kMostDoublings = 2;
+
+Error Dropped(ShardId shard) {
+  return {"own shard", std::to_string(shard.value()), "the shard has moved"};
+}
+
+}  // namespace
+
+ShardOwner::ShardOwner(const Ports& ports,
+                       ShardId shard,
+                       FenceToken token,
+                       const PoolTuning& tuning)
+    : ports_(ports),
+      shard_(shard),
+      token_(token),
+      engine_(shard, tuning),
+      timer_(ports.loop) {}
+
+void ShardOwner::Start() {
+  ports_.log.Write(
+      "own-shard", "",
+      fmt::format("shard={} token={}", shard_.value(), token_.value()));
+  Close();
+}
+
+void ShardOwner::Stop() {
+  if (std::exchange(stopped_, true)) {
+    return;
+  }
+  timer_.Cancel();
+  ports_.log.Write(
+      "release-shard", "",
+      fmt::format("shard={} token={}", shard_.value(), token_.value()));
+  for (auto& [reply, done] : std::exchange(submits_, {})) {
+    done(tl::unexpected(Dropped(shard_)));
+  }
+  for (auto& [reply, done] : std::exchange(cancels_, {})) {
+    done(tl::unexpected(Dropped(shard_)));
+  }
+}
+
+void ShardOwner::Retry(void (ShardOwner::*step)(), Duration delay) {
+  timer_.Set(delay, [weak = weak_from_this(), step] {
+    const auto self = weak.lock();
+    if (self && !self->stopped_) {
+      (self.get()->*step)();
+    }
+  });
+}
+
+void ShardOwner::Close() {
+  ports_.store.Fence(shard_, token_,
+                     [self = shared_from_this()](AppendOutcome outcome) {
+                       if (self->stopped_) {
+                         return;
+                       }
+                       if (outcome == AppendOutcome::kStored) {
+                         self->Load();
+                       } else if (outcome == AppendOutcome::kFenced) {
+                         self->ports_.on_fenced(self->shard_);
+                       } else {
+                         self->Retry(&ShardOwner::Close, kRetryDelay);
+                       }
+                     });
+}
+
+void ShardOwner::Load() {
+  ports_.store.Load(shard_, [self = shared_from_this()](
+                                Result<std::vector<StoredRecord>> records) {
+    if (self->stopped_) {
+      return;
+    }
+    if (!records) {
+      self->ports_.log.Write("load-failed", "", ToString(records.error()));
+      self->Retry(&ShardOwner::Load, kRetryDelay);
+      return;
+    }
+    self->ports_.log.Write(
+        "load-shard", "",
+        fmt::format("shard={} token={} records={}", self->shard_.value(),
+                    self->token_.value(), records->size()));
+    self->Post(ShardLoaded{std::move(*records)});
+    if (self->policies_) {
+      self->Post(PoliciesChanged{self->policies_});
+    }
+    if (self->workers_) {
+      self->Post(WorkersListed{self->workers_});
+    }
+  });
+}
+
+void ShardOwner::Submit(const JobId& job,
+                        const QueuePolicy& queue,
+                        JobSpec spec,
+                        SubmitDone done) {
+  const ReplyId reply(++replies_);
+  submits_.emplace(reply, std::move(done));
+  Post(SubmitRequested{reply, job, queue, std::move(spec)});
+}
+
+void ShardOwner::Cancel(const JobId& job, CancelDone done) {
+  const ReplyId reply(++replies_);
+  cancels_.emplace(reply, std::move(done));
+  Post(CancelRequested{reply, job});
+}
+
+void ShardOwner::SetPolicies(std::shared_ptr<const PolicySet> policies) {
+  policies_ = std::move(policies);
+  if (IsLoaded()) {
+    Post(PoliciesChanged{policies_});
+  }
+}
+
+void ShardOwner::SetWorkers(
+    std::shared_ptr<const std::vector<WorkerEntry>> workers) {
+  workers_ = std::move(workers);
+  if (IsLoaded()) {
+    Post(WorkersListed{workers_});
+  }
+}
+
+void ShardOwner::Post(PoolEventBody body) {
+  if (stopped_) {
+    return;
+  }
+  auto effects =
+      engine_.Apply({SteadyNow(), WallMilliseconds(), std::move(body)});
+  for (auto& it : effects) {
+    Execute(it);
+  }
+}
+
+void ShardOwner::Append() {
+  const auto timeout =
+      kFirstAppendTimeout * (1 << std::min(append_tries_, kMostDoublings));
+  ++append_tries_;
+  ports_.store.Append(shard_, token_, sequence_, commit_.records, timeout,
+                      [self = shared_from_this()](AppendOutcome outcome) {
+                        if (self->stopped_) {
+                          return;
+                        }
+                        switch (outcome) {
+                          case AppendOutcome::kStored:
+                            ++self->sequence_;
+                            self->append_tries_ = 0;
+                            self->Post(CommitStored{self->commit_.commit});
+                            break;
+                          case AppendOutcome::kFenced:
+                          case AppendOutcome::kOutOfSequence:
+                            self->ports_.on_fenced(self->shard_);
+                            break;
+                          case AppendOutcome::kRefused:
+                            self->Retry(&ShardOwner::Append, kRetryDelay);
+                            break;
+                          case AppendOutcome::kUnknown:
+                            // The time limit has passed already, or the
+                            // connection broke.
+                            self->Retry(&ShardOwner::Append, kUnknownDelay);
+                            break;
+                        }
+                      });
+}
+
+void ShardOwner::Execute(PoolEffect& effect) {
+  const auto weak = weak_from_this();
+  const auto post = [weak](PoolEventBody body) {
+    if (const auto self = weak.lock()) {
+      self->Post(std::move(body));
+    }
+  };
+  struct Visitor {
+    ShardOwner& self;
+    std::function<void(PoolEventBody)> post;
+
+    void operator()(StoreCommit& it) {
+      self.commit_ = std::move(it);
+      self.append_tries_ = 0;
+      self.Append();
+    }
+    void operator()(const LookAtWorker& it) {
+      if (!self.ports_.may_order()) {
+        Later(LookFinished{it.worker, it.look, OrderResult::kNotSent, {}});
+        return;
+      }
+      self.ports_.workers.Look(
+          it, self.token_,
+          [post = post, worker = it.worker, look = it.look](
+              OrderResult result, WorkerReport report) {
+            post(LookFinished{worker, look, result, std::move(report)});
+          });
+    }
+    void operator()(const StartRun& it) {
+      if (!self.ports_.may_order()) {
+        Later(StartFinished{it.worker, it.task, it.run, OrderResult::kNotSent});
+        return;
+      }
+      self.ports_.workers.Start(
+          it, self.token_,
+          [post = post, worker = it.worker, task = it.task,
+           run = it.run](OrderResult result) {
+            post(StartFinished{worker, task, run, result});
+          });
+    }
+    void operator()(const StopRun& it) {
+      self.ports_.workers.Stop(it, self.token_,
+                               [post = post, worker = it.worker, task = it.task,
+                                run = it.run](OrderResult result) {
+                                 post(StopFinished{worker, task, run, result});
+                               });
+    }
+    void operator()(const PaceRun& it) {
+      self.ports_.workers.Pace(it, self.token_, [](OrderResult) {});
+    }
+    void operator()(AnswerSubmit& it) {
+      if (auto node = self.submits_.extract(it.reply)) {
+        node.mapped()(
+            SubmitAnswer{it.verdict, it.retry_after, std::move(it.reason)});
+      }
+    }
+    void operator()(const AnswerCancel& it) {
+      if (auto node = self.cancels_.extract(it.reply)) {
+        node.mapped()(it.found);
+      }
+    }
+    void Later(PoolEventBody body) {
+      boost::asio::post(self.ports_.loop,
+                        [post = post, body = std::move(body)] { post(body); });
+    }
+    void operator()(const ExplainDecision& it) {
+      self.ports_.log.Write(it.decision, it.job.value(), it.fields);
+    }
+  };
+  std::visit(Visitor{*this, post}, effect);
+}
+
+}  // namespace baobab
--- /dev/null
+++ b/src/libfleet/shard_owner.h
@@ -0,0 +1,91 @@
+#ifndef SRC_LIBFLEET_SHARD_OWNER_H_
+#define SRC_LIBFLEET_SHARD_OWNER_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "libfleet/decision_log.h"
+#include "libfleet/loop_timer.h"
+#include "libfleet/ports.h"
+
+namespace baobab {
+
+struct SubmitAnswer {
+  SubmitVerdict verdict = SubmitVerdict::kRefused;
+  Duration retry_after{0};
+  std::string reason;
+};
+
+/** Owns one shard: closes it to former owners, loads it, and executes the
+ * effects of its engine. */
+class ShardOwner : public std::enable_shared_from_this<ShardOwner> {
+ public:
+  struct Ports {
+    boost::asio::io_context& loop;
+    JobStore& store;
+    WorkerCalls& workers;
+    DecisionLog& log;
+    /** False once the membership may have expired. */
+    std::function<bool()> may_order;
+    /** A later owner exists. */
+    std::function<void(ShardId)> on_fenced;
+  };
+
+  using SubmitDone = std::function<void(Result<SubmitAnswer>)>;
+  using CancelDone = std::function<void(Result<bool>)>;
+
+  ShardOwner(const Ports& ports,
+             ShardId shard,
+             FenceToken token,
+             const PoolTuning& tuning);
+
+  void Start();
+  /** Drops all; callers that wait get an error, after which the outcome of
+   * their request is unknown. */
+  void Stop();
+
+  bool IsLoaded() const { return engine_.IsLoaded() && !stopped_; }
+  FenceToken token() const { return token_; }
+  const PoolEngine& engine() const { return engine_; }
+
+  void Submit(const JobId& job,
+              const QueuePolicy& queue,
+              JobSpec spec,
+              SubmitDone done);
+  void Cancel(const JobId& job, CancelDone done);
+  void Tick() { Post(PoolTick{}); }
+  void SetPolicies(std::shared_ptr<const PolicySet> policies);
+  void SetWorkers(std::shared_ptr<const std::vector<WorkerEntry>> workers);
+
+ private:
+  void Close();
+  void Load();
+  void Retry(void (ShardOwner::*step)(), Duration delay);
+  void Append();
+  void Post(PoolEventBody body);
+  void Execute(PoolEffect& effect);
+
+  const Ports ports_;
+  const ShardId shard_;
+  const FenceToken token_;
+  PoolEngine engine_;
+  LoopTimer timer_;
+  bool stopped_ = false;
+
+  std::uint64_t sequence_ = 0;
+  StoreCommit commit_;
+  int append_tries_ = 0;
+
+  std::uint64_t replies_ = 0;
+  std::map<ReplyId, SubmitDone> submits_;
+  std::map<ReplyId, CancelDone> cancels_;
+  /** Latest feeds, for an engine that is still loading. */
+  std::shared_ptr<const PolicySet> policies_;
+  std::shared_ptr<const std::vector<WorkerEntry>> workers_;
+};
+
+}  // namespace baobab
+
+#endif  // SRC_LIBFLEET_SHARD_OWNER_H_
--- /dev/null
+++ b/src/libjobs/job.cc
@@ -0,0 +1,67 @@
+#include "libjobs/job.h"
+
+#include <algorithm>
+
+namespace baobab {
+
+bool HoldsRoom(TaskPhase phase) {
+  return phase != TaskPhase::kWaiting && phase != TaskPhase::kDone;
+}
+
+bool Job::IsLasting() const {
+  return std::any_of(spec.steps.begin(), spec.steps.end(),
+                     [](const auto& it) { return it.lasting; });
+}
+
+Task* Job::Find(const TaskId& task) {
+  const auto it = occurrences.find(task.occurrence);
+  if (it == occurrences.end() || task.step < 0 || task.index < 0 ||
+      task.step >= static_cast<int>(it->second.steps.size())) {
+    return nullptr;
+  }
+  auto& tasks = it->second.steps[static_cast<std::size_t>(task.step)];
+  if (task.index >= static_cast<int>(tasks.size())) {
+    return nullptr;
+  }
+  return &tasks[static_cast<std::size_t>(task.index)];
+}
+
+void Job::CreateOccurrence(Time due) {
+  auto& occurrence = occurrences[created++];
+  occurrence.due = due;
+  for (const auto& it : spec.steps) {
+    occurrence.steps.emplace_back(static_cast<std::size_t>(it.count));
+  }
+}
+
+bool Job::IsReady(const Occurrence& occurrence, int step) const {
+  for (const int earlier : Step(step).after) {
+    const auto& tasks = occurrence.steps[static_cast<std::size_t>(earlier)];
+    if (!std::all_of(tasks.begin(), tasks.end(), [](const auto& it) {
+          return it.phase == TaskPhase::kDone;
+        })) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool Job::IsFinished(const Occurrence& occurrence) const {
+  return std::all_of(
+      occurrence.steps.begin(), occurrence.steps.end(), [](const auto& tasks) {
+        return std::all_of(tasks.begin(), tasks.end(), [](const auto& it) {
+          return it.phase == TaskPhase::kDone;
+        });
+      });
+}
+
+Duration Job::Objective() const {
+  const auto chain = static_cast<double>(ChainEstimate(spec).count());
+  return Duration(static_cast<Duration::rep>(chain * stretch)) + target;
+}
+
+Time Job::LatestStart(const Occurrence& occurrence, int step) const {
+  return occurrence.due + Objective() - ChainFrom(spec, step);
+}
+
+}  // namespace baobab
--- /dev/null
+++ b/src/libjobs/job.h
@@ -0,0 +1,115 @@
+#ifndef SRC_LIBJOBS_JOB_H_
+#define SRC_LIBJOBS_JOB_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "libjobs/job_spec.h"
+
+namespace baobab {
+
+enum class TaskPhase : std::uint8_t {
+  kWaiting,
+  /** A worker is chosen; the choice is not yet stored. */
+  kPlaced,
+  /** The order was sent and has no answer yet. */
+  kStarting,
+  kRunning,
+  /** A stop was ordered, or it is unknown whether the start arrived. */
+  kStopping,
+  /** Taken over from an earlier owner; the worker has not reported yet. */
+  kInherited,
+  kDone,
+};
+
+/** True if a run of the task may be present at its worker. */
+bool HoldsRoom(TaskPhase phase);
+
+struct Task {
+  TaskPhase phase = TaskPhase::kWaiting;
+  /** Of the newest start; 0 before the first. */
+  RunNumber run;
+  /** Runs that ended as failed. */
+  int failures = 0;
+  WorkerId worker;
+  std::string checkpoint;
+  /** Worker of the last failed run, avoided by the next. */
+  WorkerId failed_on;
+  /** Not placed earlier than this. */
+  Time not_before;
+  /** The run was seen at its worker. */
+  bool seen = false;
+  bool stop_answered = false;
+  /** When the stop was last sent. */
+  Time stop_sent_at;
+  /** When the newest start, or stop, was answered. */
+  Time answered_at;
+  Time started_at;
+  int percent = 0;
+  /** When `percent` last changed. */
+  Time progress_at;
+  /** Share at which the task was told to work. */
+  int pace_percent = 100;
+};
+
+/** One execution of the steps of a job. */
+struct Occurrence {
+  std::vector<std::vector<Task>> steps;
+  /** From when its objective counts. */
+  Time due;
+};
+
+enum class JobEnd : std::uint8_t { kOpen, kCompleted, kFailed, kCancelled };
+
+struct Job {
+  JobId id;
+  QueueId queue;
+  ServiceId service;
+  int priority = 0;
+  int max_attempts = 1;
+  double stretch = 1;
+  Duration target{0};
+  JobSpec spec;
+  std::int64_t accepted_wall_ms = 0;
+
+  /** Runtime clock of the acceptance; before the start of the process for a
+   * job taken over. */
+  Time accepted_at;
+  JobEnd end = JobEnd::kOpen;
+  std::int64_t ended_wall_ms = 0;
+  /** The end as far as it is stored, which is what callers are shown. */
+  JobEnd shown = JobEnd::kOpen;
+  /** Its acceptance is stored. */
+  bool stored = false;
+  bool begun = false;
+  /** Open occurrences by number. */
+  std::map<int, Occurrence> occurrences;
+  /** Occurrences below this number were created. */
+  int created = 0;
+  int finished = 0;
+
+  /** Number of times that the steps run. */
+  int Times() const { return spec.repeats > 0 ? spec.repeats : 1; }
+  bool IsTimed() const { return spec.repeats > 0; }
+  bool IsLasting() const;
+  const StepSpec& Step(int step) const {
+    return spec.steps[static_cast<std::size_t>(step)];
+  }
+  /** Null if there is no such task now. */
+  Task* Find(const TaskId& task);
+  /** Creates the next occurrence, whose objective counts from `due`. */
+  void CreateOccurrence(Time due);
+  /** True if all steps that `step` depends on are done. */
+  bool IsReady(const Occurrence& occurrence, int step) const;
+  bool IsFinished(const Occurrence& occurrence) const;
+  /** Time from its due time until an occurrence is late. */
+  Duration Objective() const;
+  /** Latest start of a step that keeps the objective of its occurrence. */
+  Time LatestStart(const Occurrence& occurrence, int step) const;
+};
+
+}  // namespace baobab
+
+#endif  // SRC_LIBJOBS_JOB_H_
--- /dev/null
+++ b/src/libjobs/job_spec.cc
@@ -0,0 +1,94 @@
+#include "libjobs/job_spec.h"
+
+#include <algorithm>
+
+namespace baobab {
+
+Resources& Resources::operator+=(const Resources& other) {
+  cpu_milli += other.cpu_milli;
+  mem_mb += other.mem_mb;
+  gpus += other.gpus;
+  return *this;
+}
+
+Resources& Resources::operator-=(const Resources& other) {
+  cpu_milli -= other.cpu_milli;
+  mem_mb -= other.mem_mb;
+  gpus -= other.gpus;
+  return *this;
+}
+
+bool Resources::FitsIn(const Resources& limit) const {
+  return cpu_milli <= limit.cpu_milli && mem_mb <= limit.mem_mb &&
+         gpus <= limit.gpus;
+}
+
+Result<void> CheckSpec(const JobSpec& spec) {
+  const auto fault = [](const char* message) {
+    return tl::unexpected(Error{"check job", "", message});
+  };
+  if (spec.steps.empty()) {
+    return fault("a job needs at least one step");
+  }
+  std::int64_t tasks = 0;
+  for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+    const auto& step = spec.steps[i];
+    if (step.count < 1) {
+      return fault("a step needs at least one task");
+    }
+    tasks += step.count;
+    if (tasks > kMaxTasksPerJob) {
+      return fault("the job has too many tasks");
+    }
+    if (step.need.cpu_milli < 0 || step.need.mem_mb < 0 || step.need.gpus < 0) {
+      return fault("a task needs a negative amount");
+    }
+    for (const int it : step.after) {
+      if (it < 0 || it >= static_cast<int>(i)) {
+        return fault("a step depends on a step that is not earlier");
+      }
+    }
+  }
+  return {};
+}
+
+Duration ChainEstimate(const JobSpec& spec) {
+  std::vector<Duration> ends(spec.steps.size());
+  Duration longest{0};
+  for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+    Duration begin{0};
+    for (const int it : spec.steps[i].after) {
+      begin = std::max(begin, ends[static_cast<std::size_t>(it)]);
+    }
+    ends[i] = begin + spec.steps[i].estimate;
+    longest = std::max(longest, ends[i]);
+  }
+  return longest;
+}
+
+Duration ChainFrom(const JobSpec& spec, int step) {
+  // Steps only depend on earlier ones, so one pass from the end suffices.
+  std::vector<Duration> chains(spec.steps.size());
+  for (std::size_t i = spec.steps.size(); i-- > 0;) {
+    chains[i] += spec.steps[i].estimate;
+    for (const int it : spec.steps[i].after) {
+      auto& earlier = chains[static_cast<std::size_t>(it)];
+      earlier = std::max(earlier, chains[i]);
+    }
+  }
+  return chains[static_cast<std::size_t>(step)];
+}
+
+double WorkEstimate(const JobSpec& spec) {
+  double work = 0;
+  for (const auto& it : spec.steps) {
+    if (!it.lasting && !it.fills) {
+      work += static_cast<double>(it.count) *
+              static_cast<double>(it.need.cpu_milli) / 1000.0 *
+              static_cast<double>(it.estimate.count()) / 1000.0;
+    }
+  }
+  return work;
+}
+
+}  // namespace baobab
--- /dev/null
+++ b/src/libjobs/policies.cc
@@ -0,0 +1,26 @@
+#include "libjobs/policies.h"
+
+namespace baobab {
+
+const QueuePolicy* PolicySet::Route(std::string_view host,
+                                    std::string_view path) const {
+  const QueuePolicy* best = nullptr;
+  for (const auto& it : queues) {
+    if (it.host == host && path.starts_with(it.path_prefix) &&
+        (!best || it.path_prefix.size() > best->path_prefix.size())) {
+      best = &it;
+    }
+  }
+  return best;
+}
+
+const QueuePolicy* PolicySet::Find(const QueueId& name) const {
+  for (const auto& it : queues) {
+    if (it.name == name) {
+      return &it;
+    }
+  }
+  return nullptr;
+}
+
+}  // namespace baobab
--- /dev/null
+++ b/src/libjobs/pool_effect.h
@@ -0,0 +1,106 @@
+#ifndef SRC_LIBJOBS_POOL_EFFECT_H_
+#define SRC_LIBJOBS_POOL_EFFECT_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "libjobs/stored_job.h"
+
+namespace baobab {
+
+/** Stores the records, all or none, and reports CommitStored. */
+struct StoreCommit {
+  CommitId commit;
+  std::vector<StoredRecord> records;
+};
+
+/** Asks a worker for its runs and extends their leases; reports
+ * LookFinished. */
+struct LookAtWorker {
+  WorkerId worker;
+  std::string address;
+  std::uint64_t look = 0;
+  /** Acknowledges ends up to this number. */
+  std::int64_t ends_told = 0;
+  /** On the worker's clock; none leaves the leases as they are. */
+  std::optional<std::int64_t> lease_until_ms;
+  /** The worker answers earlier when a run ends. */
+  Duration wait{0};
+};
+
+/** Reports StartFinished. */
+struct StartRun {
+  WorkerId worker;
+  std::string address;
+  TaskId task;
+  RunNumber run;
+  std::string payload;
+  /** On the worker's clock. */
+  std::int64_t lease_until_ms = 0;
+  std::string checkpoint;
+};
+
+/** Reports StopFinished. */
+struct StopRun {
+  WorkerId worker;
+  std::string address;
+  TaskId task;
+  RunNumber run;
+};
+
+/** Sets the share of its speed at which a run works; has no report. */
+struct PaceRun {
+  WorkerId worker;
+  std::string address;
+  TaskId task;
+  RunNumber run;
+  int percent = 100;
+};
+
+enum class SubmitVerdict {
+  kAccepted,
+  /** Certainly not accepted. */
+  kRefused,
+  /** Certainly not accepted; the job itself is at fault. */
+  kInvalid,
+};
+
+struct AnswerSubmit {
+  ReplyId reply;
+  SubmitVerdict verdict = SubmitVerdict::kRefused;
+  /** When a new attempt may succeed. */
+  Duration retry_after{0};
+  std::string reason;
+};
+
+struct AnswerCancel {
+  ReplyId reply;
+  /** False if there is no such job. */
+  bool found = false;
+};
+
+/** One decision, for the log. */
+struct ExplainDecision {
+  std::string decision;
+  JobId job;
+  /** Further fields as "name=value" pairs. */
+  std::string fields;
+};
+
+using PoolEffect = std::variant<StoreCommit,
+                                LookAtWorker,
+                                StartRun,
+                                StopRun,
+                                PaceRun,
+                                AnswerSubmit,
+                                AnswerCancel,
+                                ExplainDecision>;
+
+using PoolEffects = std::vector<PoolEffect>;
+
+}  // namespace baobab
+
+#endif  // SRC_LIBJOBS_POOL_EFFECT_H_
--- /dev/null
+++ b/src/libjobs/pool_engine.cc
@@ -0,0 +1,432 @@
+#include "libjobs/pool_engine.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+namespace baobab {
+
+namespace {
+
+/** Between sweeps over all runs for leases and stops. */
+constexpr Duration kSweepInterval = std::chrono::milliseconds(200);
+
+/** Records of one commit are split at about this size in bytes; the store
+ * takes at least twice as much in one call. */
+constexpr std::size_t kCommitBytes = 768u << 10;
+
+/** Ended jobs are kept beyond the promised time by this share, since clocks
+ * of the owners differ. */
+constexpr double kRetentionMargin = 1.25;
+
+Duration FromMilliseconds(std::int64_t ms) {
+  return std::chrono::milliseconds(ms);
+}
+
+}  // namespace
+
+ShardId ShardOf(const ServiceId& service, int shards) {
+  const auto& text = service.value();
+  const auto hash = XXH64(text.data(), text.size(), 0);
+  return ShardId(static_cast<int>(hash % static_cast<std::uint64_t>(shards)));
+}
+
+PoolEngine::PoolEngine(ShardId shard, const PoolTuning& tuning)
+    : shard_(shard), tuning_(tuning), admission_(durations_, tuning_) {}
+
+PoolEffects PoolEngine::Apply(const PoolEvent& event) {
+  now_ = event.at;
+  wall_ms_ = event.wall_ms;
+  std::visit([this](const auto& it) { Handle(it); }, event.body);
+  if (loaded_) {
+    if (schedule_needed_) {
+      schedule_needed_ = false;
+      Schedule();
+    }
+    FlushCommit();
+  }
+  return std::exchange(effects_, {});
+}
+
+std::optional<JobState> PoolEngine::StateOf(const JobId& job) const {
+  const auto it = jobs_.find(job);
+  if (it == jobs_.end() || !it->second.stored) {
+    return std::nullopt;
+  }
+  switch (it->second.shown) {
+    case JobEnd::kCompleted:
+      return JobState::kCompleted;
+    case JobEnd::kFailed:
+      return JobState::kFailed;
+    case JobEnd::kCancelled:
+      return JobState::kCancelled;
+    case JobEnd::kOpen:
+      break;
+  }
+  return it->second.begun ? JobState::kRunning : JobState::kQueued;
+}
+
+int PoolEngine::Pending(const QueueId& queue) const {
+  return static_cast<int>(
+      std::count_if(jobs_.begin(), jobs_.end(), [&](const auto& it) {
+        const Job& job = it.second;
+        return job.queue == queue && job.stored && !job.begun &&
+               job.shown == JobEnd::kOpen;
+      }));
+}
+
+PoolReport PoolEngine::Report(Time now) const {
+  PoolReport report;
+  for (const auto& [id, job] : jobs_) {
+    ++(job.end == JobEnd::kOpen ? report.open_jobs : report.ended_jobs);
+  }
+  for (const auto& [service, steps] : ready_.by_service()) {
+    report.waiting_steps += static_cast<int>(steps.size());
+  }
+  for (const auto& [id, worker] : workers_) {
+    report.workers += worker.listed ? 1 : 0;
+    report.usable_workers += worker.IsUsable(now) ? 1 : 0;
+    report.runs += static_cast<int>(worker.runs.size());
+  }
+  report.violations = violations_;
+  return report;
+}
+
+void PoolEngine::Handle(const PoolTick&) {
+  if (!loaded_) {
+    return;
+  }
+  for (const auto& id : std::set<JobId>(timed_)) {
+    BeginDueOccurrences(jobs_.at(id));
+  }
+  if (now_ - swept_at_ >= kSweepInterval) {
+    swept_at_ = now_;
+    ExpireLeases();
+    RetryStops();
+    DropExpiredJobs();
+  }
+  DriveWorkers();
+  schedule_needed_ = true;
+}
+
+void PoolEngine::Handle(const ShardLoaded& event) {
+  auto loaded = DecodeJobs(event.records);
+  for (const auto& it : loaded.faults) {
+    Explain("skip-record", JobId(), fmt::format("fault=\"{}\"", it));
+  }
+  loaded_ = true;
+  loaded_at_ = now_;
+  jobs_ = std::move(loaded.jobs);
+  for (auto& [id, job] : jobs_) {
+    job.accepted_at = now_ - FromMilliseconds(wall_ms_ - job.accepted_wall_ms);
+    if (job.end != JobEnd::kOpen) {
+      ended_.emplace(job.ended_wall_ms, id);
+    }
+    for (auto& [number, occurrence] : job.occurrences) {
+      occurrence.due =
+          job.IsTimed()
+              ? now_ +
+                    FromMilliseconds(job.spec.first_due_wall_ms +
+                                     number * job.spec.interval_ms - wall_ms_)
+              : job.accepted_at;
+      for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+        auto& tasks = occurrence.steps[step];
+        for (std::size_t i = 0; i < tasks.size(); ++i) {
+          if (tasks[i].phase == TaskPhase::kInherited) {
+            Worker& worker = WorkerFor(tasks[i].worker);
+            const auto room = RoomOf(job.spec.steps[step]);
+            worker.runs.emplace(
+                TaskId{id, number, static_cast<int>(step), static_cast<int>(i)},
+                room);
+            worker.used += room;
+          }
+        }
+      }
+      if (job.end == JobEnd::kOpen) {
+        AddReadySteps(job, number);
+      }
+    }
+    if (job.end == JobEnd::kOpen && job.created < job.Times()) {
+      timed_.insert(id);
+      BeginDueOccurrences(job);
+    }
+  }
+  DriveWorkers();
+  schedule_needed_ = true;
+}
+
+void PoolEngine::Handle(const PoliciesChanged& event) {
+  policies_ = event.policies;
+  schedule_needed_ = true;
+}
+
+void PoolEngine::Handle(const SubmitRequested& event) {
+  const auto refuse = [&](SubmitVerdict verdict, Duration retry_after,
+                          std::string reason) {
+    Explain("refuse-job", event.job,
+            fmt::format("queue={} reason=\"{}\" retry_after_ms={}",
+                        event.queue.name.value(), reason,
+                        retry_after.count() / 1000));
+    effects_.push_back(
+        AnswerSubmit{event.reply, verdict, retry_after, std::move(reason)});
+  };
+  if (!loaded_) {
+    refuse(SubmitVerdict::kRefused, FromMilliseconds(500), "shard-loading");
+    return;
+  }
+  const auto known = jobs_.find(event.job);
+  if (known != jobs_.end()) {
+    if (known->second.stored) {
+      effects_.push_back(
+          AnswerSubmit{event.reply, SubmitVerdict::kAccepted, {}, "known"});
+    } else {
+      staged_.dirty.insert(event.job);
+      staged_.answers.push_back(
+          AnswerSubmit{event.reply, SubmitVerdict::kAccepted, {}, "known"});
+    }
+    return;
+  }
+  if (const auto checked = CheckSpec(event.spec); !checked) {
+    refuse(SubmitVerdict::kInvalid, {}, checked.error().message);
+    return;
+  }
+  if (in_flight_ && now_ - commit_sent_at_ > tuning_.store_patience) {
+    refuse(SubmitVerdict::kRefused, FromMilliseconds(1000), "store-away");
+    return;
+  }
+  Job job = MakeJob(event);
+  const auto verdict = admission_.Judge(job, workers_, WorkAhead(job), now_);
+  if (!verdict.accept) {
+    refuse(SubmitVerdict::kRefused, verdict.retry_after,
+           fmt::format("overload wait_ms={}", verdict.wait.count() / 1000));
+    return;
+  }
+  Explain(
+      "accept-job", event.job,
+      fmt::format("queue={} service={} wait_ms={} tasks={}", job.queue.value(),
+                  job.service.value(), verdict.wait.count() / 1000,
+                  job.spec.steps.front().count));
+  auto& stored = jobs_.emplace(event.job, std::move(job)).first->second;
+  staged_.accepted.insert(event.job);
+  staged_.answers.push_back(
+      AnswerSubmit{event.reply, SubmitVerdict::kAccepted, {}, "new"});
+  timed_.insert(event.job);
+  BeginDueOccurrences(stored);
+  schedule_needed_ = true;
+}
+
+void PoolEngine::Handle(const CancelRequested& event) {
+  const auto it = jobs_.find(event.job);
+  if (!loaded_ || it == jobs_.end()) {
+    effects_.push_back(AnswerCancel{event.reply, false});
+    return;
+  }
+  Job& job = it->second;
+  if (job.end == JobEnd::kOpen) {
+    EndJob(job, JobEnd::kCancelled, "asked");
+  }
+  if (job.shown != JobEnd::kOpen) {
+    effects_.push_back(AnswerCancel{event.reply, true});
+    return;
+  }
+  staged_.dirty.insert(event.job);
+  staged_.answers.push_back(AnswerCancel{event.reply, true});
+}
+
+Job PoolEngine::MakeJob(const SubmitRequested& event) const {
+  Job job;
+  job.id = event.job;
+  job.queue = event.queue.name;
+  job.service = event.queue.service;
+  job.priority = event.queue.priority;
+  job.max_attempts = std::max(1, event.queue.max_attempts);
+  job.stretch = event.queue.stretch;
+  job.target = event.queue.target;
+  job.spec = event.spec;
+  job.accepted_wall_ms = wall_ms_;
+  job.accepted_at = now_;
+  return job;
+}
+
+double PoolEngine::WorkAhead(const Job& job) const {
+  double work = 0;
+  for (const auto& [id, other] : jobs_) {
+    if (other.end == JobEnd::kOpen && other.service == job.service &&
+        other.priority <= job.priority) {
+      work += admission_.RemainingWork(other);
+    }
+  }
+  return work;
+}
+
+void PoolEngine::BeginDueOccurrences(Job& job) {
+  while (job.created < job.Times()) {
+    const int number = job.created;
+    Time due = job.accepted_at;
+    if (job.IsTimed()) {
+      const auto wall =
+          job.spec.first_due_wall_ms + number * job.spec.interval_ms;
+      if (wall > wall_ms_) {
+        return;
+      }
+      due = now_ - FromMilliseconds(wall_ms_ - wall);
+    }
+    job.CreateOccurrence(due);
+    AddReadySteps(job, number);
+    schedule_needed_ = true;
+  }
+  timed_.erase(job.id);
+}
+
+void PoolEngine::EndJob(Job& job, JobEnd end, const std::string& why) {
+  job.end = end;
+  job.ended_wall_ms = wall_ms_;
+  ended_.emplace(wall_ms_, job.id);
+  timed_.erase(job.id);
+  ready_.RemoveJob(job.service, job.id);
+  staged_.dirty.insert(job.id);
+  staged_.shown[job.id] = end;
+  Explain("end-job", job.id,
+          fmt::format("end={} why={} age_ms={}", static_cast<int>(end), why,
+                      wall_ms_ - job.accepted_wall_ms));
+  for (auto& [number, occurrence] : job.occurrences) {
+    for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+      auto& tasks = occurrence.steps[step];
+      for (std::size_t i = 0; i < tasks.size(); ++i) {
+        Task& task = tasks[i];
+        const TaskId id{job.id, number, static_cast<int>(step),
+                        static_cast<int>(i)};
+        if (task.phase == TaskPhase::kPlaced) {
+          FreeRoom(id, task);
+          task.phase = TaskPhase::kWaiting;
+        } else if (task.phase == TaskPhase::kStarting ||
+                   task.phase == TaskPhase::kRunning) {
+          OrderStop(id, task);
+        }
+      }
+    }
+  }
+}
+
+void PoolEngine::DropExpiredJobs() {
+  const auto kept = static_cast<std::int64_t>(
+      static_cast<double>(tuning_.status_kept.count()) / 1000 *
+      kRetentionMargin);
+  while (!ended_.empty() && ended_.begin()->first + kept < wall_ms_) {
+    const JobId id = ended_.begin()->second;
+    ended_.erase(ended_.begin());
+    jobs_.erase(id);
+    staged_.dropped.insert(id);
+  }
+}
+
+ReadyStep PoolEngine::ReadyKey(const Job& job, int occurrence, int step) const {
+  return {job.priority,
+          !job.Step(step).lasting,
+          job.LatestStart(job.occurrences.at(occurrence), step),
+          job.id,
+          occurrence,
+          step};
+}
+
+void PoolEngine::AddReadySteps(Job& job, int occurrence) {
+  const auto it = job.occurrences.find(occurrence);
+  if (it == job.occurrences.end() || job.end != JobEnd::kOpen) {
+    return;
+  }
+  for (int step = 0; step < static_cast<int>(job.spec.steps.size()); ++step) {
+    const auto& tasks = it->second.steps[static_cast<std::size_t>(step)];
+    const bool waits = std::any_of(
+        tasks.begin(), tasks.end(),
+        [](const auto& task) { return task.phase == TaskPhase::kWaiting; });
+    if (waits && job.IsReady(it->second, step)) {
+      ready_.Add(job.service, ReadyKey(job, occurrence, step));
+      schedule_needed_ = true;
+    }
+  }
+}
+
+void PoolEngine::FlushCommit() {
+  if (in_flight_ || staged_.empty() ||
+      now_ - commit_sent_at_ < tuning_.commit_gap) {
+    return;
+  }
+  StoreCommit commit;
+  std::size_t size = 0;
+  const auto add = [&](std::string key, std::string value) {
+    size += key.size() + value.size();
+    commit.records.push_back({std::move(key), std::move(value)});
+  };
+  for (const auto& id : staged_.dropped) {
+    add(ProgressKey(id), "");
+    add(AcceptanceKey(id), "");
+  }
+  for (const auto& id : staged_.accepted) {
+    add(AcceptanceKey(id), EncodeAcceptance(jobs_.at(id)));
+  }
+  for (const auto& id : staged_.dirty) {
+    const auto it = jobs_.find(id);
+    if (it != jobs_.end()) {
+      add(ProgressKey(id), EncodeProgress(it->second));
+    }
+  }
+  in_flight_ = std::exchange(staged_, {});
+  if (commit.records.empty()) {
+    ReleaseStaged();
+    return;
+  }
+  commit_ = CommitId(commit_.value() + 1);
+  commit_sent_at_ = now_;
+  commit.commit = commit_;
+  effects_.push_back(std::move(commit));
+}
+
+void PoolEngine::Handle(const CommitStored& event) {
+  if (in_flight_ && event.commit == commit_) {
+    ReleaseStaged();
+  }
+}
+
+void PoolEngine::ReleaseStaged() {
+  const Staged stored = std::move(*in_flight_);
+  in_flight_.reset();
+  for (const auto& id : stored.accepted) {
+    const auto it = jobs_.find(id);
+    if (it != jobs_.end()) {
+      it->second.stored = true;
+    }
+  }
+  for (const auto& [id, end] : stored.shown) {
+    const auto it = jobs_.find(id);
+    if (it != jobs_.end()) {
+      it->second.shown = end;
+    }
+  }
+  effects_.insert(effects_.end(), stored.answers.begin(), stored.answers.end());
+  for (const auto& [id, run] : stored.placed) {
+    SendStart(id, run);
+  }
+  for (const auto& it : stored.ends) {
+    const auto found = workers_.find(it.worker);
+    if (found == workers_.end() || found->second.born != it.born) {
+      continue;
+    }
+    Worker& worker = found->second;
+    worker.ends_stored = std::max(worker.ends_stored, it.number);
+    if (worker.ends_stored == worker.ends_taken) {
+      worker.ends_pending = false;
+      worker.next_look_at = now_;
+    }
+    DriveWorker(worker);
+  }
+}
+
+void PoolEngine::Explain(const std::string& decision,
+                         const JobId& job,
+                         std::string fields) {
+  effects_.push_back(ExplainDecision{decision, job, std::move(fields)});
+}
+
+}  // namespace baobab
--- /dev/null
+++ b/src/libjobs/pool_engine.h
@@ -0,0 +1,174 @@
+#ifndef SRC_LIBJOBS_POOL_ENGINE_H_
+#define SRC_LIBJOBS_POOL_ENGINE_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "libjobs/admission.h"
+#include "libjobs/pool_effect.h"
+#include "libjobs/pool_event.h"
+#include "libjobs/ready_steps.h"
+
+namespace baobab {
+
+/** What callers are told of a job. */
+enum class JobState { kQueued, kRunning, kCompleted, kFailed, kCancelled };
+
+/** Figures for status and metrics. */
+struct PoolReport {
+  int open_jobs = 0;
+  int ended_jobs = 0;
+  int waiting_steps = 0;
+  int workers = 0;
+  int usable_workers = 0;
+  int runs = 0;
+  std::uint64_t violations = 0;
+};
+
+/** The shard to which the workers and queues of a service belong. It depends
+ * on nothing else, so that all nodes and releases agree. */
+ShardId ShardOf(const ServiceId& service, int shards);
+
+/** All decisions on the jobs and workers of one shard, made by the shard's
+ * owner. It has no side effects; the caller executes the returned effects.
+ *
+ * Safety rests on the store alone: it refuses records of former owners, and a
+ * run is only ordered after the choice of its worker is stored. An owner that
+ * was stopped and goes on can therefore start nothing that the new owner does
+ * not know. */
+class PoolEngine {
+ public:
+  PoolEngine(ShardId shard, const PoolTuning& tuning);
+  PoolEngine(const PoolEngine&) = delete;
+  PoolEngine& operator=(const PoolEngine&) = delete;
+
+  PoolEffects Apply(const PoolEvent& event);
+
+  /** Empty if no such job is stored. */
+  std::optional<JobState> StateOf(const JobId& job) const;
+  /** True if the job is known, stored or not. */
+  bool Knows(const JobId& job) const { return jobs_.contains(job); }
+  /** Stored jobs of the queue of which no task has started. */
+  int Pending(const QueueId& queue) const;
+  bool IsLoaded() const { return loaded_; }
+  PoolReport Report(Time now) const;
+  const Workers& workers() const { return workers_; }
+  const std::map<JobId, Job>& jobs() const { return jobs_; }
+
+ private:
+  /** What takes effect once the records of a commit are stored. */
+  struct Staged {
+    std::set<JobId> dirty;
+    std::set<JobId> accepted;
+    std::set<JobId> dropped;
+    std::vector<PoolEffect> answers;
+    std::vector<std::pair<TaskId, RunNumber>> placed;
+    struct TakenEnds {
+      WorkerId worker;
+      std::int64_t born = 0;
+      std::int64_t number = 0;
+    };
+    std::vector<TakenEnds> ends;
+    std::map<JobId, JobEnd> shown;
+
+    bool empty() const {
+      return dirty.empty() && accepted.empty() && dropped.empty() &&
+             ends.empty();
+    }
+  };
+
+  void Handle(const PoolTick& event);
+  void Handle(const ShardLoaded& event);
+  void Handle(const PoliciesChanged& event);
+  void Handle(const WorkersListed& event);
+  void Handle(const SubmitRequested& event);
+  void Handle(const CancelRequested& event);
+  void Handle(const CommitStored& event);
+  void Handle(const LookFinished& event);
+  void Handle(const StartFinished& event);
+  void Handle(const StopFinished& event);
+
+  // Jobs (pool_engine.cc).
+  Job MakeJob(const SubmitRequested& event) const;
+  double WorkAhead(const Job& job) const;
+  void BeginDueOccurrences(Job& job);
+  void EndJob(Job& job, JobEnd end, const std::string& why);
+  void DropExpiredJobs();
+  void AddReadySteps(Job& job, int occurrence);
+  ReadyStep ReadyKey(const Job& job, int occurrence, int step) const;
+  void FlushCommit();
+  void ReleaseStaged();
+
+  // Workers (pool_engine_workers.cc).
+  Worker& WorkerFor(const WorkerId& id);
+  void ApplyReport(Worker& worker, const LookFinished& event);
+  void ApplyEnded(Worker& worker, const EndedRow& row);
+  void ApplyRunning(Worker& worker, const RunningRow& row);
+  void ApplyAbsent(Worker& worker,
+                   const std::set<TaskId>& present,
+                   bool introduces);
+  void BeginNewLife(Worker& worker, std::int64_t born);
+  void LoseRuns(Worker& worker, const std::string& why);
+  void DriveWorkers();
+  void DriveWorker(Worker& worker);
+  void ExpireLeases();
+  void RetryStops();
+  void OrderStop(const TaskId& id, Task& task);
+
+  // Tasks (pool_engine_tasks.cc).
+  void FreeRoom(const TaskId& id, const Task& task);
+  void EndRun(Job& job,
+              const TaskId& id,
+              Task& task,
+              EndKind kind,
+              const std::string& checkpoint);
+  void ReturnToWaiting(Job& job, const TaskId& id, Task& task);
+  void FinishTask(Job& job, const TaskId& id, Task& task);
+  void Schedule();
+  void PlaceStep(const ServiceId& service, const ReadyStep& ready);
+  bool PlaceGang(const ServiceId& service, Job& job, const ReadyStep& ready);
+  void Place(Job& job, const TaskId& id, Task& task, const WorkerId& worker);
+  void SendStart(const TaskId& id, RunNumber run);
+
+  void Explain(const std::string& decision,
+               const JobId& job,
+               std::string fields);
+
+  const ShardId shard_;
+  const PoolTuning tuning_;
+  bool loaded_ = false;
+  std::shared_ptr<const PolicySet> policies_;
+  std::map<JobId, Job> jobs_;
+  Workers workers_;
+  ReadySteps ready_;
+  /** Open jobs with occurrences to come. */
+  std::set<JobId> timed_;
+  /** Ended jobs by the wall clock of their end. */
+  std::set<std::pair<std::int64_t, JobId>> ended_;
+  DurationModel durations_;
+  Admission admission_;
+
+  Staged staged_;
+  std::optional<Staged> in_flight_;
+  CommitId commit_;
+  Time commit_sent_at_;
+  Time swept_at_;
+  bool schedule_needed_ = false;
+  std::uint64_t looks_ = 0;
+  std::uint64_t violations_ = 0;
+  Time loaded_at_;
+
+  // Of the event that is being applied.
+  Time now_;
+  std::int64_t wall_ms_ = 0;
+  PoolEffects effects_;
+};
+
+}  // namespace baobab
+
+#endif  // SRC_LIBJOBS_POOL_ENGINE_H_
--- /dev/null
+++ b/src/libjobs/pool_engine_tasks.cc
@@ -0,0 +1,317 @@
+#include <algorithm>
+#include <chrono>
+
+#include <fmt/format.h>
+
+#include "libjobs/pool_engine.h"
+
+namespace baobab {
+
+namespace {
+
+/** Steps that are tried without room in one pass; bounds the work of a pass
+ * when far more waits than there is room for. */
+constexpr int kMostMisfits = 24;
+
+/** Most doublings of the pause before a lasting task is started again. */
+constexpr int kMostPauseDoublings = 3;
+
+}  // namespace
+
+void PoolEngine::FreeRoom(const TaskId& id, const Task& task) {
+  const auto worker = workers_.find(task.worker);
+  if (worker == workers_.end()) {
+    return;
+  }
+  const auto run = worker->second.runs.find(id);
+  if (run != worker->second.runs.end()) {
+    worker->second.used -= run->second;
+    worker->second.runs.erase(run);
+    schedule_needed_ = true;
+  }
+}
+
+void PoolEngine::ReturnToWaiting(Job& job, const TaskId& id, Task& task) {
+  task.phase = TaskPhase::kWaiting;
+  task.stop_answered = false;
+  task.seen = false;
+  if (job.end == JobEnd::kOpen) {
+    AddReadySteps(job, id.occurrence);
+  }
+}
+
+void PoolEngine::EndRun(Job& job,
+                        const TaskId& id,
+                        Task& task,
+                        EndKind kind,
+                        const std::string& checkpoint) {
+  FreeRoom(id, task);
+  staged_.dirty.insert(job.id);
+  if (!checkpoint.empty()) {
+    task.checkpoint = checkpoint;
+  }
+  const auto& spec = job.Step(id.step);
+  auto& siblings = job.occurrences.at(id.occurrence)
+                       .steps[static_cast<std::size_t>(id.step)];
+  if (spec.gang && kind != EndKind::kDone &&
+      std::any_of(siblings.begin(), siblings.end(), [&](const auto& it) {
+        return it.phase == TaskPhase::kDone && it.run == task.run;
+      })) {
+    // The members of a gang end together; one end stands for all.
+    kind = EndKind::kDone;
+  }
+  if (job.end != JobEnd::kOpen) {
+    task.phase = TaskPhase::kWaiting;
+    return;
+  }
+  if (kind == EndKind::kDone && !spec.lasting) {
+    if (task.seen && task.checkpoint.empty()) {
+      durations_.Observe(job.queue, spec.estimate, now_ - task.started_at);
+    }
+    FinishTask(job, id, task);
+    return;
+  }
+  if (kind == EndKind::kFailed) {
+    ++task.failures;
+    task.failed_on = task.worker;
+    if (!spec.lasting && task.failures >= job.max_attempts) {
+      EndJob(job, JobEnd::kFailed,
+             fmt::format("attempts-used task={}", ToString(id)));
+      task.phase = TaskPhase::kWaiting;
+      return;
+    }
+  }
+  if (spec.lasting && kind != EndKind::kStopped) {
+    const int doublings = std::min(task.failures, kMostPauseDoublings);
+    task.not_before = now_ + tuning_.restart_pause * (1 << doublings);
+  }
+  ReturnToWaiting(job, id, task);
+}
+
+void PoolEngine::FinishTask(Job& job, const TaskId& id, Task& task) {
+  task.phase = TaskPhase::kDone;
+  auto& occurrence = job.occurrences.at(id.occurrence);
+  if (job.Step(id.step).gang) {
+    for (auto& it : occurrence.steps[static_cast<std::size_t>(id.step)]) {
+      if (it.phase == TaskPhase::kWaiting && it.run == task.run) {
+        it.phase = TaskPhase::kDone;
+      }
+    }
+  }
+  if (!job.IsFinished(occurrence)) {
+    AddReadySteps(job, id.occurrence);
+    return;
+  }
+  ++job.finished;
+  job.occurrences.erase(id.occurrence);
+  if (job.finished == job.Times()) {
+    EndJob(job, JobEnd::kCompleted, "all-tasks-done");
+  }
+}
+
+void PoolEngine::Schedule() {
+  for (const auto& [service, steps] : ready_.by_service()) {
+    // Copied, since placing a step changes the set.
+    const std::vector<ReadyStep> all(steps.begin(), steps.end());
+    int misfits = 0;
+    // Work that can no longer keep its objective goes last, or a queue that
+    // is behind would make each of its jobs late.
+    for (const bool late : {false, true}) {
+      for (const auto& it : all) {
+        if (misfits >= kMostMisfits) {
+          break;
+        }
+        if ((it.ends && it.due < now_) == late) {
+          PlaceStep(service, it);
+          misfits += ready_.by_service().at(service).contains(it) ? 1 : 0;
+        }
+      }
+    }
+  }
+}
+
+void PoolEngine::PlaceStep(const ServiceId& service, const ReadyStep& ready) {
+  Job& job = jobs_.at(ready.job);
+  const auto& spec = job.Step(ready.step);
+  auto& tasks = job.occurrences.at(ready.occurrence)
+                    .steps[static_cast<std::size_t>(ready.step)];
+  if (spec.gang) {
+    if (PlaceGang(service, job, ready)) {
+      ready_.Remove(service, ready);
+    }
+    return;
+  }
+  const Placement placement(workers_, now_);
+  std::string rack;
+  bool all = true;
+  for (int i = 0; i < static_cast<int>(tasks.size()); ++i) {
+    Task& task = tasks[static_cast<std::size_t>(i)];
+    if (task.phase != TaskPhase::kWaiting) {
+      continue;
+    }
+    if (task.not_before > now_) {
+      all = false;
+      continue;
+    }
+    const Worker* worker = placement.Choose(service, job, ready.occurrence,
+                                            ready.step, task, rack);
+    if (!worker) {
+      all = false;
+      break;
+    }
+    if (spec.rack_local) {
+      rack = worker->Rack();
+    }
+    Place(job, {job.id, ready.occurrence, ready.step, i}, task,
+          worker->entry.id);
+  }
+  if (all) {
+    ready_.Remove(service, ready);
+  }
+}
+
+bool PoolEngine::PlaceGang(const ServiceId& service,
+                           Job& job,
+                           const ReadyStep& ready) {
+  auto& tasks = job.occurrences.at(ready.occurrence)
+                    .steps[static_cast<std::size_t>(ready.step)];
+  RunNumber run;
+  for (const auto& it : tasks) {
+    // A member of the former run may still be present.
+    if (it.phase != TaskPhase::kWaiting) {
+      return false;
+    }
+    run = std::max(run, it.run);
+  }
+  const auto room = RoomOf(job.Step(ready.step));
+  const Placement placement(workers_, now_);
+  std::vector<WorkerId> chosen;
+  std::string rack;
+  for (const auto& it : tasks) {
+    const Worker* worker =
+        placement.Choose(service, job, ready.occurrence, ready.step, it, rack);
+    if (!worker) {
+      break;
+    }
+    rack = worker->Rack();
+    chosen.push_back(worker->entry.id);
+    Worker& reserved = workers_.at(chosen.back());
+    reserved.used += room;
+    reserved.runs.emplace(TaskId{job.id, ready.occurrence, ready.step,
+                                 static_cast<int>(chosen.size()) - 1},
+                          room);
+  }
+  for (std::size_t i = 0; i < chosen.size(); ++i) {
+    const TaskId id{job.id, ready.occurrence, ready.step, static_cast<int>(i)};
+    Worker& reserved = workers_.at(chosen[i]);
+    reserved.used -= room;
+    reserved.runs.erase(id);
+  }
+  if (chosen.size() < tasks.size()) {
+    return false;
+  }
+  for (std::size_t i = 0; i < tasks.size(); ++i) {
+    tasks[i].run = run;
+    Place(job, {job.id, ready.occurrence, ready.step, static_cast<int>(i)},
+          tasks[i], chosen[i]);
+  }
+  return true;
+}
+
+void PoolEngine::Place(Job& job,
+                       const TaskId& id,
+                       Task& task,
+                       const WorkerId& worker) {
+  task.phase = TaskPhase::kPlaced;
+  task.run = RunNumber(task.run.value() + 1);
+  task.worker = worker;
+  task.seen = false;
+  task.stop_answered = false;
+  task.pace_percent = 100;
+  const auto room = RoomOf(job.Step(id.step));
+  Worker& chosen = workers_.at(worker);
+  chosen.runs.emplace(id, room);
+  chosen.used += room;
+  staged_.dirty.insert(job.id);
+  staged_.placed.emplace_back(id, task.run);
+}
+
+void PoolEngine::SendStart(const TaskId& id, RunNumber run) {
+  const auto found = jobs_.find(id.job);
+  Task* task = found == jobs_.end() ? nullptr : found->second.Find(id);
+  if (!task || task->phase != TaskPhase::kPlaced || task->run != run) {
+    return;
+  }
+  Job& job = found->second;
+  Worker& worker = workers_.at(task->worker);
+  if (!worker.IsUsable(now_) || !worker.used.FitsIn(worker.entry.capacity)) {
+    // The worker began to leave, fell silent or shrank meanwhile.
+    FreeRoom(id, *task);
+    ReturnToWaiting(job, id, *task);
+    return;
+  }
+  task->phase = TaskPhase::kStarting;
+  task->answered_at = Time::max();
+  task->started_at = now_;
+  task->progress_at = now_;
+  task->percent = 0;
+  const auto lease_until = worker.ClockAt(now_) + tuning_.lease.count() / 1000;
+  worker.lease_sent_ms = std::max(worker.lease_sent_ms, lease_until);
+  Explain("start-run", id.job,
+          fmt::format("task={} run={} worker={} host={} free_cpu={}",
+                      ToString(id), run.value(), task->worker.value(),
+                      worker.entry.host.value(), worker.Free().cpu_milli));
+  effects_.push_back(StartRun{task->worker, worker.entry.address, id, run,
+                              job.spec.payload, lease_until, task->checkpoint});
+}
+
+void PoolEngine::Handle(const StartFinished& event) {
+  const auto found = jobs_.find(event.task.job);
+  Task* task = found == jobs_.end() ? nullptr : found->second.Find(event.task);
+  const auto known = workers_.find(event.worker);
+  if (!task || known == workers_.end() || task->run != event.run ||
+      task->worker != event.worker ||
+      (task->phase != TaskPhase::kStarting &&
+       task->phase != TaskPhase::kStopping)) {
+    return;
+  }
+  Job& job = found->second;
+  Worker& worker = known->second;
+  if (event.result == OrderResult::kDone) {
+    job.begun = true;
+    task->seen = true;
+    if (task->phase == TaskPhase::kStarting) {
+      task->phase = TaskPhase::kRunning;
+      task->answered_at = now_;
+    }
+    DriveWorker(worker);
+    return;
+  }
+  if (event.result == OrderResult::kUnknown) {
+    Explain("start-unanswered", job.id,
+            fmt::format("task={} run={} worker={}", ToString(event.task),
+                        event.run.value(), event.worker.value()));
+    if (task->phase == TaskPhase::kStarting) {
+      // The next look tells whether the run is present.
+      task->answered_at = now_;
+    }
+    worker.avoid_until =
+        std::max(worker.avoid_until, now_ + tuning_.refused_pause);
+    DriveWorker(worker);
+    return;
+  }
+  Explain("start-refused", job.id,
+          fmt::format("task={} run={} worker={} result={}",
+                      ToString(event.task), event.run.value(),
+                      event.worker.value(), static_cast<int>(event.result)));
+  FreeRoom(event.task, *task);
+  ReturnToWaiting(job, event.task, *task);
+  worker.avoid_until =
+      std::max(worker.avoid_until, now_ + tuning_.refused_pause);
+  if (event.result == OrderResult::kWrongLife) {
+    LoseRuns(worker, "address-reused");
+    worker.introduced = false;
+  }
+}
+
+}  // namespace baobab
--- /dev/null
+++ b/src/libjobs/pool_event.h
@@ -0,0 +1,116 @@
+#ifndef SRC_LIBJOBS_POOL_EVENT_H_
+#define SRC_LIBJOBS_POOL_EVENT_H_
+
+#include <cstdint>
+#include <memory>
+#include <variant>
+#include <vector>
+
+#include "libjobs/policies.h"
+#include "libjobs/stored_job.h"
+#include "libjobs/worker_report.h"
+
+namespace baobab {
+
+/** Lets timers run; the shell sends one every 50 ms. */
+struct PoolTick {};
+
+/** The records of the shard were read after it was closed to former owners. */
+struct ShardLoaded {
+  std::vector<StoredRecord> records;
+};
+
+struct PoliciesChanged {
+  std::shared_ptr<const PolicySet> policies;
+};
+
+/** All workers that the platform lists, also those of other shards. */
+struct WorkersListed {
+  std::shared_ptr<const std::vector<WorkerEntry>> workers;
+};
+
+struct SubmitRequested {
+  ReplyId reply;
+  JobId job;
+  QueuePolicy queue;
+  JobSpec spec;
+};
+
+struct CancelRequested {
+  ReplyId reply;
+  JobId job;
+};
+
+/** All records of the commit are stored. */
+struct CommitStored {
+  CommitId commit;
+};
+
+/** How a call of a worker ended. */
+enum class OrderResult {
+  kDone,
+  /** An owner with a higher token has called the worker. */
+  kFenced,
+  /** A run that is not lower was stopped or ended there. */
+  kOldRun,
+  /** The lease in the order had expired. */
+  kLate,
+  kNoRoom,
+  /** The ticket of the advice service is missing or expired. */
+  kNoTicket,
+  /** The worker is unhealthy and did nothing. */
+  kBusy,
+  /** The worker cannot understand the order and did nothing. */
+  kInvalid,
+  /** Another worker has the address now. */
+  kWrongLife,
+  /** No byte was sent. */
+  kNotSent,
+  /** No answer; the order may be carried out, also later. */
+  kUnknown,
+};
+
+struct LookFinished {
+  WorkerId worker;
+  std::uint64_t look = 0;
+  OrderResult result = OrderResult::kUnknown;
+  /** Set with kDone. */
+  WorkerReport report;
+};
+
+struct StartFinished {
+  WorkerId worker;
+  TaskId task;
+  RunNumber run;
+  OrderResult result = OrderResult::kUnknown;
+};
+
+struct StopFinished {
+  WorkerId worker;
+  TaskId task;
+  RunNumber run;
+  OrderResult result = OrderResult::kUnknown;
+};
+
+using PoolEventBody = std::variant<PoolTick,
+                                   ShardLoaded,
+                                   PoliciesChanged,
+                                   WorkersListed,
+                                   SubmitRequested,
+                                   CancelRequested,
+                                   CommitStored,
+                                   LookFinished,
+                                   StartFinished,
+                                   StopFinished>;
+
+struct PoolEvent {
+  /** Runtime clock; never lower than in an earlier event. */
+  Time at;
+  /** Wall clock in ms since 1970. */
+  std::int64_t wall_ms = 0;
+  PoolEventBody body;
+};
+
+}  // namespace baobab
+
+#endif  // SRC_LIBJOBS_POOL_EVENT_H_
--- /dev/null
+++ b/src/libjobs/pool_tuning.h
@@ -0,0 +1,56 @@
+#ifndef SRC_LIBJOBS_POOL_TUNING_H_
+#define SRC_LIBJOBS_POOL_TUNING_H_
+
+#include <chrono>
+
+#include "libbase/base.h"
+
+namespace baobab {
+
+/** Bounds of the platform and times of the engine. The platform's bounds come
+ * from the settings; the defaults are those of today's deployments. */
+struct PoolTuning {
+  /** Number of shards of the job state; a setting of the platform's store. */
+  int shards = 32;
+  /** Longest lease that a worker grants. */
+  Duration max_lease = std::chrono::milliseconds(6000);
+  /** Lease asked for. It must outlast a takeover, about 2 s, and is waited out
+   * when a worker is cut off. */
+  Duration lease = std::chrono::milliseconds(4500);
+  /** A worker's clock may be slow by this share. */
+  double clock_drift = 0.02;
+  /** A former owner extends leases for at most this long after a takeover:
+   * it stops giving orders when it could not renew its membership for 4 s. */
+  Duration former_owner = std::chrono::milliseconds(4500);
+  /** Longest wait of a look for the next end; leases are extended this often.
+   */
+  Duration look_wait = std::chrono::milliseconds(1000);
+  /** Between looks at a worker that did not answer, or whose ends cannot be
+   * stored at the moment. */
+  Duration look_retry = std::chrono::milliseconds(300);
+  /** A stop without an answer is sent again after this time. */
+  Duration stop_retry = std::chrono::milliseconds(600);
+  /** A worker that refused an order is avoided for this time. */
+  Duration refused_pause = std::chrono::milliseconds(500);
+  /** A worker on which runs failed in a row is avoided for this time. */
+  Duration quarantine = std::chrono::milliseconds(3000);
+  /** Failed runs in a row, without one that was done, before quarantine. */
+  int quarantine_failures = 2;
+  /** First pause before a lasting task is started again; it doubles up to 8
+   * times with each failure in a row. */
+  Duration restart_pause = std::chrono::milliseconds(100);
+  /** The state of an ended job is kept for at least this long. */
+  Duration status_kept = std::chrono::seconds(120);
+  /** Shortest time between two commits; bounds the store calls of a shard. */
+  Duration commit_gap = std::chrono::milliseconds(8);
+  /** A commit without an answer for this long means that the store is away;
+   * new jobs are then refused. */
+  Duration store_patience = std::chrono::milliseconds(1000);
+  /** Share of the time until its objective that a job may be expected to wait
+   * before its first start; more is refused. */
+  double admission_slack = 0.8;
+};
+
+}  // namespace baobab
+
+#endif  // SRC_LIBJOBS_POOL_TUNING_H_
--- /dev/null
+++ b/src/libjobs/ready_steps.cc
@@ -0,0 +1,18 @@
+#include "libjobs/ready_steps.h"
+
+namespace baobab {
+
+void ReadySteps::Add(const ServiceId& service, const ReadyStep& step) {
+  by_service_[service].insert(step);
+}
+
+void ReadySteps::RemoveJob(const ServiceId& service, const JobId& job) {
+  std::erase_if(by_service_[service],
+                [&](const auto& it) { return it.job == job; });
+}
+
+void ReadySteps::Remove(const ServiceId& service, const ReadyStep& step) {
+  by_service_[service].erase(step);
+}
+
+}  // namespace baobab
--- /dev/null
+++ b/src/libjobs/stored_job.cc
@@ -0,0 +1,191 @@
+#include "libjobs/stored_job.h"
+
+#include <cstdint>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace baobab {
+
+namespace {
+
+using Json = nlohmann::json;
+
+// Both records are arrays, in which later releases may only append fields.
+constexpr int kFormat = 1;
+
+std::string Pack(const Json& json) {
+  std::string out;
+  Json::to_msgpack(json, out);
+  return out;
+}
+
+Json StepToJson(const StepSpec& step) {
+  return Json::array({step.count, step.need.cpu_milli, step.need.mem_mb,
+                      step.need.gpus, step.estimate.count(), step.after,
+                      (step.checkpoints ? 1 : 0) | (step.gang ? 2 : 0) |
+                          (step.rack_local ? 4 : 0) |
+                          (step.speculative ? 8 : 0) | (step.lasting ? 16 : 0) |
+                          (step.fills ? 32 : 0) |
+                          (step.guards_availability ? 64 : 0),
+                      step.label, step.data_rack, step.most_per_worker,
+                      step.image, step.tail_target.count(), step.may_miss});
+}
+
+StepSpec StepFromJson(const Json& json) {
+  StepSpec step;
+  step.count = json.at(0).get<int>();
+  step.need = {json.at(1).get<std::int64_t>(), json.at(2).get<std::int64_t>(),
+               json.at(3).get<std::int64_t>()};
+  step.estimate = Duration(json.at(4).get<std::int64_t>());
+  step.after = json.at(5).get<std::vector<int>>();
+  const int flags = json.at(6).get<int>();
+  step.checkpoints = (flags & 1) != 0;
+  step.gang = (flags & 2) != 0;
+  step.rack_local = (flags & 4) != 0;
+  step.speculative = (flags & 8) != 0;
+  step.lasting = (flags & 16) != 0;
+  step.fills = (flags & 32) != 0;
+  step.guards_availability = (flags & 64) != 0;
+  step.label = json.at(7).get<std::string>();
+  step.data_rack = json.at(8).get<std::string>();
+  step.most_per_worker = json.at(9).get<int>();
+  step.image = json.at(10).get<std::string>();
+  step.tail_target = Duration(json.at(11).get<std::int64_t>());
+  step.may_miss = json.at(12).get<int>();
+  return step;
+}
+
+Job AcceptanceFromJson(const JobId& id, const Json& json) {
+  Job job;
+  job.id = id;
+  job.queue = QueueId(json.at(1).get<std::string>());
+  job.service = ServiceId(json.at(2).get<std::string>());
+  job.priority = json.at(3).get<int>();
+  job.max_attempts = json.at(4).get<int>();
+  job.stretch = json.at(5).get<double>();
+  job.target = Duration(json.at(6).get<std::int64_t>());
+  job.accepted_wall_ms = json.at(7).get<std::int64_t>();
+  job.spec.payload = json.at(8).get<std::string>();
+  for (const auto& it : json.at(9)) {
+    job.spec.steps.push_back(StepFromJson(it));
+  }
+  job.spec.repeats = json.at(10).get<int>();
+  job.spec.first_due_wall_ms = json.at(11).get<std::int64_t>();
+  job.spec.interval_ms = json.at(12).get<std::int64_t>();
+  job.stored = true;
+  return job;
+}
+
+/** Also sets `task` to what the row says. */
+void ApplyTaskRow(Job& job, const Json& row) {
+  const TaskId id{job.id, row.at(0).get<int>(), row.at(1).get<int>(),
+                  row.at(2).get<int>()};
+  Task* task = job.Find(id);
+  if (!task) {
+    throw std::out_of_range("a task that the job does not have");
+  }
+  const auto phase = static_cast<TaskPhase>(row.at(3).get<int>());
+  task->phase = HoldsRoom(phase) ? TaskPhase::kInherited : phase;
+  task->run = RunNumber(row.at(4).get<std::int64_t>());
+  task->failures = row.at(5).get<int>();
+  task->worker = WorkerId(row.at(6).get<std::string>());
+  task->checkpoint = row.at(7).get<std::string>();
+}
+
+void ApplyProgress(Job& job, const Json& json) {
+  job.end = static_cast<JobEnd>(json.at(1).get<int>());
+  job.shown = job.end;
+  job.ended_wall_ms = json.at(2).get<std::int64_t>();
+  job.begun = json.at(3).get<bool>();
+  const int created = json.at(4).get<int>();
+  if (created < 0 || created > job.Times()) {
+    throw std::out_of_range("more occurrences than the job has");
+  }
+  const auto open = json.at(5).get<std::vector<int>>();
+  for (const int it : open) {
+    job.created = it;
+    job.CreateOccurrence(Time{});
+  }
+  job.created = created;
+  job.finished = created - static_cast<int>(open.size());
+  for (const auto& it : json.at(6)) {
+    ApplyTaskRow(job, it);
+  }
+}
+
+}  // namespace
+
+std::string AcceptanceKey(const JobId& id) {
+  return "a/" + id.value();
+}
+
+std::string ProgressKey(const JobId& id) {
+  return "p/" + id.value();
+}
+
+std::string EncodeAcceptance(const Job& job) {
+  Json steps = Json::array();
+  for (const auto& it : job.spec.steps) {
+    steps.push_back(StepToJson(it));
+  }
+  return Pack(Json::array({kFormat, job.queue.value(), job.service.value(),
+                           job.priority, job.max_attempts, job.stretch,
+                           job.target.count(), job.accepted_wall_ms,
+                           job.spec.payload, std::move(steps), job.spec.repeats,
+                           job.spec.first_due_wall_ms, job.spec.interval_ms}));
+}
+
+std::string EncodeProgress(const Job& job) {
+  Json open = Json::array();
+  Json rows = Json::array();
+  for (const auto& [number, occurrence] : job.occurrences) {
+    open.push_back(number);
+    for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+      const auto& tasks = occurrence.steps[step];
+      for (std::size_t i = 0; i < tasks.size(); ++i) {
+        const auto& it = tasks[i];
+        const bool open_run = HoldsRoom(it.phase);
+        // Of an ended job only the runs matter that are still to be stopped.
+        if (it.run.value() == 0 || (job.end != JobEnd::kOpen && !open_run)) {
+          continue;
+        }
+        rows.push_back(Json::array(
+            {number, step, i, static_cast<int>(it.phase), it.run.value(),
+             it.failures, open_run ? it.worker.value() : "",
+             it.phase == TaskPhase::kDone ? "" : it.checkpoint}));
+      }
+    }
+  }
+  return Pack(
+      Json::array({kFormat, static_cast<int>(job.end), job.ended_wall_ms,
+                   job.begun, job.created, std::move(open), std::move(rows)}));
+}
+
+LoadedJobs DecodeJobs(const std::vector<StoredRecord>& records) {
+  LoadedJobs loaded;
+  const auto decode = [&](char kind, const auto& apply) {
+    for (const auto& it : records) {
+      if (it.value.empty() || it.key.size() < 3 || it.key[0] != kind) {
+        continue;
+      }
+      try {
+        apply(JobId(it.key.substr(2)), Json::from_msgpack(it.value));
+      } catch (const std::exception& error) {
+        loaded.faults.push_back(it.key + ": " + error.what());
+      }
+    }
+  };
+  decode('a', [&](const JobId& id, const Json& json) {
+    loaded.jobs.emplace(id, AcceptanceFromJson(id, json));
+  });
+  decode('p', [&](const JobId& id, const Json& json) {
+    const auto it = loaded.jobs.find(id);
+    if (it != loaded.jobs.end()) {
+      ApplyProgress(it->second, json);
+    }
+  });
+  return loaded;
+}
+
+}  // namespace baobab
--- /dev/null
+++ b/src/libjobs/worker.cc
@@ -0,0 +1,82 @@
+#include "libjobs/worker.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace baobab {
+
+namespace {
+
+std::int64_t Milliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
+}  // namespace
+
+std::int64_t Worker::ClockAt(Time now) const {
+  return clock_ms_.value_or(entry.clock_ms) + Milliseconds(now - clock_at_);
+}
+
+std::int64_t Worker::LeastClockAt(Time now, double drift) const {
+  const auto passed = static_cast<double>(Milliseconds(now - clock_at_));
+  return clock_ms_.value_or(entry.clock_ms) +
+         static_cast<std::int64_t>(passed * (1.0 - drift));
+}
+
+void Worker::SetClock(std::int64_t clock_ms, Time now) {
+  // Answers may overtake each other; an older reading is not better.
+  if (clock_ms_ && clock_ms < ClockAt(now) - 1000) {
+    return;
+  }
+  clock_ms_ = clock_ms;
+  clock_at_ = now;
+}
+
+std::string_view Worker::Rack() const {
+  // The platform gives a worker the label of its kind, then that of its rack.
+  return entry.labels.size() < 2 ? std::string_view() : entry.labels.back();
+}
+
+bool Worker::HasLabel(std::string_view label) const {
+  return std::find(entry.labels.begin(), entry.labels.end(), label) !=
+         entry.labels.end();
+}
+
+bool Worker::IsUsable(Time now) const {
+  return listed && introduced && !entry.draining && misses == 0 &&
+         now >= avoid_until;
+}
+
+Resources Worker::Free() const {
+  Resources free = entry.capacity;
+  free -= used;
+  return free;
+}
+
+bool Worker::CountEnd(bool failed, Time now, const PoolTuning& tuning) {
+  if (!failed) {
+    failures_in_row = 0;
+    return false;
+  }
+  ++failures_in_row;
+  if (failures_in_row < tuning.quarantine_failures) {
+    return false;
+  }
+  avoid_until = std::max(avoid_until, now + tuning.quarantine);
+  return true;
+}
+
+void Worker::StartNewLife(std::int64_t new_born) {
+  born = new_born;
+  introduced = false;
+  lease_sent_ms = 0;
+  ends_taken = 0;
+  ends_stored = 0;
+  ends_told = 0;
+  ends_pending = false;
+  failures_in_row = 0;
+  clock_ms_.reset();
+}
+
+}  // namespace baobab
--- /dev/null
+++ b/src/libjobs/worker.h
@@ -0,0 +1,80 @@
+#ifndef SRC_LIBJOBS_WORKER_H_
+#define SRC_LIBJOBS_WORKER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "libjobs/pool_tuning.h"
+#include "libjobs/worker_report.h"
+
+namespace baobab {
+
+/** What the owner of a shard knows of one worker. */
+class Worker {
+ public:
+  explicit Worker(WorkerEntry entry) : entry(std::move(entry)) {}
+
+  /** Nominal reading of the worker's clock. */
+  std::int64_t ClockAt(Time now) const;
+  /** The worker's clock shows at least this. */
+  std::int64_t LeastClockAt(Time now, double drift) const;
+  void SetClock(std::int64_t clock_ms, Time now);
+  bool KnowsClock() const { return clock_ms_.has_value(); }
+
+  /** Rack of the labels, or empty. */
+  std::string_view Rack() const;
+  bool HasLabel(std::string_view label) const;
+  /** May be given new runs. */
+  bool IsUsable(Time now) const;
+  Resources Free() const;
+
+  /** Counts the end of a run for the quarantine; returns true if it begins. */
+  bool CountEnd(bool failed, Time now, const PoolTuning& tuning);
+
+  /** A new life under the same id: all former runs and counts are gone. */
+  void StartNewLife(std::int64_t born);
+
+  WorkerEntry entry;
+  bool listed = true;
+  /** It has answered a look with our token in its present life, so that no
+   * order of a former owner can take effect any more. */
+  bool introduced = false;
+  std::int64_t born = 0;
+  /** Latest lease end that may have reached the worker. */
+  std::int64_t lease_sent_ms = 0;
+  /** Runs of a former owner have ended by then, if there is no answer. */
+  Time inherited_until;
+
+  /** Highest end that was taken into the jobs, that is stored, and that the
+   * worker was told. */
+  std::int64_t ends_taken = 0;
+  std::int64_t ends_stored = 0;
+  std::int64_t ends_told = 0;
+
+  std::uint64_t look = 0;
+  bool looking = false;
+  Time look_sent_at;
+  Time next_look_at;
+  /** Looks without an answer in a row. */
+  int misses = 0;
+  /** Unstored ends were reported; a waiting look would return at once. */
+  bool ends_pending = false;
+
+  /** Runs that may be present, with what they take. */
+  std::map<TaskId, Resources> runs;
+  Resources used;
+
+  int failures_in_row = 0;
+  Time avoid_until;
+
+ private:
+  std::optional<std::int64_t> clock_ms_;
+  Time clock_at_;
+};
+
+}  // namespace baobab
+
+#endif  // SRC_LIBJOBS_WORKER_H_
--- /dev/null
+++ b/src/libnet/async_http_client.cc
@@ -0,0 +1,305 @@
+#include "libnet/async_http_client.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+namespace baobab {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+/** A connection is opened within a few round trips, or not at all. */
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(600);
+
+/** Idle connections are closed before the other side does, which it does after
+ * 15 s on today's platform. */
+constexpr Duration kIdleLimit = std::chrono::seconds(10);
+
+constexpr std::size_t kMostIdleForAddress = 8;
+
+constexpr std::uint64_t kMaxAnswerBytes = 16u << 20;
+
+/** Unacknowledged data breaks the connection after this many ms; a partition
+ * would otherwise hold it for minutes. */
+constexpr int kUserTimeoutMs = 5000;
+
+CallFailure NotSent(std::string message) {
+  return {.not_sent = true, .timed_out = false, .message = std::move(message)};
+}
+
+}  // namespace
+
+class AsyncHttpClient::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  explicit Impl(asio::io_context& loop) : loop_(loop) {}
+
+  void Call(const std::string& address,
+            HttpRequest request,
+            Duration timeout,
+            Callback done);
+  const Counters& counters() const { return counters_; }
+
+ private:
+  class Connection;
+  using Idle = std::vector<std::shared_ptr<Connection>>;
+
+  std::shared_ptr<Connection> TakeIdle(const std::string& address);
+  void Keep(std::shared_ptr<Connection> connection);
+
+  asio::io_context& loop_;
+  std::map<std::string, Idle> idle_;
+  Counters counters_;
+};
+
+class AsyncHttpClient::Impl::Connection
+    : public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(std::shared_ptr<Impl> client, std::string address)
+      : client_(std::move(client)),
+        address_(std::move(address)),
+        socket_(client_->loop_),
+        timer_(client_->loop_) {}
+
+  const std::string& address() const { return address_; }
+
+  /** False if the other side has closed it, or sent what nobody asked for. */
+  bool IsReusable() const {
+    if (std::chrono::steady_clock::now() - idle_since_ > kIdleLimit) {
+      return false;
+    }
+    char byte = 0;
+    const auto n = ::recv(const_cast<tcp::socket&>(socket_).native_handle(),
+                          &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  }
+
+  void Connect(const tcp::endpoint& endpoint,
+               HttpRequest request,
+               Duration timeout,
+               Callback done) {
+    Prepare(std::move(request), std::move(done));
+    timeout_ = timeout;
+    Arm(std::min(timeout, kConnectTimeout));
+    socket_.async_connect(
+        endpoint, [self = shared_from_this()](const error_code& error) {
+          if (error) {
+            self->Fail(NotSent("connect: " + error.message()));
+            return;
+          }
+          self->SetOptions();
+          self->Send(self->timeout_);
+        });
+  }
+
+  void Reuse(HttpRequest request, Duration timeout, Callback done) {
+    Prepare(std::move(request), std::move(done));
+    Send(timeout);
+  }
+
+ private:
+  void Prepare(HttpRequest request, Callback done) {
+    done_ = std::move(done);
+    request_ = {};
+    request_.version(11);
+    request_.method_string(request.method);
+    request_.target(request.target);
+    request_.set(http::field::host, address_);
+    for (const auto& it : request.headers) {
+      request_.set(it.name, it.value);
+    }
+    if (!request.body.empty()) {
+      request_.set(http::field::content_type, "application/json");
+    }
+    request_.body() = std::move(request.body);
+    request_.prepare_payload();
+    timed_out_ = false;
+  }
+
+  void SetOptions() {
+    error_code ignored;
+    socket_.set_option(tcp::no_delay(true), ignored);
+    const int ms = kUserTimeoutMs;
+    ::setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &ms,
+                 sizeof(ms));
+  }
+
+  void Send(Duration timeout) {
+    Arm(timeout);
+    parser_.emplace();
+    parser_->body_limit(kMaxAnswerBytes);
+    http::async_write(
+        socket_, request_,
+        [self = shared_from_this()](const error_code& error, std::size_t n) {
+          self->client_->counters_.bytes_sent += n;
+          if (error) {
+            self->Fail({.not_sent = false,
+                        .timed_out = self->timed_out_,
+                        .message = "send: " + error.message()});
+            return;
+          }
+          self->Receive();
+        });
+  }
+
+  void Receive() {
+    http::async_read(
+        socket_, buffer_, *parser_,
+        [self = shared_from_this()](const error_code& error, std::size_t n) {
+          self->client_->counters_.bytes_received += n;
+          if (error) {
+            self->Fail({.not_sent = false,
+                        .timed_out = self->timed_out_,
+                        .message = "receive: " + error.message()});
+            return;
+          }
+          self->Succeed();
+        });
+  }
+
+  void Succeed() {
+    timer_.cancel();
+    auto message = parser_->release();
+    HttpAnswer answer;
+    answer.status = static_cast<int>(message.result_int());
+    for (const auto& it : message) {
+      answer.headers.push_back(
+          {std::string(it.name_string()), std::string(it.value())});
+    }
+    const bool keep =
+        message.keep_alive() && !message.need_eof() && buffer_.size() == 0;
+    answer.body = std::move(message.body());
+    auto done = std::exchange(done_, {});
+    if (keep) {
+      idle_since_ = std::chrono::steady_clock::now();
+      client_->Keep(shared_from_this());
+    } else {
+      Close();
+    }
+    done(std::move(answer));
+  }
+
+  void Fail(CallFailure failure) {
+    timer_.cancel();
+    Close();
+    ++client_->counters_.failures;
+    if (auto done = std::exchange(done_, {})) {
+      done(tl::unexpected(std::move(failure)));
+    }
+  }
+
+  void Arm(Duration timeout) {
+    timer_.expires_after(timeout);
+    timer_.async_wait([weak = weak_from_this()](const error_code& error) {
+      const auto self = weak.lock();
+      if (error || !self || !self->done_ ||
+          self->timer_.expiry() > std::chrono::steady_clock::now()) {
+        return;
+      }
+      // The pending operation ends with an error, which reports the failure.
+      self->timed_out_ = true;
+      self->Close();
+    });
+  }
+
+  void Close() {
+    error_code ignored;
+    socket_.close(ignored);
+  }
+
+  const std::shared_ptr<Impl> client_;
+  const std::string address_;
+  tcp::socket socket_;
+  asio::steady_timer timer_;
+  boost::beast::flat_buffer buffer_;
+  http::request<http::string_body> request_;
+  std::optional<http::response_parser<http::string_body>> parser_;
+  Callback done_;
+  Duration timeout_{0};
+  bool timed_out_ = false;
+  std::chrono::steady_clock::time_point idle_since_;
+};
+
+std::shared_ptr<AsyncHttpClient::Impl::Connection>
+AsyncHttpClient::Impl::TakeIdle(const std::string& address) {
+  const auto found = idle_.find(address);
+  if (found == idle_.end()) {
+    return nullptr;
+  }
+  auto& connections = found->second;
+  while (!connections.empty()) {
+    auto connection = std::move(connections.back());
+    connections.pop_back();
+    if (connection->IsReusable()) {
+      return connection;
+    }
+  }
+  idle_.erase(found);
+  return nullptr;
+}
+
+void AsyncHttpClient::Impl::Keep(std::shared_ptr<Connection> connection) {
+  auto& connections = idle_[connection->address()];
+  if (connections.size() < kMostIdleForAddress) {
+    connections.push_back(std::move(connection));
+  }
+}
+
+void AsyncHttpClient::Impl::Call(const std::string& address,
+                                 HttpRequest request,
+                                 Duration timeout,
+                                 Callback done) {
+  ++counters_.calls;
+  if (auto connection = TakeIdle(address)) {
+    connection->Reuse(std::move(request), timeout, std::move(done));
+    return;
+  }
+  const auto endpoint = ParseEndpoint(address);
+  error_code error;
+  const auto ip = endpoint ? asio::ip::make_address(endpoint->ip, error)
+                           : asio::ip::address();
+  if (!endpoint || error) {
+    asio::post(loop_, [done = std::move(done), address] {
+      done(tl::unexpected(NotSent("no address: " + address)));
+    });
+    return;
+  }
+  ++counters_.connections;
+  auto connection = std::make_shared<Connection>(shared_from_this(), address);
+  connection->Connect(
+      tcp::endpoint(ip, static_cast<unsigned short>(endpoint->port)),
+      std::move(request), timeout, std::move(done));
+}
+
+AsyncHttpClient::AsyncHttpClient(asio::io_context& loop)
+    : impl_(std::make_shared<Impl>(loop)) {}
+
+AsyncHttpClient::~AsyncHttpClient() = default;
+
+void AsyncHttpClient::Call(const std::string& address,
+                           HttpRequest request,
+                           Duration timeout,
+                           Callback done) {
+  impl_->Call(address, std::move(request), timeout, std::move(done));
+}
+
+const AsyncHttpClient::Counters& AsyncHttpClient::counters() const {
+  return impl_->counters();
+}
+
+}  // namespace baobab
