jobs: admit a job by a forecast of what the pool's jobs earn together

Cause: the former rule took all open work over all cores as the wait of a new job. Change: the open work of a pool is played forward with and without the job; it is accepted if the sum of what is earned rises. Time left to callers is split so that a short one is not spent before the owner is asked.

--- a/src/libfleet/fleet_node.cc
+++ b/src/libfleet/fleet_node.cc
@@ -36,6 +36,11 @@
 /** What is left of the caller's time for the answer's way. */
 constexpr Duration kAnswerMargin = std::chrono::milliseconds(150);
 
+/** Time for the owner of what the caller has left. */
+Duration OwnerTime(Duration time_left) {
+  return time_left - std::min(kAnswerMargin, time_left / 4);
+}
+
 }  // namespace
 
 template <typename T>
@@ -315,7 +320,7 @@
   auto forward = std::make_shared<Forward<T>>();
   forward->shard = ShardOf(queue.service, config_.tuning.shards);
   forward->deadline =
-      SteadyNow() + std::min(time_left - kAnswerMargin, kSearchLimit);
+      SteadyNow() + std::min(OwnerTime(time_left), kSearchLimit);
   forward->local = [job, queue, spec](ShardOwner& owner, auto settle) {
     owner.Submit(job, queue, spec, [settle](Result<SubmitAnswer> answer) {
       if (answer) {
@@ -361,7 +366,7 @@
   using T = bool;
   auto forward = std::make_shared<Forward<T>>();
   forward->shard = ShardOf(queue.service, config_.tuning.shards);
-  forward->deadline = SteadyNow() + time_left - kAnswerMargin;
+  forward->deadline = SteadyNow() + OwnerTime(time_left);
   forward->local = [job](ShardOwner& owner, auto settle) {
     owner.Cancel(job, [settle](Result<bool> found) {
       if (found) {
@@ -394,7 +399,7 @@
   using T = JobAnswer;
   auto forward = std::make_shared<Forward<T>>();
   forward->shard = ShardOf(queue.service, config_.tuning.shards);
-  forward->deadline = SteadyNow() + time_left - kAnswerMargin;
+  forward->deadline = SteadyNow() + OwnerTime(time_left);
   forward->local = [job](ShardOwner& owner, auto settle) {
     settle(JobAnswer{owner.engine().StateOf(job)});
   };
@@ -417,7 +422,7 @@
   using T = int;
   auto forward = std::make_shared<Forward<T>>();
   forward->shard = ShardOf(queue.service, config_.tuning.shards);
-  forward->deadline = SteadyNow() + time_left - kAnswerMargin;
+  forward->deadline = SteadyNow() + OwnerTime(time_left);
   forward->local = [name = queue.name](ShardOwner& owner, auto settle) {
     settle(owner.engine().Pending(name));
   };
--- a/src/libjobs/admission.cc
+++ b/src/libjobs/admission.cc
@@ -1,6 +1,7 @@
 #include "libjobs/admission.h"
 
 #include <algorithm>
+#include <chrono>
 
 namespace baobab {
 
@@ -11,62 +12,137 @@
 constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(1000);
 constexpr Duration kMostRetryAfter = std::chrono::milliseconds(8000);
 
-double Milliseconds(Duration duration) {
-  return static_cast<double>(duration.count()) / 1000.0;
+/** Share of a job's worth that does not depend on its size, and the most that
+ * a large one is worth, as multiples of the mean of its queue. */
+constexpr double kFixedWorth = 0.3;
+constexpr double kMostWorth = 4.0;
+/** Worth of a late job as a share of one in time. */
+constexpr double kLateWorth = 0.07;
+/** Times the objective until a late job is worth nothing. */
+constexpr int kLateLimit = 3;
+
+/** Weight of a new job in the mean work of its queue. */
+constexpr double kMeanWeight = 0.05;
+
+double EarnedWorth(const ForecastJob& job, Time accepted, Time end) {
+  if (end <= job.objective) {
+    return job.worth;
+  }
+  return end <= accepted + (job.objective - accepted) * kLateLimit
+             ? job.worth * kLateWorth
+             : 0;
 }
 
 }  // namespace
 
-double Admission::RemainingWork(const Job& job) const {
-  double work = 0;
-  for (const auto& [number, occurrence] : job.occurrences) {
-    for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
-      const auto& step = job.spec.steps[i];
-      if (step.lasting || step.fills) {
-        continue;
+void Admission::Observe(const Job& job) {
+  const double work = WorkEstimate(job.spec);
+  auto& mean = mean_work_.try_emplace(job.queue, work).first->second;
+  mean += kMeanWeight * (work - mean);
+}
+
+double Admission::WorthOf(const Job& job) const {
+  const auto mean = mean_work_.find(job.queue);
+  const double work = WorkEstimate(job.spec);
+  if (mean == mean_work_.end() || mean->second <= 0) {
+    return 1;
+  }
+  return std::min(kMostWorth,
+                  kFixedWorth + (1 - kFixedWorth) * work / mean->second);
+}
+
+ForecastJob Admission::Describe(const Job& job,
+                                const Occurrence& occurrence,
+                                Time now) const {
+  ForecastJob described;
+  described.priority = job.priority;
+  described.worth = WorthOf(job);
+  described.objective =
+      occurrence.due + Duration(static_cast<Duration::rep>(
+                           static_cast<double>(job.Objective().count()) *
+                           tuning_.admission_margin));
+  for (std::size_t i = 0; i < job.spec.steps.size(); ++i) {
+    const auto& spec = job.spec.steps[i];
+    ForecastStep step;
+    step.cores =
+        spec.fills ? 0 : static_cast<double>(spec.need.cpu_milli) / 1000.0;
+    step.duration = durations_.Expect(job.queue, spec.estimate);
+    step.after = spec.after;
+    for (const auto& it : occurrence.steps[i]) {
+      if (it.phase == TaskPhase::kWaiting) {
+        ++step.waiting;
+      } else if (it.phase != TaskPhase::kDone) {
+        step.running_until.push_back(std::max(
+            now, std::max(it.started_at, occurrence.due) + step.duration));
       }
-      const auto open = std::count_if(
-          occurrence.steps[i].begin(), occurrence.steps[i].end(),
-          [](const auto& it) { return it.phase != TaskPhase::kDone; });
-      work += static_cast<double>(open) *
-              static_cast<double>(step.need.cpu_milli) / 1000.0 *
-              Milliseconds(durations_.Expect(job.queue, step.estimate));
     }
+    described.steps.push_back(std::move(step));
+    described.latest_start.push_back(
+        job.LatestStart(occurrence, static_cast<int>(i)));
   }
-  return work;
+  return described;
 }
 
 AdmissionVerdict Admission::Judge(const Job& job,
+                                  const std::vector<const Job*>& open,
                                   const Workers& workers,
-                                  double work_ahead,
+                                  const std::vector<CoresArriving>& arriving,
                                   Time now) const {
   AdmissionVerdict verdict;
   if (job.IsLasting() || job.IsTimed()) {
     return verdict;
   }
-  double cores = 0;
+  double free = 0;
+  bool any = !arriving.empty();
   for (const auto& [id, worker] : workers) {
-    if (worker.entry.service != job.service || !worker.IsUsable(now)) {
-      continue;
+    if (worker.entry.service == job.service && worker.IsUsable(now)) {
+      free += static_cast<double>(worker.Free().cpu_milli) / 1000.0;
+      any = true;
     }
-    cores += static_cast<double>(worker.entry.capacity.cpu_milli) / 1000.0;
   }
-  const auto chain = durations_.Expect(job.queue, ChainEstimate(job.spec));
-  const double slack = Milliseconds(job.Objective()) - Milliseconds(chain);
-  if (cores <= 0) {
+  if (!any) {
     verdict.accept = false;
     verdict.retry_after = kLeastRetryAfter;
     return verdict;
   }
-  const double wait = work_ahead / cores;
-  verdict.wait = Duration(static_cast<Duration::rep>(wait * 1000));
-  const double allowed = std::max(0.0, slack) * tuning_.admission_slack;
-  if (wait > allowed) {
-    verdict.accept = false;
-    verdict.retry_after = std::clamp(
-        Duration(static_cast<Duration::rep>((wait - allowed) * 1000)),
-        kLeastRetryAfter, kMostRetryAfter);
+  std::vector<ForecastJob> described;
+  std::vector<Time> accepted;
+  for (const Job* it : open) {
+    if (it->IsLasting()) {
+      continue;
+    }
+    for (const auto& [number, occurrence] : it->occurrences) {
+      described.push_back(Describe(*it, occurrence, now));
+      accepted.push_back(occurrence.due);
+    }
+  }
+  Job candidate = job;
+  candidate.CreateOccurrence(job.accepted_at);
+  described.push_back(
+      Describe(candidate, candidate.occurrences.begin()->second, now));
+  accepted.push_back(job.accepted_at);
+
+  std::vector<const ForecastJob*> jobs;
+  for (const auto& it : described) {
+    jobs.push_back(&it);
+  }
+  const Forecast forecast(now, free, arriving);
+  const auto with = forecast.Play(jobs);
+  verdict.expected = with.back() - now;
+  jobs.pop_back();
+  const auto without = forecast.Play(jobs);
+  double gain =
+      with.back() <= described.back().objective ? described.back().worth : 0;
+  for (std::size_t i = 0; i < jobs.size(); ++i) {
+    gain += EarnedWorth(*jobs[i], accepted[i], with[i]) -
+            EarnedWorth(*jobs[i], accepted[i], without[i]);
+  }
+  if (gain > 0) {
+    return verdict;
   }
+  verdict.accept = false;
+  const Duration late = with.back() - described.back().objective;
+  verdict.retry_after = std::clamp(late, kLeastRetryAfter, kMostRetryAfter);
   return verdict;
 }
 
--- /dev/null
+++ b/src/libjobs/forecast.cc
@@ -0,0 +1,128 @@
+#include "libjobs/forecast.h"
+
+#include <algorithm>
+#include <queue>
+#include <set>
+#include <tuple>
+#include <utility>
+
+namespace baobab {
+
+namespace {
+
+/** Work that is not done by then counts as never done. */
+constexpr Duration kHorizon = std::chrono::seconds(60);
+
+/** Tasks of one step that end together, or cores that arrive. */
+struct End {
+  Time at;
+  double cores = 0;
+  std::size_t job = 0;
+  std::size_t step = 0;
+  int tasks = 0;
+
+  bool operator>(const End& other) const { return at > other.at; }
+};
+
+/** Order of placing: priority, work still in time before late work, slack. */
+using Key = std::tuple<int, Time, std::size_t, std::size_t>;
+
+struct Progress {
+  std::vector<int> waiting;
+  std::vector<int> open;
+  std::size_t open_steps = 0;
+};
+
+bool IsReady(const ForecastJob& job, const Progress& progress, std::size_t i) {
+  return std::all_of(
+      job.steps[i].after.begin(), job.steps[i].after.end(),
+      [&](int it) { return progress.open[static_cast<std::size_t>(it)] == 0; });
+}
+
+}  // namespace
+
+Forecast::Forecast(Time now,
+                   double free_cores,
+                   std::vector<CoresArriving> arriving)
+    : now_(now), free_cores_(free_cores), arriving_(std::move(arriving)) {}
+
+std::vector<Time> Forecast::Play(
+    const std::vector<const ForecastJob*>& jobs) const {
+  std::vector<Time> done(jobs.size(), now_ + kHorizon);
+  std::vector<Progress> progress(jobs.size());
+  std::priority_queue<End, std::vector<End>, std::greater<>> ends;
+  std::set<Key> ready;
+  for (const auto& it : arriving_) {
+    ends.push({std::max(it.at, now_), it.cores, 0, 0, 0});
+  }
+  const auto add_ready = [&](std::size_t j) {
+    for (std::size_t i = 0; i < jobs[j]->steps.size(); ++i) {
+      if (progress[j].waiting[i] > 0 && IsReady(*jobs[j], progress[j], i)) {
+        ready.emplace(jobs[j]->priority, jobs[j]->latest_start[i], j, i);
+      }
+    }
+  };
+  for (std::size_t j = 0; j < jobs.size(); ++j) {
+    for (std::size_t i = 0; i < jobs[j]->steps.size(); ++i) {
+      const auto& step = jobs[j]->steps[i];
+      const int running = static_cast<int>(step.running_until.size());
+      progress[j].waiting.push_back(step.waiting);
+      progress[j].open.push_back(step.waiting + running);
+      progress[j].open_steps += step.waiting + running > 0 ? 1 : 0;
+      for (const Time it : step.running_until) {
+        ends.push({std::max(it, now_), step.cores, j, i, 1});
+      }
+    }
+    if (progress[j].open_steps == 0) {
+      done[j] = now_;
+    }
+  }
+  for (std::size_t j = 0; j < jobs.size(); ++j) {
+    add_ready(j);
+  }
+  Time at = now_;
+  double free = free_cores_;
+  while (true) {
+    for (const bool late : {false, true}) {
+      for (auto it = ready.begin(); it != ready.end();) {
+        const auto [priority, latest, j, i] = *it;
+        const auto& step = jobs[j]->steps[i];
+        int& waiting = progress[j].waiting[i];
+        if ((latest < at) != late || free < step.cores) {
+          ++it;
+          continue;
+        }
+        const int fit =
+            step.cores > 0
+                ? std::min(waiting, static_cast<int>(free / step.cores))
+                : waiting;
+        free -= fit * step.cores;
+        waiting -= fit;
+        ends.push({at + step.duration, fit * step.cores, j, i, fit});
+        it = waiting == 0 ? ready.erase(it) : std::next(it);
+      }
+    }
+    if (ends.empty() || ends.top().at > now_ + kHorizon) {
+      return done;
+    }
+    at = ends.top().at;
+    while (!ends.empty() && ends.top().at <= at) {
+      const End end = ends.top();
+      ends.pop();
+      free += end.cores;
+      if (end.tasks == 0) {
+        continue;
+      }
+      auto& state = progress[end.job];
+      state.open[end.step] -= end.tasks;
+      if (state.open[end.step] == 0) {
+        if (--state.open_steps == 0) {
+          done[end.job] = at;
+        }
+        add_ready(end.job);
+      }
+    }
+  }
+}
+
+}  // namespace baobab
--- /dev/null
+++ b/src/libjobs/outlook.h
@@ -0,0 +1,65 @@
+#ifndef SRC_LIBJOBS_OUTLOOK_H_
+#define SRC_LIBJOBS_OUTLOOK_H_
+
+#include <set>
+#include <vector>
+
+#include "libjobs/forecast.h"
+#include "libjobs/worker_report.h"
+
+namespace baobab {
+
+/** Demand and room of one pool, as its owner sees them. All in cores. */
+struct ServiceOutlook {
+  ServiceId service;
+  /** Of the workers that take new runs. */
+  double cores = 0;
+  /** Taken by runs that end, and by lasting ones. */
+  double used = 0;
+  double lasting = 0;
+  /** Asked for by tasks whose turn has come and that found no room. */
+  double waiting = 0;
+  /** Asked for by jobs that were refused within the last second. */
+  double refused = 0;
+};
+
+/** One host of a pool, as the owner of the pool sees it. */
+struct HostOutlook {
+  HostId host;
+  WorkerId worker;
+  ServiceId service;
+  /** Nothing runs there and all ends are acknowledged. */
+  bool empty = false;
+  /** Lasting runs are there. */
+  bool lasting = false;
+  /** It is kept free for the planner. */
+  bool reserved = false;
+  bool draining = false;
+  /** Cores taken by runs. */
+  double used = 0;
+};
+
+/** What the owner of a shard tells the planner. */
+struct PoolOutlook {
+  std::vector<ServiceOutlook> services;
+  std::vector<HostOutlook> hosts;
+};
+
+/** What the planner asks of the owner of a shard. It holds until the next one,
+ * or until it expires. */
+struct HostPlan {
+  /** Hosts that get no new runs and are vacated within the availability
+   * budgets. */
+  std::set<HostId> reserved;
+  struct Arriving {
+    ServiceId service;
+    double cores = 0;
+    /** From now. */
+    Duration in{0};
+  };
+  std::vector<Arriving> arriving;
+};
+
+}  // namespace baobab
+
+#endif  // SRC_LIBJOBS_OUTLOOK_H_
--- a/src/libjobs/placement.cc
+++ b/src/libjobs/placement.cc
@@ -62,10 +62,7 @@
     const auto free = worker.Free().cpu_milli;
     const std::tuple cost(
         !spec.data_rack.empty() && worker.Rack() != spec.data_rack,
-        !rack.empty() && worker.Rack() != rack, id == task.failed_on,
-        // Lasting and filling tasks are spread, so that the loss of a worker
-        // and the load of fillers touch few of them.
-        spec.lasting || spec.fills ? -free : free);
+        !rack.empty() && worker.Rack() != rack, id == task.failed_on, free);
     if (!best || cost < best_cost) {
       best = &worker;
       best_cost = cost;
--- a/src/libjobs/pool_engine.cc
+++ b/src/libjobs/pool_engine.cc
@@ -17,6 +17,9 @@
  * takes at least twice as much in one call. */
 constexpr std::size_t kCommitBytes = 768u << 10;
 
+/** Refusals that count as present demand. */
+constexpr Duration kRefusalWindow = std::chrono::milliseconds(1000);
+
 /** Ended jobs are kept beyond the promised time by this share, since clocks
  * of the owners differ. */
 constexpr double kRetentionMargin = 1.25;
@@ -94,16 +97,84 @@
   return report;
 }
 
+PoolOutlook PoolEngine::Outlook(Time now) const {
+  PoolOutlook outlook;
+  std::map<ServiceId, ServiceOutlook> services;
+  const auto of = [&](const ServiceId& id) -> ServiceOutlook& {
+    auto& service = services[id];
+    service.service = id;
+    return service;
+  };
+  for (const auto& [id, worker] : workers_) {
+    if (!worker.listed) {
+      continue;
+    }
+    auto& service = of(worker.entry.service);
+    HostOutlook host{worker.entry.host, id, worker.entry.service};
+    host.reserved = worker.reserved;
+    host.draining = worker.entry.draining;
+    host.empty = worker.introduced && worker.runs.empty() &&
+                 worker.misses == 0 && !worker.looking &&
+                 worker.ends_told >= worker.ends_stored &&
+                 worker.ends_stored >= worker.ends_taken;
+    for (const auto& [task, room] : worker.runs) {
+      const auto job = jobs_.find(task.job);
+      const bool lasting =
+          job != jobs_.end() && job->second.Step(task.step).lasting;
+      host.lasting = host.lasting || lasting;
+      const double cores = static_cast<double>(room.cpu_milli) / 1000.0;
+      host.used += cores;
+      (lasting ? service.lasting : service.used) += cores;
+    }
+    if (worker.IsUsable(now)) {
+      service.cores +=
+          static_cast<double>(worker.entry.capacity.cpu_milli) / 1000.0;
+    }
+    outlook.hosts.push_back(std::move(host));
+  }
+  for (const auto& [id, steps] : ready_.by_service()) {
+    for (const auto& it : steps) {
+      const Job& job = jobs_.at(it.job);
+      const auto& tasks = job.occurrences.at(it.occurrence)
+                              .steps[static_cast<std::size_t>(it.step)];
+      of(id).waiting +=
+          static_cast<double>(RoomOf(job.Step(it.step)).cpu_milli) / 1000.0 *
+          static_cast<double>(
+              std::count_if(tasks.begin(), tasks.end(), [](const auto& task) {
+                return task.phase == TaskPhase::kWaiting;
+              }));
+    }
+  }
+  for (const auto& it : refusals_) {
+    if (now - it.at < kRefusalWindow) {
+      of(it.service).refused += it.cores;
+    }
+  }
+  for (auto& [id, service] : services) {
+    outlook.services.push_back(std::move(service));
+  }
+  return outlook;
+}
+
 void PoolEngine::Handle(const PoolTick&) {
   if (!loaded_) {
     return;
   }
+  while (!refusals_.empty() && now_ - refusals_.front().at >= kRefusalWindow) {
+    refusals_.pop_front();
+  }
+  if (now_ - planned_at_ >= tuning_.plan_kept &&
+      (!plan_.reserved.empty() || !plan_.arriving.empty())) {
+    // The planner has gone; its reservations must not outlive it.
+    Handle(HostsPlanned{});
+  }
   for (const auto& id : std::set<JobId>(timed_)) {
     BeginDueOccurrences(jobs_.at(id));
   }
   if (now_ - swept_at_ >= kSweepInterval) {
     swept_at_ = now_;
     ExpireLeases();
+    EvacuateWorkers();
     RetryStops();
     DropExpiredJobs();
   }
@@ -197,17 +268,22 @@
     return;
   }
   Job job = MakeJob(event);
-  const auto verdict = admission_.Judge(job, workers_, WorkAhead(job), now_);
+  admission_.Observe(job);
+  const auto verdict = Judge(job);
+  const auto expected_ms = verdict.expected.count() / 1000;
+  const auto objective_ms = job.Objective().count() / 1000;
   if (!verdict.accept) {
+    CountRefusal(job);
     refuse(SubmitVerdict::kRefused, verdict.retry_after,
-           fmt::format("overload wait_ms={}", verdict.wait.count() / 1000));
+           fmt::format("overload expected_ms={} objective_ms={}", expected_ms,
+                       objective_ms));
     return;
   }
   Explain(
       "accept-job", event.job,
-      fmt::format("queue={} service={} wait_ms={} tasks={}", job.queue.value(),
-                  job.service.value(), verdict.wait.count() / 1000,
-                  job.spec.steps.front().count));
+      fmt::format("queue={} service={} expected_ms={} objective_ms={} steps={}",
+                  job.queue.value(), job.service.value(), expected_ms,
+                  objective_ms, job.spec.steps.size()));
   auto& stored = jobs_.emplace(event.job, std::move(job)).first->second;
   staged_.accepted.insert(event.job);
   staged_.answers.push_back(
@@ -235,6 +311,18 @@
   staged_.answers.push_back(AnswerCancel{event.reply, true});
 }
 
+void PoolEngine::Handle(const HostsPlanned& event) {
+  plan_ = event.plan;
+  planned_at_ = now_;
+  for (auto& [id, worker] : workers_) {
+    worker.reserved = plan_.reserved.contains(worker.entry.host);
+  }
+  if (loaded_) {
+    EvacuateWorkers();
+    schedule_needed_ = true;
+  }
+}
+
 Job PoolEngine::MakeJob(const SubmitRequested& event) const {
   Job job;
   job.id = event.job;
@@ -250,15 +338,29 @@
   return job;
 }
 
-double PoolEngine::WorkAhead(const Job& job) const {
-  double work = 0;
+AdmissionVerdict PoolEngine::Judge(const Job& job) const {
+  std::vector<const Job*> open;
   for (const auto& [id, other] : jobs_) {
-    if (other.end == JobEnd::kOpen && other.service == job.service &&
-        other.priority <= job.priority) {
-      work += admission_.RemainingWork(other);
+    if (other.end == JobEnd::kOpen && other.service == job.service) {
+      open.push_back(&other);
+    }
+  }
+  std::vector<CoresArriving> arriving;
+  for (const auto& it : plan_.arriving) {
+    if (it.service == job.service) {
+      arriving.push_back({planned_at_ + it.in, it.cores});
     }
   }
-  return work;
+  return admission_.Judge(job, open, workers_, arriving, now_);
+}
+
+void PoolEngine::CountRefusal(const Job& job) {
+  double widest = 0;
+  for (const auto& it : job.spec.steps) {
+    widest = std::max(
+        widest, static_cast<double>(it.need.cpu_milli) / 1000.0 * it.count);
+  }
+  refusals_.push_back({now_, job.service, widest});
 }
 
 void PoolEngine::BeginDueOccurrences(Job& job) {
--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -1,6 +1,7 @@
 #ifndef SRC_LIBJOBS_POOL_ENGINE_H_
 #define SRC_LIBJOBS_POOL_ENGINE_H_
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -57,6 +58,8 @@
   int Pending(const QueueId& queue) const;
   bool IsLoaded() const { return loaded_; }
   PoolReport Report(Time now) const;
+  /** For the planner of hosts. */
+  PoolOutlook Outlook(Time now) const;
   const Workers& workers() const { return workers_; }
   const std::map<JobId, Job>& jobs() const { return jobs_; }
 
@@ -88,6 +91,7 @@
   void Handle(const WorkersListed& event);
   void Handle(const SubmitRequested& event);
   void Handle(const CancelRequested& event);
+  void Handle(const HostsPlanned& event);
   void Handle(const CommitStored& event);
   void Handle(const LookFinished& event);
   void Handle(const StartFinished& event);
@@ -95,7 +99,8 @@
 
   // Jobs (pool_engine.cc).
   Job MakeJob(const SubmitRequested& event) const;
-  double WorkAhead(const Job& job) const;
+  AdmissionVerdict Judge(const Job& job) const;
+  void CountRefusal(const Job& job);
   void BeginDueOccurrences(Job& job);
   void EndJob(Job& job, JobEnd end, const std::string& why);
   void DropExpiredJobs();
@@ -117,6 +122,8 @@
   void DriveWorkers();
   void DriveWorker(Worker& worker);
   void ExpireLeases();
+  void EvacuateWorkers();
+  bool MayStopLasting(Job& job, const TaskId& id) const;
   void RetryStops();
   void OrderStop(const TaskId& id, Task& task);
 
@@ -159,6 +166,15 @@
   Time commit_sent_at_;
   Time swept_at_;
   bool schedule_needed_ = false;
+  /** Cores that refused jobs asked for, by the time of the refusal. */
+  struct Refusal {
+    Time at;
+    ServiceId service;
+    double cores = 0;
+  };
+  std::deque<Refusal> refusals_;
+  HostPlan plan_;
+  Time planned_at_;
   std::uint64_t looks_ = 0;
   std::uint64_t violations_ = 0;
   Time loaded_at_;
--- a/src/libjobs/pool_engine_workers.cc
+++ b/src/libjobs/pool_engine_workers.cc
@@ -12,6 +12,9 @@
 /** Beyond the computed end of a lease, for the reading of the clock. */
 constexpr Duration kLeaseMargin = std::chrono::milliseconds(150);
 
+/** Progress at which a lasting task serves. */
+constexpr int kAtWorkPercent = 100;
+
 }  // namespace
 
 Worker& PoolEngine::WorkerFor(const WorkerId& id) {
@@ -57,6 +60,7 @@
     }
     worker.entry = it;
     worker.listed = true;
+    worker.reserved = plan_.reserved.contains(it.host);
     if (worker.born != 0 && it.born > worker.born) {
       worker.introduced = false;
       worker.next_look_at = now_;
@@ -352,6 +356,43 @@
   }
 }
 
+bool PoolEngine::MayStopLasting(Job& job, const TaskId& id) const {
+  const auto& spec = job.Step(id.step);
+  const auto& tasks = job.occurrences.at(id.occurrence)
+                          .steps[static_cast<std::size_t>(id.step)];
+  int away = 0;
+  for (std::size_t i = 0; i < tasks.size(); ++i) {
+    const bool at_work = tasks[i].phase == TaskPhase::kRunning &&
+                         tasks[i].percent == kAtWorkPercent;
+    away += static_cast<int>(i) != id.index && !at_work ? 1 : 0;
+  }
+  return away < std::max(1, spec.may_miss);
+}
+
+void PoolEngine::EvacuateWorkers() {
+  for (auto& [worker_id, worker] : workers_) {
+    if (!worker.reserved && !worker.entry.draining) {
+      continue;
+    }
+    std::vector<TaskId> ids;
+    for (const auto& [id, room] : worker.runs) {
+      ids.push_back(id);
+    }
+    for (const auto& id : ids) {
+      const auto found = jobs_.find(id.job);
+      Task* task = found == jobs_.end() ? nullptr : found->second.Find(id);
+      if (!task || task->phase != TaskPhase::kRunning ||
+          !found->second.Step(id.step).lasting) {
+        continue;
+      }
+      // A worker that leaves ends its runs in any case.
+      if (worker.entry.draining || MayStopLasting(found->second, id)) {
+        OrderStop(id, *task);
+      }
+    }
+  }
+}
+
 void PoolEngine::RetryStops() {
   for (auto& [worker_id, worker] : workers_) {
     for (const auto& [id, room] : worker.runs) {
--- a/src/libjobs/pool_event.h
+++ b/src/libjobs/pool_event.h
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "libjobs/outlook.h"
 #include "libjobs/policies.h"
 #include "libjobs/stored_job.h"
 #include "libjobs/worker_report.h"
@@ -41,6 +42,11 @@
   JobId job;
 };
 
+/** The planner wants hosts to be vacated, or sends new ones. */
+struct HostsPlanned {
+  HostPlan plan;
+};
+
 /** All records of the commit are stored. */
 struct CommitStored {
   CommitId commit;
@@ -98,6 +104,7 @@
                                    WorkersListed,
                                    SubmitRequested,
                                    CancelRequested,
+                                   HostsPlanned,
                                    CommitStored,
                                    LookFinished,
                                    StartFinished,
--- a/src/libjobs/pool_tuning.h
+++ b/src/libjobs/pool_tuning.h
@@ -46,9 +46,11 @@
   /** A commit without an answer for this long means that the store is away;
    * new jobs are then refused. */
   Duration store_patience = std::chrono::milliseconds(1000);
-  /** Share of the time until its objective that a job may be expected to wait
-   * before its first start; more is refused. */
-  double admission_slack = 0.8;
+  /** Share of a job's objective by which admission expects it to be done;
+   * the rest is for durations that differ from their estimates. */
+  double admission_margin = 0.9;
+  /** A plan of the planner holds for this long without a new one. */
+  Duration plan_kept = std::chrono::milliseconds(2000);
 };
 
 }  // namespace baobab
--- a/src/libjobs/worker.cc
+++ b/src/libjobs/worker.cc
@@ -44,7 +44,7 @@
 }
 
 bool Worker::IsUsable(Time now) const {
-  return listed && introduced && !entry.draining && misses == 0 &&
+  return listed && introduced && !entry.draining && !reserved && misses == 0 &&
          now >= avoid_until;
 }
 
--- a/src/libjobs/worker.h
+++ b/src/libjobs/worker.h
@@ -67,6 +67,9 @@
   std::map<TaskId, Resources> runs;
   Resources used;
 
+  /** Kept free for the planner. */
+  bool reserved = false;
+
   int failures_in_row = 0;
   Time avoid_until;
 
