jobs: plan maintenance waves and moves of hosts

Change: one planner, fenced through the store, reserves hosts with the owners of their pools, has them vacated within availability budgets, and orders maintenance or moves.

--- a/src/libfleet/fleet_node.cc
+++ b/src/libfleet/fleet_node.cc
@@ -29,6 +29,8 @@
 constexpr Duration kReadyLimit = std::chrono::milliseconds(6000);
 /** One try to reach an owner, and the pause before the next. */
 constexpr Duration kTryTimeout = std::chrono::milliseconds(900);
+/** An older outlook would not be used. */
+constexpr Duration kPlanTimeout = std::chrono::milliseconds(500);
 constexpr Duration kTryPause = std::chrono::milliseconds(120);
 /** Longest search for the owner of a shard before a caller is told to come
  * back; a takeover takes about this long. */
@@ -72,7 +74,7 @@
                 std::move(respond));
           }),
       join_timer_(ports.loop),
-      policy_timer_(ports.loop),
+      published_timer_(ports.loop),
       worker_timer_(ports.loop),
       owner_timer_(ports.loop),
       tick_timer_(ports.loop) {}
@@ -89,7 +91,7 @@
   // A former process of this node may still be a member; its shards are dealt
   // anew with a higher generation.
   ports_.store.Leave([this] { JoinLoop(); });
-  PolicyLoop();
+  PublishedLoop();
   OwnerLoop();
   WorkerLoop();
   TickLoop();
@@ -98,6 +100,7 @@
 void FleetNode::Leave() {
   leaving_ = true;
   join_timer_.Cancel();
+  OwnPlanner(false);
   for (auto& [id, shard] : std::exchange(shards_, {})) {
     shard->Stop();
   }
@@ -156,6 +159,7 @@
       ports_.log,
       [this] { return SteadyNow() - joined_at_ < kOrderLimit; },
       [this](ShardId it) { OnFenced(it); }};
+  OwnPlanner(held.contains(kPlannerShard));
   for (const auto& it : held) {
     if (shards_.contains(it)) {
       continue;
@@ -183,6 +187,9 @@
       it->second->Stop();
       shards_.erase(it);
     }
+    if (shard == kPlannerShard) {
+      OwnPlanner(false);
+    }
     owners_.erase(shard);
     RefreshOwners();
   });
@@ -194,16 +201,20 @@
                                                         : it->second.get();
 }
 
-void FleetNode::PolicyLoop() {
-  ports_.feed.AwaitPolicies([this](
-                                Result<std::shared_ptr<const PolicySet>> read) {
+void FleetNode::PublishedLoop() {
+  ports_.feed.AwaitPublished([this](Result<FleetFeed::Published> read) {
     if (!read) {
-      policy_timer_.Set(kRetryDelay, [this] { PolicyLoop(); });
+      published_timer_.Set(kRetryDelay, [this] { PublishedLoop(); });
       return;
     }
     store_seen_at_ = SteadyNow();
-    if (*read && (!policies_ || (*read)->version > policies_->version)) {
-      policies_ = *read;
+    const bool waves = published_.waves != read->waves;
+    const bool policies =
+        read->policies &&
+        (!policies_ || read->policies->version > policies_->version);
+    published_ = std::move(*read);
+    if (policies) {
+      policies_ = published_.policies;
       ports_.log.Write("use-policies", "",
                        fmt::format("version={} queues={}", policies_->version,
                                    policies_->queues.size()));
@@ -211,10 +222,63 @@
         shard->SetPolicies(policies_);
       }
     }
-    PolicyLoop();
+    if (planner_ && (policies || waves)) {
+      planner_->SetPublished(published_);
+    }
+    PublishedLoop();
   });
 }
 
+void FleetNode::OwnPlanner(bool own) {
+  if (!own) {
+    if (planner_) {
+      planner_->Stop();
+      planner_.reset();
+    }
+    return;
+  }
+  if (planner_) {
+    return;
+  }
+  const PlannerOwner::Ports ports{
+      ports_.loop,
+      ports_.store,
+      ports_.feed,
+      ports_.hosts,
+      ports_.log,
+      [this] { return SteadyNow() - joined_at_ < kOrderLimit; },
+      [this](ShardId shard, HostPlan plan, auto done) {
+        ExchangePlan(shard, std::move(plan), std::move(done));
+      }};
+  planner_ = std::make_shared<PlannerOwner>(
+      ports, FenceToken(generation_), config_.planner, config_.tuning.shards);
+  planner_->SetPublished(published_);
+  planner_->Start();
+}
+
+void FleetNode::ExchangePlan(ShardId shard,
+                             HostPlan plan,
+                             std::function<void(PoolOutlook)> done) {
+  if (auto* owner = FindLoaded(shard)) {
+    done(owner->Plan(std::move(plan)));
+    return;
+  }
+  const auto owner = owners_.find(shard);
+  if (owner == owners_.end() || owner->second == config_.peer_address) {
+    RefreshOwners();
+    return;
+  }
+  peers_.Plan(owner->second, shard, plan, kPlanTimeout,
+              [this, done = std::move(done)](
+                  tl::expected<PoolOutlook, PeerFault> outlook) {
+                if (outlook) {
+                  done(std::move(*outlook));
+                } else {
+                  RefreshOwners();
+                }
+              });
+}
+
 void FleetNode::WorkerLoop() {
   const auto again = [this] {
     worker_timer_.Set(kWorkerInterval, [this] { WorkerLoop(); });
--- a/src/libfleet/fleet_node.h
+++ b/src/libfleet/fleet_node.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "libfleet/peer_calls.h"
+#include "libfleet/planner_owner.h"
 #include "libnet/async_http_server.h"
 
 namespace baobab {
@@ -17,6 +18,7 @@
   /** "ip:port" at which other nodes reach this one. */
   std::string peer_address;
   PoolTuning tuning;
+  PlannerTuning planner;
 };
 
 /** How a caller's request ended. */
@@ -45,6 +47,7 @@
     JobStore& store;
     FleetFeed& feed;
     WorkerCalls& workers;
+    HostCalls& hosts;
     DecisionLog& log;
   };
 
@@ -87,7 +90,11 @@
 
   void JoinLoop();
   void OnJoined(const Membership& membership);
-  void PolicyLoop();
+  void PublishedLoop();
+  void OwnPlanner(bool own);
+  void ExchangePlan(ShardId shard,
+                    HostPlan plan,
+                    std::function<void(PoolOutlook)> done);
   void WorkerLoop();
   void OwnerLoop();
   void RefreshOwners();
@@ -106,7 +113,7 @@
   PeerCalls peers_;
   AsyncHttpServer peer_server_;
   LoopTimer join_timer_;
-  LoopTimer policy_timer_;
+  LoopTimer published_timer_;
   LoopTimer worker_timer_;
   LoopTimer owner_timer_;
   LoopTimer tick_timer_;
@@ -114,6 +121,8 @@
   std::shared_ptr<const PolicySet> policies_;
   std::shared_ptr<const std::vector<WorkerEntry>> worker_list_;
   std::map<ShardId, std::shared_ptr<ShardOwner>> shards_;
+  std::shared_ptr<PlannerOwner> planner_;
+  FleetFeed::Published published_;
   std::map<ShardId, std::string> owners_;
   bool reading_owners_ = false;
   Time owners_read_at_;
--- a/src/libfleet/peer_calls.cc
+++ b/src/libfleet/peer_calls.cc
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "libfleet/outlook_codec.h"
 #include "libjobs/stored_job.h"
 
 namespace baobab {
@@ -177,6 +178,17 @@
       }));
 }
 
+void PeerCalls::Plan(const std::string& peer,
+                     ShardId shard,
+                     const HostPlan& plan,
+                     Duration timeout,
+                     Done<PoolOutlook> done) {
+  client_.Call(
+      peer,
+      MakeRequest("/plan", Json::array({shard.value(), PlanToJson(plan)})),
+      timeout, Reading<PoolOutlook>(std::move(done), OutlookFromJson));
+}
+
 void ServePeer(const HttpRequest& request,
                const FindShard& find,
                std::function<void(HttpAnswer)> respond) {
@@ -198,6 +210,8 @@
     } else if (request.target == "/pending") {
       Answer(respond, Json::array({owner->engine().Pending(
                           QueueId(body.at(1).get<std::string>()))}));
+    } else if (request.target == "/plan") {
+      Answer(respond, OutlookToJson(owner->Plan(PlanFromJson(body.at(1)))));
     } else {
       respond({kBadRequest, {}, ""});
     }
--- a/src/libfleet/peer_calls.h
+++ b/src/libfleet/peer_calls.h
@@ -55,6 +55,12 @@
                const QueueId& queue,
                Duration timeout,
                Done<int> done);
+  /** The planner tells the owner of a shard what to do with its hosts. */
+  void Plan(const std::string& peer,
+            ShardId shard,
+            const HostPlan& plan,
+            Duration timeout,
+            Done<PoolOutlook> done);
 
  private:
   AsyncHttpClient& client_;
--- /dev/null
+++ b/src/libfleet/planner_owner.cc
@@ -0,0 +1,222 @@
+#include "libfleet/planner_owner.h"
+
+#include <chrono>
+#include <set>
+#include <utility>
+
+namespace baobab {
+
+namespace {
+
+const ShardStream kStream{kPlannerShard, ShardWriter::kPlanner};
+
+constexpr Duration kRetryDelay = std::chrono::milliseconds(150);
+constexpr Duration kAppendTimeout = std::chrono::milliseconds(800);
+/** Demand turns within seconds and a move takes 1.5 s, so a plan is worth
+ * little when it is older than this. */
+constexpr Duration kTickInterval = std::chrono::milliseconds(150);
+
+}  // namespace
+
+PlannerOwner::PlannerOwner(const Ports& ports,
+                           FenceToken token,
+                           const PlannerTuning& tuning,
+                           int shards)
+    : ports_(ports),
+      token_(token),
+      shards_(shards),
+      planner_(tuning, shards),
+      retry_timer_(ports.loop),
+      tick_timer_(ports.loop),
+      report_timer_(ports.loop) {}
+
+void PlannerOwner::Start() {
+  ports_.log.Write("own-planner", "", fmt::format("token={}", token_.value()));
+  Close();
+}
+
+void PlannerOwner::Stop() {
+  if (!std::exchange(stopped_, true)) {
+    ports_.log.Write("release-planner", "",
+                     fmt::format("token={}", token_.value()));
+  }
+  retry_timer_.Cancel();
+  tick_timer_.Cancel();
+  report_timer_.Cancel();
+}
+
+void PlannerOwner::Retry(void (PlannerOwner::*step)()) {
+  retry_timer_.Set(kRetryDelay, [weak = weak_from_this(), step] {
+    const auto self = weak.lock();
+    if (self && !self->stopped_) {
+      (self.get()->*step)();
+    }
+  });
+}
+
+void PlannerOwner::Close() {
+  ports_.store.Fence(
+      kStream, token_, [self = shared_from_this()](AppendOutcome outcome) {
+        if (self->stopped_ || outcome == AppendOutcome::kFenced) {
+          return;
+        }
+        if (outcome == AppendOutcome::kStored) {
+          self->Load();
+        } else {
+          self->Retry(&PlannerOwner::Close);
+        }
+      });
+}
+
+void PlannerOwner::Load() {
+  ports_.store.Load(
+      kPlannerShard,
+      [self = shared_from_this()](Result<std::vector<StoredRecord>> records) {
+        if (self->stopped_) {
+          return;
+        }
+        if (!records) {
+          self->Retry(&PlannerOwner::Load);
+          return;
+        }
+        self->loaded_ = true;
+        self->Post(PlannerLoaded{std::move(*records)});
+        self->SetPublished(self->published_);
+        self->TickLoop();
+      });
+}
+
+void PlannerOwner::SetPublished(const FleetFeed::Published& published) {
+  published_ = published;
+  if (loaded_ && published_.policies) {
+    Post(PlannerPolicies{published_.policies});
+    Post(WavesRead{published_.waves});
+  }
+}
+
+void PlannerOwner::TickLoop() {
+  ExchangePlans();
+  Post(PlannerTick{});
+  tick_timer_.Set(kTickInterval, [weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self && !self->stopped_) {
+      self->TickLoop();
+    }
+  });
+}
+
+void PlannerOwner::ExchangePlans() {
+  if (!published_.policies) {
+    return;
+  }
+  std::set<ShardId> shards;
+  for (const auto& [id, service] : published_.policies->services) {
+    shards.insert(ShardOf(id, shards_));
+  }
+  for (const auto& it : shards) {
+    ports_.exchange(it, planner_.PlanFor(it, SteadyNow()),
+                    [weak = weak_from_this(), it](PoolOutlook outlook) {
+                      if (const auto self = weak.lock()) {
+                        self->Post(OutlookRead{it, std::move(outlook)});
+                      }
+                    });
+  }
+}
+
+void PlannerOwner::Post(decltype(PlannerEvent::body) body) {
+  if (stopped_) {
+    return;
+  }
+  auto effects = planner_.Apply({SteadyNow(), std::move(body)});
+  for (auto& it : effects) {
+    Execute(it);
+  }
+}
+
+void PlannerOwner::Append() {
+  ports_.store.Append(kStream, token_, sequence_, intent_.records,
+                      kAppendTimeout,
+                      [self = shared_from_this()](AppendOutcome outcome) {
+                        if (self->stopped_) {
+                          return;
+                        }
+                        switch (outcome) {
+                          case AppendOutcome::kStored:
+                            ++self->sequence_;
+                            self->Post(IntentStored{self->intent_.commit});
+                            break;
+                          case AppendOutcome::kFenced:
+                          case AppendOutcome::kOutOfSequence:
+                            self->Stop();
+                            break;
+                          default:
+                            self->Retry(&PlannerOwner::Append);
+                            break;
+                        }
+                      });
+}
+
+void PlannerOwner::Report(const ReportWave& report) {
+  ports_.feed.ReportWave(report,
+                         [weak = weak_from_this(), report](bool stored) {
+                           const auto self = weak.lock();
+                           if (!self || self->stopped_ || stored) {
+                             return;
+                           }
+                           self->report_timer_.Set(kRetryDelay, [weak, report] {
+                             if (const auto again = weak.lock()) {
+                               again->Report(report);
+                             }
+                           });
+                         });
+}
+
+void PlannerOwner::Execute(PlannerEffect& effect) {
+  struct Visitor {
+    PlannerOwner& self;
+
+    HostCalls::Done Done(const HostId& host) {
+      return [weak = self.weak_from_this(), host](HostOrderResult result) {
+        if (const auto owner = weak.lock()) {
+          owner->Post(HostOrderFinished{host, result});
+        }
+      };
+    }
+    void operator()(StoreIntent& it) {
+      self.intent_ = std::move(it);
+      self.Append();
+    }
+    void operator()(const ReadHosts&) {
+      self.ports_.hosts.List(
+          [weak = self.weak_from_this()](Result<std::vector<HostInfo>> hosts) {
+            const auto owner = weak.lock();
+            if (!owner) {
+              return;
+            }
+            owner->Post(hosts ? HostsRead{std::move(*hosts), false}
+                              : HostsRead{{}, true});
+          });
+    }
+    void operator()(const MoveHost& it) {
+      if (self.ports_.may_order()) {
+        self.ports_.hosts.Move(it, self.token_, Done(it.host));
+      } else {
+        Done(it.host)(HostOrderResult::kRefused);
+      }
+    }
+    void operator()(const MaintainHost& it) {
+      if (self.ports_.may_order()) {
+        self.ports_.hosts.Maintain(it, self.token_, Done(it.host));
+      } else {
+        Done(it.host)(HostOrderResult::kRefused);
+      }
+    }
+    void operator()(const ReportWave& it) { self.Report(it); }
+    void operator()(const ExplainPlan& it) {
+      self.ports_.log.Write(it.decision, "", it.fields);
+    }
+  };
+  std::visit(Visitor{*this}, effect);
+}
+
+}  // namespace baobab
--- /dev/null
+++ b/src/libfleet/planner_owner.h
@@ -0,0 +1,66 @@
+#ifndef SRC_LIBFLEET_PLANNER_OWNER_H_
+#define SRC_LIBFLEET_PLANNER_OWNER_H_
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "libfleet/decision_log.h"
+#include "libfleet/loop_timer.h"
+#include "libfleet/ports.h"
+
+namespace baobab {
+
+/** Runs the planner of hosts on the node that owns the planner's shard. */
+class PlannerOwner : public std::enable_shared_from_this<PlannerOwner> {
+ public:
+  struct Ports {
+    boost::asio::io_context& loop;
+    JobStore& store;
+    FleetFeed& feed;
+    HostCalls& hosts;
+    DecisionLog& log;
+    std::function<bool()> may_order;
+    /** Gives the plan to the owner of the shard, here or on another node, and
+     * reports the outlook if it answers. */
+    std::function<void(ShardId, HostPlan, std::function<void(PoolOutlook)>)>
+        exchange;
+  };
+
+  PlannerOwner(const Ports& ports,
+               FenceToken token,
+               const PlannerTuning& tuning,
+               int shards);
+
+  void Start();
+  void Stop();
+  void SetPublished(const FleetFeed::Published& published);
+
+ private:
+  void Close();
+  void Load();
+  void Append();
+  void Retry(void (PlannerOwner::*step)());
+  void TickLoop();
+  void ExchangePlans();
+  void Post(decltype(PlannerEvent::body) body);
+  void Execute(PlannerEffect& effect);
+  void Report(const ReportWave& report);
+
+  const Ports ports_;
+  const FenceToken token_;
+  const int shards_;
+  HostPlanner planner_;
+  LoopTimer retry_timer_;
+  LoopTimer tick_timer_;
+  LoopTimer report_timer_;
+  bool stopped_ = false;
+  bool loaded_ = false;
+  std::uint64_t sequence_ = 0;
+  StoreIntent intent_;
+  FleetFeed::Published published_;
+};
+
+}  // namespace baobab
+
+#endif  // SRC_LIBFLEET_PLANNER_OWNER_H_
--- a/src/libfleet/ports.h
+++ b/src/libfleet/ports.h
@@ -31,6 +31,15 @@
   kUnknown,
 };
 
+/** Records that one owner writes to its shard. Two writers of one shard are
+ * fenced and numbered apart. */
+enum class ShardWriter { kJobs, kPlanner };
+
+struct ShardStream {
+  ShardId shard;
+  ShardWriter writer = ShardWriter::kJobs;
+};
+
 /** The platform's store, as far as the owners of shards use it. All callbacks
  * run on the event loop. */
 class JobStore {
@@ -49,14 +58,14 @@
   virtual void ReadOwners(Callback<std::map<ShardId, std::string>> done) = 0;
 
   /** Closes the shard to owners with lower tokens. */
-  virtual void Fence(ShardId shard,
+  virtual void Fence(const ShardStream& stream,
                      FenceToken token,
                      std::function<void(AppendOutcome)> done) = 0;
   /** Newest record of each key. */
   virtual void Load(ShardId shard,
                     Callback<std::vector<StoredRecord>> done) = 0;
   /** Stores all or none. A repetition with the same sequence is done once. */
-  virtual void Append(ShardId shard,
+  virtual void Append(const ShardStream& stream,
                       FenceToken token,
                       std::uint64_t sequence,
                       const std::vector<StoredRecord>& records,
@@ -72,15 +81,37 @@
 
   virtual ~FleetFeed() = default;
 
-  /** Waits up to about a second for a change, then reports the newest
-   * configuration; null before the first. */
-  virtual void AwaitPolicies(
-      Callback<std::shared_ptr<const PolicySet>> done) = 0;
+  /** What the operators have published. */
+  struct Published {
+    /** Null before the first configuration. */
+    std::shared_ptr<const PolicySet> policies;
+    std::vector<MaintenanceWave> waves;
+  };
+
+  /** Waits up to about a second for a change, then reports the newest state. */
+  virtual void AwaitPublished(Callback<Published> done) = 0;
+  virtual void ReportWave(const ReportWave& report,
+                          std::function<void(bool stored)> done) = 0;
   /** Reports all workers that are listed now. */
   virtual void ReadWorkers(
       Callback<std::shared_ptr<const std::vector<WorkerEntry>>> done) = 0;
 };
 
+/** The platform's hosts. Each order carries the token of the planner. */
+class HostCalls {
+ public:
+  using Done = std::function<void(HostOrderResult)>;
+
+  virtual ~HostCalls() = default;
+
+  virtual void List(
+      std::function<void(Result<std::vector<HostInfo>>)> done) = 0;
+  virtual void Move(const MoveHost& move, FenceToken token, Done done) = 0;
+  virtual void Maintain(const MaintainHost& order,
+                        FenceToken token,
+                        Done done) = 0;
+};
+
 /** Orders to workers. Each carries the token of the owner. */
 class WorkerCalls {
  public:
--- a/src/libfleet/shard_owner.cc
+++ b/src/libfleet/shard_owner.cc
@@ -69,7 +69,7 @@
 }
 
 void ShardOwner::Close() {
-  ports_.store.Fence(shard_, token_,
+  ports_.store.Fence({shard_, ShardWriter::kJobs}, token_,
                      [self = shared_from_this()](AppendOutcome outcome) {
                        if (self->stopped_) {
                          return;
@@ -139,6 +139,11 @@
   }
 }
 
+PoolOutlook ShardOwner::Plan(HostPlan plan) {
+  Post(HostsPlanned{std::move(plan)});
+  return engine_.Outlook(SteadyNow());
+}
+
 void ShardOwner::Post(PoolEventBody body) {
   if (stopped_) {
     return;
@@ -154,7 +159,8 @@
   const auto timeout =
       kFirstAppendTimeout * (1 << std::min(append_tries_, kMostDoublings));
   ++append_tries_;
-  ports_.store.Append(shard_, token_, sequence_, commit_.records, timeout,
+  ports_.store.Append({shard_, ShardWriter::kJobs}, token_, sequence_,
+                      commit_.records, timeout,
                       [self = shared_from_this()](AppendOutcome outcome) {
                         if (self->stopped_) {
                           return;
--- /dev/null
+++ b/src/libjobs/host_planner.h
@@ -0,0 +1,245 @@
+#ifndef SRC_LIBJOBS_HOST_PLANNER_H_
+#define SRC_LIBJOBS_HOST_PLANNER_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "libjobs/outlook.h"
+#include "libjobs/policies.h"
+#include "libjobs/stored_job.h"
+
+namespace baobab {
+
+enum class HostState { kUp, kMoving, kMaintenance, kDown };
+
+/** A host as the platform lists it. */
+struct HostInfo {
+  HostId host;
+  /** Service whose workers the host runs. */
+  ServiceId pool;
+  HostState state = HostState::kUp;
+  Resources capacity;
+};
+
+/** Hosts that are due for maintenance. */
+struct MaintenanceWave {
+  int number = 0;
+  std::set<HostId> hosts;
+  /** From the publication of the wave. */
+  Duration within{0};
+  int most_at_once = 1;
+
+  bool operator==(const MaintenanceWave&) const = default;
+};
+
+struct PlannerTuning {
+  /** How long a host is away for a move, or for maintenance; of the platform.
+   */
+  Duration move_time = std::chrono::milliseconds(1500);
+  Duration maintenance_time = std::chrono::milliseconds(2000);
+  /** A former planner in touch may give orders for this long. */
+  Duration former_planner = std::chrono::milliseconds(3300);
+  /** From the end of a move until the owner of the pool knows the new worker.
+   */
+  Duration arrival_lag = std::chrono::milliseconds(700);
+  /** An order that was stored but not sent within this time is stored again,
+   * since the process may have been stopped between. */
+  Duration order_delay = std::chrono::milliseconds(500);
+  /** A host that was moved stays at least this long. */
+  Duration least_stay = std::chrono::milliseconds(3000);
+  /** An outlook that is older does not allow an order. */
+  Duration outlook_kept = std::chrono::milliseconds(700);
+  /** Between readings of the platform's list of hosts, while hosts are away
+   * and otherwise. */
+  Duration list_busy = std::chrono::milliseconds(400);
+  Duration list_idle = std::chrono::milliseconds(3000);
+  /** Share of a pool with demand that may be away for maintenance at once, as
+   * long as there is time. */
+  double away_share = 0.2;
+};
+
+struct PlannerTick {};
+struct PlannerLoaded {
+  std::vector<StoredRecord> records;
+};
+struct PlannerPolicies {
+  std::shared_ptr<const PolicySet> policies;
+};
+struct WavesRead {
+  std::vector<MaintenanceWave> waves;
+};
+struct HostsRead {
+  std::vector<HostInfo> hosts;
+  /** The list could not be read. */
+  bool failed = false;
+};
+struct OutlookRead {
+  ShardId shard;
+  PoolOutlook outlook;
+};
+/** The intent is stored, so that no later planner exists. */
+struct IntentStored {
+  CommitId commit;
+};
+
+enum class HostOrderResult {
+  kDone,
+  /** Certainly not done. */
+  kRefused,
+  /** The host is not up, or leaves. */
+  kBusy,
+  /** No such host, pool or wave. */
+  kInvalid,
+  /** No answer; it may be done, or be done later. */
+  kUnknown,
+};
+
+struct HostOrderFinished {
+  HostId host;
+  HostOrderResult result = HostOrderResult::kUnknown;
+};
+
+struct PlannerEvent {
+  Time at;
+  std::variant<PlannerTick,
+               PlannerLoaded,
+               PlannerPolicies,
+               WavesRead,
+               HostsRead,
+               OutlookRead,
+               IntentStored,
+               HostOrderFinished>
+      body;
+};
+
+/** Stores the records and reports IntentStored. */
+struct StoreIntent {
+  CommitId commit;
+  std::vector<StoredRecord> records;
+};
+/** Reports HostsRead. */
+struct ReadHosts {};
+/** Both end all that runs on the host; they report HostOrderFinished. */
+struct MoveHost {
+  HostId host;
+  ServiceId pool;
+};
+struct MaintainHost {
+  HostId host;
+  int wave = 0;
+};
+/** Tells the operators how far a wave is. */
+struct ReportWave {
+  int wave = 0;
+  bool completed = false;
+};
+struct ExplainPlan {
+  std::string decision;
+  std::string fields;
+};
+
+using PlannerEffect = std::variant<StoreIntent,
+                                   ReadHosts,
+                                   MoveHost,
+                                   MaintainHost,
+                                   ReportWave,
+                                   ExplainPlan>;
+using PlannerEffects = std::vector<PlannerEffect>;
+
+/** Decides on the hosts of all pools: maintenance in waves, and moves to pools
+ * that need more. One node runs it at a time; each order follows a record that
+ * only the present planner can store.
+ *
+ * Answers queues whose demand turns within seconds: idle hosts of other pools,
+ * and of standby pools, go to where work waits or was refused. Maintenance
+ * takes empty hosts first and leaves busy pools most of their hosts while there
+ * is time. */
+class HostPlanner {
+ public:
+  HostPlanner(const PlannerTuning& tuning, int shards);
+
+  PlannerEffects Apply(const PlannerEvent& event);
+
+  /** What the owner of a shard is to do now. */
+  HostPlan PlanFor(ShardId shard, Time now) const;
+
+ private:
+  enum class Purpose { kMove, kMaintenance };
+
+  struct Host {
+    HostInfo info;
+    std::optional<HostOutlook> outlook;
+    Time outlook_at;
+    bool listed = true;
+
+    std::optional<Purpose> purpose;
+    ServiceId target;
+    int wave = 0;
+    Time reserved_at;
+    /** An intent is being stored, or an order has no answer yet. */
+    bool ordering = false;
+    bool ordered = false;
+    Time ordered_at;
+    bool answered = false;
+    Time moved_at;
+  };
+
+  struct Wave {
+    MaintenanceWave order;
+    Time seen_at;
+    /** Whose maintenance certainly began. */
+    std::set<HostId> begun;
+    bool reported_running = false;
+    bool completed = false;
+  };
+
+  void Handle(const PlannerTick& event);
+  void Handle(const PlannerLoaded& event);
+  void Handle(const PlannerPolicies& event);
+  void Handle(const WavesRead& event);
+  void Handle(const HostsRead& event);
+  void Handle(const OutlookRead& event);
+  void Handle(const IntentStored& event);
+  void Handle(const HostOrderFinished& event);
+
+  bool IsStandby(const ServiceId& pool) const;
+  /** Vacated, or without workers; an order harms nobody. */
+  bool IsVacated(const Host& host) const;
+  bool IsAway(const Host& host) const;
+  void Release(Host& host);
+  void PlanWaves();
+  void PlanWave(Wave& wave);
+  void PlanMoves();
+  void GiveOrders();
+  void Explain(const std::string& decision, std::string fields);
+
+  const PlannerTuning tuning_;
+  const int shards_;
+  bool loaded_ = false;
+  Time loaded_at_;
+  std::shared_ptr<const PolicySet> policies_;
+  std::map<HostId, Host> hosts_;
+  std::map<int, Wave> waves_;
+  std::map<ServiceId, ServiceOutlook> demand_;
+  std::map<ServiceId, Time> demand_at_;
+  bool reading_hosts_ = false;
+  Time hosts_read_at_;
+
+  CommitId commit_;
+  bool storing_ = false;
+  Time stored_at_;
+  std::vector<HostId> intents_;
+
+  Time now_;
+  PlannerEffects effects_;
+};
+
+}  // namespace baobab
+
+#endif  // SRC_LIBJOBS_HOST_PLANNER_H_
--- a/src/libjobs/jobs.h
+++ b/src/libjobs/jobs.h
@@ -4,6 +4,7 @@
 // Public header of libjobs: jobs, their tasks, and the decisions of the owner
 // of a shard on jobs and workers.
 
+#include "libjobs/host_planner.h"
 #include "libjobs/pool_engine.h"
 
 #endif  // SRC_LIBJOBS_JOBS_H_
--- a/src/libjobs/pool_engine.cc
+++ b/src/libjobs/pool_engine.cc
@@ -4,7 +4,6 @@
 #include <chrono>
 
 #include <fmt/format.h>
-#include <xxhash.h>
 
 namespace baobab {
 
@@ -30,12 +29,6 @@
 
 }  // namespace
 
-ShardId ShardOf(const ServiceId& service, int shards) {
-  const auto& text = service.value();
-  const auto hash = XXH64(text.data(), text.size(), 0);
-  return ShardId(static_cast<int>(hash % static_cast<std::uint64_t>(shards)));
-}
-
 PoolEngine::PoolEngine(ShardId shard, const PoolTuning& tuning)
     : shard_(shard), tuning_(tuning), admission_(durations_, tuning_) {}
 
--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -14,6 +14,7 @@
 #include "libjobs/pool_effect.h"
 #include "libjobs/pool_event.h"
 #include "libjobs/ready_steps.h"
+#include "libjobs/sharding.h"
 
 namespace baobab {
 
@@ -31,10 +32,6 @@
   std::uint64_t violations = 0;
 };
 
-/** The shard to which the workers and queues of a service belong. It depends
- * on nothing else, so that all nodes and releases agree. */
-ShardId ShardOf(const ServiceId& service, int shards);
-
 /** All decisions on the jobs and workers of one shard, made by the shard's
  * owner. It has no side effects; the caller executes the returned effects.
  *
