jobs: count tasks on silent workers as away before a planned stop

Ruled out: stops of two tasks in one pass, the first changes the count for the second. Change: a task is at work only if its worker is listed and answered the last look.

--- a/src/libjobs/pool_engine_workers.cc
+++ b/src/libjobs/pool_engine_workers.cc
@@ -376,8 +376,11 @@
                           .steps[static_cast<std::size_t>(id.step)];
   int away = 0;
   for (std::size_t i = 0; i < tasks.size(); ++i) {
+    const auto worker = workers_.find(tasks[i].worker);
     const bool at_work = tasks[i].phase == TaskPhase::kRunning &&
-                         tasks[i].percent == kAtWorkPercent;
+                         tasks[i].percent == kAtWorkPercent &&
+                         worker != workers_.end() &&
+                         worker->second.misses == 0 && worker->second.listed;
     away += static_cast<int>(i) != id.index && !at_work ? 1 : 0;
   }
   return away < std::max(1, spec.may_miss);
--- a/tests/pool_engine_test.cc
+++ b/tests/pool_engine_test.cc
@@ -293,6 +293,23 @@
   }
 }
 
+// Guards against a planned stop while another task of the step is on a worker
+// that has fallen silent. (Found by a hunt of garza-sched: AVAIL, two others
+// away on a crashed worker whose lease had not expired yet.)
+TEST_F(PoolEngineTest, SilentWorkersCountAgainstTheBudget) {
+  world.Submit("j1", LastingJob(3));
+  world.Advance(seconds(2));
+  world.workers.at(WorkerId("w1")).reachable = false;
+  world.Advance(milliseconds(2500));
+  HostPlan plan;
+  plan.reserved = {HostId("host-w2")};
+  for (int i = 0; i < 20; ++i) {
+    world.engine->Apply({world.now, 1'700'000'000'000, HostsPlanned{plan}});
+    world.Advance(milliseconds(50));
+  }
+  EXPECT_EQ(world.workers.at(WorkerId("w2")).runs.size(), 1u);
+}
+
 // Guards against commits that wait for the next tick.
 TEST_F(PoolEngineTest, StartsWithinAFewMillisecondsOfTheAcceptance) {
   const Time before = world.now;
