planner: order moves as soon as a host is reported vacated, wait only for hosts with recent orders

After a graceful stop shards were unowned for 0.3 to 1.4 s. Ruled out: store throughput; commits wait for one answer only. Change: intents carry the time, so that only hosts with a recent order of a former planner wait; orders follow the outlook at once; donors go to pools in turn; refusals count once a job; a leaving node tells the others to renew; the objective in the forecast uses learnt durations.

--- a/src/libfleet/fleet_node.cc
+++ b/src/libfleet/fleet_node.cc
@@ -104,7 +104,16 @@
   for (auto& [id, shard] : std::exchange(shards_, {})) {
     shard->Stop();
   }
-  ports_.store.Leave([] {});
+  std::set<std::string> peers;
+  for (const auto& [shard, peer] : owners_) {
+    peers.insert(peer);
+  }
+  peers.erase(config_.peer_address);
+  ports_.store.Leave([this, peers] {
+    for (const auto& it : peers) {
+      peers_.NotifyDealt(it);
+    }
+  });
   ports_.log.Write("leave-group", "", "");
 }
 
@@ -117,7 +126,9 @@
     return;
   }
   const auto sent_at = SteadyNow();
+  joining_ = true;
   ports_.store.Join(generation_, [this, sent_at](Result<Membership> joined) {
+    joining_ = false;
     if (leaving_) {
       return;
     }
@@ -137,6 +148,13 @@
   });
 }
 
+void FleetNode::JoinSoon() {
+  if (!joining_ && !leaving_) {
+    join_timer_.Cancel();
+    JoinLoop();
+  }
+}
+
 void FleetNode::OnJoined(const Membership& membership) {
   if (membership.generation < generation_) {
     return;
--- a/src/libfleet/fleet_node.h
+++ b/src/libfleet/fleet_node.h
@@ -89,6 +89,8 @@
   struct Forward;
 
   void JoinLoop();
+  /** Renews the membership now, to learn of shards that were dealt anew. */
+  void JoinSoon();
   void OnJoined(const Membership& membership);
   void PublishedLoop();
   void OwnPlanner(bool own);
@@ -132,6 +134,7 @@
   /** When the newest answered renewal of the membership was sent. */
   Time joined_at_;
   Time store_seen_at_;
+  bool joining_ = false;
   bool leaving_ = false;
   bool store_away_ = false;
 };
--- a/src/libfleet/peer_calls.cc
+++ b/src/libfleet/peer_calls.cc
@@ -13,6 +13,8 @@
 
 using Json = nlohmann::json;
 
+constexpr Duration kNoticeTimeout = std::chrono::milliseconds(500);
+
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kNotOwner = 421;
@@ -178,6 +180,12 @@
       }));
 }
 
+void PeerCalls::NotifyDealt(const std::string& peer) {
+  // A node that misses this learns it with its next renewal.
+  client_.Call(peer, MakeRequest(kDealtTarget, Json::array()), kNoticeTimeout,
+               [](const auto&) {});
+}
+
 void PeerCalls::Plan(const std::string& peer,
                      ShardId shard,
                      const HostPlan& plan,
--- a/src/libfleet/peer_calls.h
+++ b/src/libfleet/peer_calls.h
@@ -55,6 +55,8 @@
                const QueueId& queue,
                Duration timeout,
                Done<int> done);
+  /** Tells a node that shards are dealt anew. */
+  void NotifyDealt(const std::string& peer);
   /** The planner tells the owner of a shard what to do with its hosts. */
   void Plan(const std::string& peer,
             ShardId shard,
@@ -70,6 +72,8 @@
  * here. */
 using FindShard = std::function<ShardOwner*(ShardId)>;
 
+inline constexpr char kDealtTarget[] = "/dealt";
+
 /** Answers a forwarded request; `respond` is called once. Without `is_current`
  * another node may own the shard by now. */
 void ServePeer(const HttpRequest& request,
--- a/src/libfleet/planner_owner.cc
+++ b/src/libfleet/planner_owner.cc
@@ -14,7 +14,7 @@
 constexpr Duration kAppendTimeout = std::chrono::milliseconds(800);
 /** Demand turns within seconds and a move takes 1.5 s, so a plan is worth
  * little when it is older than this. */
-constexpr Duration kTickInterval = std::chrono::milliseconds(150);
+constexpr Duration kTickInterval = std::chrono::milliseconds(100);
 
 }  // namespace
 
@@ -95,8 +95,8 @@
 }
 
 void PlannerOwner::TickLoop() {
-  ExchangePlans();
   Post(PlannerTick{});
+  ExchangePlans();
   tick_timer_.Set(kTickInterval, [weak = weak_from_this()] {
     const auto self = weak.lock();
     if (self && !self->stopped_) {
@@ -127,7 +127,8 @@
   if (stopped_) {
     return;
   }
-  auto effects = planner_.Apply({SteadyNow(), std::move(body)});
+  auto effects =
+      planner_.Apply({SteadyNow(), WallMilliseconds(), std::move(body)});
   for (auto& it : effects) {
     Execute(it);
   }
--- a/src/libjobs/admission.cc
+++ b/src/libjobs/admission.cc
@@ -57,10 +57,13 @@
   ForecastJob described;
   described.priority = job.priority;
   described.worth = WorthOf(job);
+  // The objective counts the true chain, which the estimates misjudge alike.
+  const auto chain = durations_.Expect(job.queue, ChainEstimate(job.spec));
+  const auto objective = static_cast<double>(chain.count()) * job.stretch +
+                         static_cast<double>(job.target.count());
   described.objective =
       occurrence.due + Duration(static_cast<Duration::rep>(
-                           static_cast<double>(job.Objective().count()) *
-                           tuning_.admission_margin));
+                           objective * tuning_.admission_margin));
   for (std::size_t i = 0; i < job.spec.steps.size(); ++i) {
     const auto& spec = job.spec.steps[i];
     ForecastStep step;
--- a/src/libjobs/host_planner.cc
+++ b/src/libjobs/host_planner.cc
@@ -47,6 +47,7 @@
 
 PlannerEffects HostPlanner::Apply(const PlannerEvent& event) {
   now_ = event.at;
+  wall_ms_ = event.wall_ms;
   std::visit([this](const auto& it) { Handle(it); }, event.body);
   return std::exchange(effects_, {});
 }
@@ -57,10 +58,10 @@
     if (host.purpose && ShardOf(host.info.pool, shards_) == shard) {
       plan.reserved.insert(id);
     }
-    if (!host.ordered) {
+    const bool moves = host.purpose == Purpose::kMove;
+    if (!host.ordered && !moves) {
       continue;
     }
-    const bool moves = host.purpose == Purpose::kMove;
     const auto& pool = moves ? host.target : host.info.pool;
     if (ShardOf(pool, shards_) == shard && !IsStandby(pool)) {
       const Duration away =
@@ -90,7 +91,11 @@
   return host.outlook && host.outlook->empty && host.outlook->reserved &&
          !host.outlook->draining &&
          now_ - host.outlook_at < tuning_.outlook_kept &&
-         host.outlook_at > host.reserved_at;
+         host.outlook_at >= host.reserved_at;
+}
+
+bool HostPlanner::IsBlocked(const HostId& host) const {
+  return blocked_.contains(host);
 }
 
 bool HostPlanner::IsAway(const Host& host) const {
@@ -106,11 +111,20 @@
 }
 
 void HostPlanner::Handle(const PlannerLoaded& event) {
+  const auto recent =
+      (tuning_.former_planner + tuning_.clock_difference).count() / 1000;
   for (const auto& it : event.records) {
-    if (it.key.rfind("w/", 0) != 0 || it.value.empty()) {
+    if (it.value.empty() ||
+        (!it.key.starts_with("w/") && !it.key.starts_with("h/"))) {
       continue;
     }
     try {
+      if (it.key.starts_with("h/")) {
+        if (std::stoll(it.value) > wall_ms_ - recent) {
+          blocked_.insert(HostId(it.key.substr(2)));
+        }
+        continue;
+      }
       auto& wave = waves_[std::stoi(it.key.substr(2))];
       for (const auto& host : nlohmann::json::from_msgpack(it.value)) {
         wave.begun.insert(HostId(host.get<std::string>()));
@@ -179,6 +193,9 @@
       host->second.outlook_at = now_;
     }
   }
+  if (loaded_ && policies_) {
+    GiveOrders();
+  }
 }
 
 void HostPlanner::Handle(const PlannerTick&) {
@@ -201,8 +218,8 @@
       Release(host);
     }
   }
-  if (now_ - loaded_at_ < tuning_.former_planner) {
-    return;
+  if (now_ - loaded_at_ >= tuning_.former_planner) {
+    blocked_.clear();
   }
   PlanWaves();
   PlanMoves();
@@ -324,7 +341,8 @@
                                 host.info.state == HostState::kDown
                           : host.info.state == HostState::kUp && host.outlook &&
                                 host.outlook->empty && !host.outlook->draining;
-    if (idle && !host.purpose && now_ - host.moved_at > tuning_.least_stay) {
+    if (idle && !host.purpose && !IsBlocked(id) &&
+        now_ - host.moved_at > tuning_.least_stay) {
       donors.push_back(&host);
     }
   }
@@ -336,39 +354,52 @@
                      };
                      return cost(*a) < cost(*b);
                    });
+  std::map<ServiceId, double> deficits;
   for (const auto& [id, it] : demand_) {
-    if (IsStandby(id) || it.waiting + it.refused <= 0 ||
-        now_ - demand_at_[id] > tuning_.outlook_kept) {
-      continue;
+    const double deficit = it.used + it.lasting + it.waiting + it.refused -
+                           it.cores - arriving[id];
+    if (!IsStandby(id) && it.waiting + it.refused > 0 && deficit > 0 &&
+        now_ - demand_at_[id] <= tuning_.outlook_kept) {
+      deficits[id] = deficit;
     }
-    double deficit = it.used + it.lasting + it.waiting + it.refused - it.cores -
-                     arriving[id];
-    for (Host*& donor : donors) {
-      if (deficit <= 0) {
-        break;
-      }
-      if (!donor || donor->info.pool == id) {
-        continue;
-      }
-      const double cores = CoresOf(donor->info);
-      const auto& pool = donor->info.pool;
-      if (!IsStandby(pool)) {
-        if (spare[pool] < cores) {
-          continue;
-        }
-        spare[pool] -= cores;
+  }
+  // One host each in turn, so that no pool takes all.
+  while (!deficits.empty()) {
+    for (auto it = deficits.begin(); it != deficits.end();) {
+      auto& [target, deficit] = *it;
+      Host* donor = TakeDonor(donors, spare, target);
+      if (donor) {
+        deficit -= CoresOf(donor->info);
+        Explain("reserve-host",
+                fmt::format("host={} pool={} target={} deficit={:.0f}",
+                            donor->info.host.value(), donor->info.pool.value(),
+                            target.value(), deficit));
       }
-      donor->purpose = Purpose::kMove;
-      donor->target = id;
-      donor->reserved_at = now_;
-      deficit -= cores;
-      Explain("reserve-host",
-              fmt::format("host={} pool={} target={} deficit={:.0f}",
-                          donor->info.host.value(), pool.value(), id.value(),
-                          deficit));
-      donor = nullptr;
+      it = !donor || deficit <= 0 ? deficits.erase(it) : std::next(it);
+    }
+  }
+}
+
+HostPlanner::Host* HostPlanner::TakeDonor(std::vector<Host*>& donors,
+                                          std::map<ServiceId, double>& spare,
+                                          const ServiceId& target) {
+  for (auto it = donors.begin(); it != donors.end(); ++it) {
+    Host* donor = *it;
+    const auto& pool = donor->info.pool;
+    const double cores = CoresOf(donor->info);
+    if (pool == target || (!IsStandby(pool) && spare[pool] < cores)) {
+      continue;
+    }
+    if (!IsStandby(pool)) {
+      spare[pool] -= cores;
     }
+    donors.erase(it);
+    donor->purpose = Purpose::kMove;
+    donor->target = target;
+    donor->reserved_at = now_;
+    return donor;
   }
+  return nullptr;
 }
 
 void HostPlanner::GiveOrders() {
@@ -409,7 +440,7 @@
   commit_ = CommitId(commit_.value() + 1);
   intent.commit = commit_;
   for (const auto& it : intents_) {
-    intent.records.push_back({"h/" + it.value(), "ordered"});
+    intent.records.push_back({"h/" + it.value(), std::to_string(wall_ms_)});
   }
   for (const int it : changed) {
     auto begun = nlohmann::json::array();
--- a/src/libjobs/host_planner.h
+++ b/src/libjobs/host_planner.h
@@ -43,8 +43,11 @@
    */
   Duration move_time = std::chrono::milliseconds(1500);
   Duration maintenance_time = std::chrono::milliseconds(2000);
-  /** A former planner in touch may give orders for this long. */
+  /** A host to which a former planner gave an order gets none from the present
+   * one for this long. */
   Duration former_planner = std::chrono::milliseconds(3300);
+  /** Clocks of two nodes differ by at most this, jumps included. */
+  Duration clock_difference = std::chrono::milliseconds(5000);
   /** From the end of a move until the owner of the pool knows the new worker.
    */
   Duration arrival_lag = std::chrono::milliseconds(700);
@@ -107,6 +110,8 @@
 
 struct PlannerEvent {
   Time at;
+  /** Wall clock in ms since 1970. */
+  std::int64_t wall_ms = 0;
   std::variant<PlannerTick,
                PlannerLoaded,
                PlannerPolicies,
@@ -211,6 +216,11 @@
   bool IsStandby(const ServiceId& pool) const;
   /** Vacated, or without workers; an order harms nobody. */
   bool IsVacated(const Host& host) const;
+  /** A former planner's order may still be under way. */
+  bool IsBlocked(const HostId& host) const;
+  Host* TakeDonor(std::vector<Host*>& donors,
+                  std::map<ServiceId, double>& spare,
+                  const ServiceId& target);
   bool IsAway(const Host& host) const;
   void Release(Host& host);
   void PlanWaves();
@@ -223,6 +233,8 @@
   const int shards_;
   bool loaded_ = false;
   Time loaded_at_;
+  /** Hosts with a recent order of a former planner. */
+  std::set<HostId> blocked_;
   std::shared_ptr<const PolicySet> policies_;
   std::map<HostId, Host> hosts_;
   std::map<int, Wave> waves_;
@@ -237,6 +249,7 @@
   std::vector<HostId> intents_;
 
   Time now_;
+  std::int64_t wall_ms_ = 0;
   PlannerEffects effects_;
 };
 
--- a/src/libjobs/pool_engine.cc
+++ b/src/libjobs/pool_engine.cc
@@ -17,7 +17,7 @@
 constexpr std::size_t kCommitBytes = 768u << 10;
 
 /** Refusals that count as present demand. */
-constexpr Duration kRefusalWindow = std::chrono::milliseconds(1000);
+constexpr Duration kRefusalWindow = std::chrono::milliseconds(1500);
 
 /** Ended jobs are kept beyond the promised time by this share, since clocks
  * of the owners differ. */
@@ -281,6 +281,7 @@
       fmt::format("queue={} service={} expected_ms={} objective_ms={} steps={}",
                   job.queue.value(), job.service.value(), expected_ms,
                   objective_ms, job.spec.steps.size()));
+  ForgetRefusal(event.job);
   auto& stored = jobs_.emplace(event.job, std::move(job)).first->second;
   staged_.accepted.insert(event.job);
   staged_.answers.push_back(
@@ -376,13 +377,19 @@
   return admission_.Judge(job, open, workers_, arriving, now_);
 }
 
+void PoolEngine::ForgetRefusal(const JobId& job) {
+  std::erase_if(refusals_, [&](const auto& it) { return it.job == job; });
+}
+
 void PoolEngine::CountRefusal(const Job& job) {
   double widest = 0;
   for (const auto& it : job.spec.steps) {
     widest = std::max(
         widest, static_cast<double>(it.need.cpu_milli) / 1000.0 * it.count);
   }
-  refusals_.push_back({now_, job.service, widest});
+  // A caller that tries again asks for the same cores.
+  ForgetRefusal(job.id);
+  refusals_.push_back({now_, job.service, job.id, widest});
 }
 
 void PoolEngine::BeginDueOccurrences(Job& job) {
--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -99,6 +99,7 @@
   Job MakeJob(const SubmitRequested& event) const;
   AdmissionVerdict Judge(const Job& job) const;
   void CountRefusal(const Job& job);
+  void ForgetRefusal(const JobId& job);
   void BeginDueOccurrences(Job& job);
   void EndJob(Job& job, JobEnd end, const std::string& why);
   void DropExpiredJobs();
@@ -169,6 +170,7 @@
   struct Refusal {
     Time at;
     ServiceId service;
+    JobId job;
     double cores = 0;
   };
   std::deque<Refusal> refusals_;
