admission: weigh jobs by the chance to end in time, count the store's latency

On a slow store each step adds a commit that the forecast left out. Change: a logistic chance of being in time and late; the mean commit time is added to each step; work past three times its objective goes last.

--- a/src/libjobs/admission.cc
+++ b/src/libjobs/admission.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 
 namespace baobab {
 
@@ -24,13 +25,27 @@
 /** Weight of a new job in the mean work of its queue. */
 constexpr double kMeanWeight = 0.05;
 
-double EarnedWorth(const ForecastJob& job, Time accepted, Time end) {
-  if (end <= job.objective) {
-    return job.worth;
-  }
-  return end <= accepted + (job.objective - accepted) * kLateLimit
-             ? job.worth * kLateWorth
-             : 0;
+/** A job that has a smaller chance than this is refused, so that its caller can
+ * go elsewhere, even if it takes room from nobody. */
+constexpr double kLeastChance = 0.15;
+
+/** Spread of the ends around a forecast, as a share of the time from the due
+ * time to the objective. Durations differ from their estimates by about half,
+ * and the objective grows with the true duration, which takes part of it back.
+ */
+constexpr double kSpread = 0.2;
+
+/** What a job is expected to earn if the forecast of its end is `end`. */
+double ExpectedWorth(const ForecastJob& job, Time due, Time end) {
+  const double allowed =
+      std::max(1.0, static_cast<double>((job.objective - due).count()));
+  const double taken = static_cast<double>((end - due).count());
+  const auto chance = [&](double limit) {
+    return 1.0 / (1.0 + std::exp((taken - limit) / (allowed * kSpread)));
+  };
+  const double in_time = chance(allowed);
+  const double late = chance(allowed * kLateLimit) - in_time;
+  return job.worth * (in_time + kLateWorth * std::max(0.0, late));
 }
 
 }  // namespace
@@ -53,6 +68,7 @@
 
 ForecastJob Admission::Describe(const Job& job,
                                 const Occurrence& occurrence,
+                                Duration overhead,
                                 Time now) const {
   ForecastJob described;
   described.priority = job.priority;
@@ -69,7 +85,7 @@
     ForecastStep step;
     step.cores =
         spec.fills ? 0 : static_cast<double>(spec.need.cpu_milli) / 1000.0;
-    step.duration = durations_.Expect(job.queue, spec.estimate);
+    step.duration = durations_.Expect(job.queue, spec.estimate) + overhead;
     step.after = spec.after;
     for (const auto& it : occurrence.steps[i]) {
       if (it.phase == TaskPhase::kWaiting) {
@@ -90,6 +106,7 @@
                                   const std::vector<const Job*>& open,
                                   const Workers& workers,
                                   const std::vector<CoresArriving>& arriving,
+                                  Duration overhead,
                                   Time now) const {
   AdmissionVerdict verdict;
   if (job.IsLasting() || job.IsTimed()) {
@@ -115,14 +132,14 @@
       continue;
     }
     for (const auto& [number, occurrence] : it->occurrences) {
-      described.push_back(Describe(*it, occurrence, now));
+      described.push_back(Describe(*it, occurrence, overhead, now));
       accepted.push_back(occurrence.due);
     }
   }
   Job candidate = job;
   candidate.CreateOccurrence(job.accepted_at);
-  described.push_back(
-      Describe(candidate, candidate.occurrences.begin()->second, now));
+  described.push_back(Describe(candidate, candidate.occurrences.begin()->second,
+                               overhead, now));
   accepted.push_back(job.accepted_at);
 
   std::vector<const ForecastJob*> jobs;
@@ -134,11 +151,13 @@
   verdict.expected = with.back() - now;
   jobs.pop_back();
   const auto without = forecast.Play(jobs);
-  double gain =
-      with.back() <= described.back().objective ? described.back().worth : 0;
+  double gain = ExpectedWorth(described.back(), accepted.back(), with.back());
+  if (gain < described.back().worth * kLeastChance) {
+    gain = 0;
+  }
   for (std::size_t i = 0; i < jobs.size(); ++i) {
-    gain += EarnedWorth(*jobs[i], accepted[i], with[i]) -
-            EarnedWorth(*jobs[i], accepted[i], without[i]);
+    gain += ExpectedWorth(*jobs[i], accepted[i], with[i]) -
+            ExpectedWorth(*jobs[i], accepted[i], without[i]);
   }
   if (gain > 0) {
     return verdict;
--- a/src/libjobs/admission.h
+++ b/src/libjobs/admission.h
@@ -29,11 +29,13 @@
   Admission(const DurationModel& durations, const PoolTuning& tuning)
       : durations_(durations), tuning_(tuning) {}
 
-  /** `open` are the open jobs of the pool. */
+  /** `open` are the open jobs of the pool; `overhead` is what storing and
+   * sending add to each step. */
   AdmissionVerdict Judge(const Job& job,
                          const std::vector<const Job*>& open,
                          const Workers& workers,
                          const std::vector<CoresArriving>& arriving,
+                         Duration overhead,
                          Time now) const;
 
   /** Learns what jobs of a queue are like. */
@@ -42,6 +44,7 @@
  private:
   ForecastJob Describe(const Job& job,
                        const Occurrence& occurrence,
+                       Duration overhead,
                        Time now) const;
   double WorthOf(const Job& job) const;
 
--- a/src/libjobs/pool_engine.cc
+++ b/src/libjobs/pool_engine.cc
@@ -16,6 +16,9 @@
  * takes at least twice as much in one call. */
 constexpr std::size_t kCommitBytes = 768u << 10;
 
+/** Commits over which the time of one is averaged. */
+constexpr int kCommitSamples = 4;
+
 /** Refusals that count as present demand. */
 constexpr Duration kRefusalWindow = std::chrono::milliseconds(1500);
 
@@ -374,7 +377,7 @@
       arriving.push_back({planned_at_ + it.in, it.cores});
     }
   }
-  return admission_.Judge(job, open, workers_, arriving, now_);
+  return admission_.Judge(job, open, workers_, arriving, commit_time_, now_);
 }
 
 void PoolEngine::ForgetRefusal(const JobId& job) {
@@ -525,6 +528,7 @@
 
 void PoolEngine::Handle(const CommitStored& event) {
   if (in_flight_ && event.commit == commit_) {
+    commit_time_ += (now_ - commit_sent_at_ - commit_time_) / kCommitSamples;
     ReleaseStaged();
   }
 }
--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -136,6 +136,8 @@
   void ReturnToWaiting(Job& job, const TaskId& id, Task& task);
   void FinishTask(Job& job, const TaskId& id, Task& task);
   void Schedule();
+  /** 0 in time, 1 late, 2 too late to be worth anything. */
+  int LatenessOf(const ReadyStep& ready) const;
   void PlaceStep(const ServiceId& service, const ReadyStep& ready);
   bool PlaceGang(const ServiceId& service, Job& job, const ReadyStep& ready);
   void Place(Job& job, const TaskId& id, Task& task, const WorkerId& worker);
@@ -163,6 +165,8 @@
   std::optional<Staged> in_flight_;
   CommitId commit_;
   Time commit_sent_at_;
+  /** Mean time of the newest commits. */
+  Duration commit_time_{0};
   bool wake_requested_ = false;
   Time swept_at_;
   bool schedule_needed_ = false;
--- a/src/libjobs/pool_engine_tasks.cc
+++ b/src/libjobs/pool_engine_tasks.cc
@@ -13,6 +13,9 @@
  * when far more waits than there is room for. */
 constexpr int kMostMisfits = 24;
 
+/** Times the objective until a late job is worth nothing. */
+constexpr int kLateLimit = 3;
+
 /** Most doublings of the pause before a lasting task is started again. */
 constexpr int kMostPauseDoublings = 3;
 
@@ -114,14 +117,15 @@
     // Copied, since placing a step changes the set.
     const std::vector<ReadyStep> all(steps.begin(), steps.end());
     int misfits = 0;
-    // Work that can no longer keep its objective goes last, or a queue that
-    // is behind would make each of its jobs late.
-    for (const bool late : {false, true}) {
+    // Work that can no longer keep its objective goes after work that can, or a
+    // queue that is behind would make each of its jobs late; work that is too
+    // late to be worth anything goes last.
+    for (const int lateness : {0, 1, 2}) {
       for (const auto& it : all) {
         if (misfits >= kMostMisfits) {
           break;
         }
-        if ((it.ends && it.due < now_) == late) {
+        if (LatenessOf(it) == lateness) {
           PlaceStep(service, it);
           misfits += ready_.by_service().at(service).contains(it) ? 1 : 0;
         }
@@ -130,6 +134,16 @@
   }
 }
 
+int PoolEngine::LatenessOf(const ReadyStep& ready) const {
+  const auto found = jobs_.find(ready.job);
+  if (!ready.ends || ready.due >= now_ || found == jobs_.end()) {
+    return 0;
+  }
+  const Job& job = found->second;
+  const Time due = job.occurrences.at(ready.occurrence).due;
+  return now_ < due + job.Objective() * kLateLimit ? 1 : 2;
+}
+
 void PoolEngine::PlaceStep(const ServiceId& service, const ReadyStep& ready) {
   Job& job = jobs_.at(ready.job);
   const auto& spec = job.Step(ready.step);
--- a/src/libjobs/pool_tuning.h
+++ b/src/libjobs/pool_tuning.h
@@ -53,7 +53,7 @@
   Duration store_patience = std::chrono::milliseconds(1000);
   /** Share of a job's objective by which admission expects it to be done;
    * the rest is for durations that differ from their estimates. */
-  double admission_margin = 0.9;
+  double admission_margin = 0.95;
   /** A plan of the planner holds for this long without a new one. */
   Duration plan_kept = std::chrono::milliseconds(2000);
 };
