--- a/src/libfleet/fleet_node.cc
+++ b/src/libfleet/fleet_node.cc
@@ -35,6 +35,10 @@
 /** Longest search for the owner of a shard before a caller is told to come
  * back; a takeover takes about this long. */
 constexpr Duration kSearchLimit = std::chrono::milliseconds(2200);
+/** A job that certainly reached no owner is refused after this time, since its
+ * caller can do better than wait for a takeover of unknown length. */
+constexpr Duration kQuickSearch = std::chrono::milliseconds(250);
+
 /** What is left of the caller's time for the answer's way. */
 constexpr Duration kAnswerMargin = std::chrono::milliseconds(150);
 
@@ -49,6 +53,8 @@
 struct FleetNode::Forward {
   ShardId shard;
   Time deadline;
+  /** Until then another try is made although nothing was done yet. */
+  Time search_until;
   /** Starts a try on this node, or on another. */
   std::function<void(ShardOwner&,
                      std::function<void(tl::expected<T, PeerFault>)>)>
@@ -390,7 +396,10 @@
   if (failed && answer.error() == PeerFault::kUnknown) {
     forward->any_unknown = true;
   }
-  if (!failed || SteadyNow() + kTryPause * 2 > forward->deadline) {
+  const Time now = SteadyNow();
+  const bool hopeless = now + kTryPause * 2 > forward->deadline ||
+                        (!forward->any_unknown && now > forward->search_until);
+  if (!failed || hopeless) {
     forward->done(std::move(answer), forward->any_unknown);
     return;
   }
@@ -409,6 +418,7 @@
   forward->shard = ShardOf(queue.service, config_.tuning.shards);
   forward->deadline =
       SteadyNow() + std::min(OwnerTime(time_left), kSearchLimit);
+  forward->search_until = SteadyNow() + kQuickSearch;
   forward->local = [job, queue, spec](ShardOwner& owner, auto settle) {
     owner.Submit(job, queue, spec, [settle](Result<SubmitAnswer> answer) {
       if (answer) {
@@ -455,6 +465,7 @@
   auto forward = std::make_shared<Forward<T>>();
   forward->shard = ShardOf(queue.service, config_.tuning.shards);
   forward->deadline = SteadyNow() + OwnerTime(time_left);
+  forward->search_until = forward->deadline;
   forward->local = [job](ShardOwner& owner, auto settle) {
     owner.Cancel(job, [settle](Result<bool> found) {
       if (found) {
@@ -488,6 +499,7 @@
   auto forward = std::make_shared<Forward<T>>();
   forward->shard = ShardOf(queue.service, config_.tuning.shards);
   forward->deadline = SteadyNow() + OwnerTime(time_left);
+  forward->search_until = forward->deadline;
   forward->local = [job, is_current = IsCurrentCheck()](ShardOwner& owner,
                                                         auto settle) {
     // Only a present owner can tell that there is no such job.
@@ -518,6 +530,7 @@
   auto forward = std::make_shared<Forward<T>>();
   forward->shard = ShardOf(queue.service, config_.tuning.shards);
   forward->deadline = SteadyNow() + OwnerTime(time_left);
+  forward->search_until = forward->deadline;
   forward->local = [name = queue.name, is_current = IsCurrentCheck()](
                        ShardOwner& owner, auto settle) {
     if (is_current()) {
--- a/src/libjobs/host_planner.cc
+++ b/src/libjobs/host_planner.cc
@@ -336,6 +336,10 @@
   }
   std::vector<Host*> donors;
   for (auto& [id, host] : hosts_) {
+    if (host.purpose && host.outlook && !host.outlook->reserved) {
+      // Its owner still counts it as room for new runs.
+      spare[host.info.pool] -= CoresOf(host.info);
+    }
     const bool idle = IsStandby(host.info.pool)
                           ? host.info.state == HostState::kUp ||
                                 host.info.state == HostState::kDown
--- a/src/libjobs/pool_engine.cc
+++ b/src/libjobs/pool_engine.cc
@@ -12,10 +12,6 @@
 /** Between sweeps over all runs for leases and stops. */
 constexpr Duration kSweepInterval = std::chrono::milliseconds(200);
 
-/** Records of one commit are split at about this size in bytes; the store
- * takes at least twice as much in one call. */
-constexpr std::size_t kCommitBytes = 768u << 10;
-
 /** Commits over which the time of one is averaged. */
 constexpr int kCommitSamples = 4;
 
--- a/src/libnet/async_http_client.cc
+++ b/src/libnet/async_http_client.cc
@@ -186,7 +186,7 @@
     answer.status = static_cast<int>(message.result_int());
     for (const auto& it : message) {
       answer.headers.push_back(
-          {std::string(it.name_string()), std::string(it.value())});
+          {it.name_string().to_string(), it.value().to_string()});
     }
     const bool keep =
         message.keep_alive() && !message.need_eof() && buffer_.size() == 0;
--- a/src/libnet/async_http_server.cc
+++ b/src/libnet/async_http_server.cc
@@ -148,11 +148,11 @@
     auto message = parser_->release();
     close_after_ = !message.keep_alive();
     HttpRequest request;
-    request.method = std::string(message.method_string());
-    request.target = std::string(message.target());
+    request.method = message.method_string().to_string();
+    request.target = message.target().to_string();
     for (const auto& it : message) {
       request.headers.push_back(
-          {std::string(it.name_string()), std::string(it.value())});
+          {it.name_string().to_string(), it.value().to_string()});
     }
     request.body = std::move(message.body());
     server_->handler_(
--- /dev/null
+++ b/tests/async_http_test.cc
@@ -0,0 +1,172 @@
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+#include "libnet/async_http_client.h"
+#include "libnet/async_http_server.h"
+
+namespace baobab {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+
+class AsyncHttpTest : public testing::Test {
+ protected:
+  void Serve(AsyncHttpServer::Handler handler) {
+    server = std::make_unique<AsyncHttpServer>(loop, std::move(handler));
+    ASSERT_TRUE(server->Listen({"127.0.0.1", 0}).has_value());
+    address = "127.0.0.1:" + std::to_string(server->Port());
+  }
+
+  tcp::socket Raw() {
+    tcp::socket socket(loop);
+    socket.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"),
+                                 static_cast<unsigned short>(server->Port())));
+    return socket;
+  }
+
+  /** Runs the loop until the call has ended. */
+  tl::expected<HttpAnswer, CallFailure> Call(
+      HttpRequest request,
+      AsyncHttpClient::Channel channel = {}) {
+    tl::expected<HttpAnswer, CallFailure> got =
+        tl::unexpected(CallFailure{false, false, "not ended"});
+    bool ended = false;
+    client.Call(address, std::move(request), milliseconds(1000), channel,
+                [&](tl::expected<HttpAnswer, CallFailure> answer) {
+                  got = std::move(answer);
+                  ended = true;
+                });
+    const auto limit = std::chrono::steady_clock::now() + milliseconds(3000);
+    loop.restart();
+    while (!ended && std::chrono::steady_clock::now() < limit) {
+      loop.run_one_for(milliseconds(100));
+    }
+    return got;
+  }
+
+  asio::io_context loop;
+  AsyncHttpClient client{loop};
+  std::unique_ptr<AsyncHttpServer> server;
+  std::string address;
+};
+
+void Echo(const HttpRequest& request,
+          const AsyncHttpServer::Responder& respond) {
+  respond({200, {}, request.method + " " + request.target + request.body});
+}
+
+TEST_F(AsyncHttpTest, AnswersOnAKeptConnection) {
+  Serve(Echo);
+  for (int i = 0; i < 3; ++i) {
+    const auto answer = Call({"POST", "/x?y=1", {}, "body"});
+    ASSERT_TRUE(answer.has_value()) << answer.error().message;
+    EXPECT_EQ(answer->body, "POST /x?y=1body");
+  }
+  EXPECT_EQ(client.counters().connections, 1u);
+}
+
+// Guards against callers that send half a head and stop, which must not delay
+// others: 400 of them held all threads of the former listener for 10 s.
+TEST_F(AsyncHttpTest, HalfHeadsDelayNobody) {
+  Serve(Echo);
+  std::vector<tcp::socket> stalled;
+  for (int i = 0; i < 400; ++i) {
+    stalled.push_back(Raw());
+    asio::write(stalled.back(),
+                asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a")));
+  }
+  loop.run_for(milliseconds(50));
+  const auto begin = std::chrono::steady_clock::now();
+  EXPECT_TRUE(Call({"GET", "/", {}, ""}).has_value());
+  EXPECT_LT(std::chrono::steady_clock::now() - begin, milliseconds(500));
+}
+
+// Guards against a call that waits for good on a connection that fell silent.
+TEST_F(AsyncHttpTest, SilentServerIsATimeout) {
+  std::vector<AsyncHttpServer::Responder> held;
+  Serve([&](const HttpRequest&, AsyncHttpServer::Responder respond) {
+    held.push_back(std::move(respond));
+  });
+  const auto answer = Call({"GET", "/", {}, ""});
+  ASSERT_FALSE(answer.has_value());
+  EXPECT_FALSE(answer.error().not_sent);
+  EXPECT_TRUE(answer.error().timed_out);
+}
+
+// Guards against an unreachable server that is taken for an unknown outcome.
+TEST_F(AsyncHttpTest, RefusedConnectionSentNothing) {
+  Serve(Echo);
+  server->Stop();
+  loop.run_for(milliseconds(10));
+  const auto answer = Call({"GET", "/", {}, ""});
+  ASSERT_FALSE(answer.has_value());
+  EXPECT_TRUE(answer.error().not_sent);
+}
+
+// Guards against acknowledgements that reach a new process at the address.
+TEST_F(AsyncHttpTest, ReuseOnlyOpensNoConnection) {
+  Serve(Echo);
+  EXPECT_TRUE(Call({"GET", "/", {}, ""}, {"orders", false}).has_value());
+  auto answer = Call({"GET", "/", {}, ""}, {"looks", true});
+  ASSERT_FALSE(answer.has_value());
+  EXPECT_TRUE(answer.error().not_sent);
+  EXPECT_TRUE(Call({"GET", "/", {}, ""}, {"looks", false}).has_value());
+  EXPECT_TRUE(Call({"GET", "/", {}, ""}, {"looks", true}).has_value());
+  EXPECT_EQ(client.counters().connections, 2u);
+}
+
+struct BadRequest {
+  const char* name;
+  std::string bytes;
+  std::string status;
+};
+
+class BadRequestTest : public AsyncHttpTest,
+                       public testing::WithParamInterface<BadRequest> {};
+
+// Guards against malformed requests that reach the handler or stop the server.
+TEST_P(BadRequestTest, IsRefused) {
+  int handled = 0;
+  Serve([&](const HttpRequest&, const AsyncHttpServer::Responder& respond) {
+    ++handled;
+    respond({200, {}, ""});
+  });
+  auto socket = Raw();
+  asio::write(socket, asio::buffer(GetParam().bytes));
+  loop.run_for(milliseconds(100));
+  socket.non_blocking(true);
+  std::string got(200, '\0');
+  boost::system::error_code error;
+  got.resize(socket.read_some(asio::buffer(got), error));
+  EXPECT_EQ(got.substr(0, 12), GetParam().status);
+  EXPECT_EQ(handled, 0);
+  EXPECT_TRUE(Call({"GET", "/", {}, ""}).has_value());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Bytes,
+    BadRequestTest,
+    testing::Values(
+        BadRequest{"Garbage", "\x01\x02\x03\r\n\r\n", "HTTP/1.1 400"},
+        BadRequest{"BadLength", "POST / HTTP/1.1\r\nContent-Length: zz\r\n\r\n",
+                   "HTTP/1.1 400"},
+        BadRequest{"LongBody",
+                   "POST / HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n",
+                   "HTTP/1.1 413"},
+        BadRequest{"LongHead",
+                   "GET / HTTP/1.1\r\nA: " + std::string(40000, 'x'),
+                   "HTTP/1.1 431"}),
+    [](const auto& it) { return it.param.name; });
+
+}  // namespace
+}  // namespace baobab
--- /dev/null
+++ b/tests/host_planner_test.cc
@@ -0,0 +1,269 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+
+#include "libjobs/jobs.h"
+
+namespace baobab {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kShards = 32;
+constexpr std::int64_t kWallMs = 1'700'000'000'000;
+
+/** A planner with hosts of three pools; the owners of the pools obey at once.
+ */
+class PlannerWorld {
+ public:
+  PlannerWorld() : planner(Tuning(), kShards) {
+    auto set = std::make_shared<PolicySet>();
+    set->version = 1;
+    for (const char* it : {"hot", "cold", "off"}) {
+      set->services[ServiceId(it)].name = ServiceId(it);
+    }
+    set->services[ServiceId("off")].standby = true;
+    policies = set;
+  }
+
+  static PlannerTuning Tuning() {
+    PlannerTuning tuning;
+    tuning.former_planner = milliseconds(3300);
+    return tuning;
+  }
+
+  void AddHost(const std::string& id, const std::string& pool) {
+    HostInfo info{
+        HostId(id), ServiceId(pool), HostState::kUp, {64'000, 1000, 0}};
+    hosts[info.host] = info;
+  }
+
+  void Start(std::vector<StoredRecord> records = {}) {
+    Apply(PlannerLoaded{std::move(records)});
+    Apply(PlannerPolicies{policies});
+  }
+
+  /** One round: outlooks of all pools, then a tick. */
+  void Round() {
+    now += milliseconds(100);
+    PoolOutlook outlook;
+    for (const auto& [pool, demand] : demands) {
+      ServiceOutlook service;
+      service.service = ServiceId(pool);
+      service.waiting = demand;
+      service.cores = Cores(pool);
+      service.used = demand > 0 ? service.cores : 0;
+      outlook.services.push_back(service);
+    }
+    for (const auto& [id, info] : hosts) {
+      if (info.pool == ServiceId("off") || info.state != HostState::kUp) {
+        continue;
+      }
+      HostOutlook host;
+      host.host = id;
+      host.service = info.pool;
+      host.empty = !busy.contains(id);
+      host.reserved = planner.PlanFor(ShardOf(info.pool, kShards), now)
+                          .reserved.contains(id);
+      outlook.hosts.push_back(host);
+    }
+    Apply(OutlookRead{ShardId(0), outlook});
+    Apply(PlannerTick{});
+  }
+
+  void Rounds(int n) {
+    for (int i = 0; i < n; ++i) {
+      Round();
+    }
+  }
+
+  double Cores(const std::string& pool) const {
+    double cores = 0;
+    for (const auto& [id, info] : hosts) {
+      // Owners do not count reserved hosts as room.
+      const bool reserved = planner.PlanFor(ShardOf(info.pool, kShards), now)
+                                .reserved.contains(id);
+      if (info.pool == ServiceId(pool) && info.state == HostState::kUp &&
+          !reserved) {
+        cores += 64;
+      }
+    }
+    return cores;
+  }
+
+  void Apply(decltype(PlannerEvent::body) body) {
+    auto effects = planner.Apply({now, kWallMs + Elapsed(), std::move(body)});
+    for (auto& it : effects) {
+      std::visit([this](auto& effect) { Execute(effect); }, it);
+    }
+  }
+
+  std::int64_t Elapsed() const {
+    return (now - Time(std::chrono::seconds(100))).count() / 1000;
+  }
+
+  void Execute(StoreIntent& intent) {
+    for (const auto& it : intent.records) {
+      records[it.key] = it.value;
+    }
+    if (store_up) {
+      Apply(IntentStored{intent.commit});
+    }
+  }
+  void Execute(ReadHosts&) {
+    std::vector<HostInfo> list;
+    for (auto& [id, info] : hosts) {
+      if (back_at.contains(id) && now >= back_at[id]) {
+        info.state = HostState::kUp;
+        back_at.erase(id);
+      }
+      list.push_back(info);
+    }
+    Apply(HostsRead{list, false});
+  }
+  void Execute(MoveHost& move) {
+    moves.emplace_back(move.host, move.pool);
+    hosts.at(move.host).pool = move.pool;
+    TakeAway(move.host, HostState::kMoving);
+  }
+  void Execute(MaintainHost& order) {
+    maintained.push_back(order.host);
+    TakeAway(order.host, HostState::kMaintenance);
+    most_away = std::max(most_away, static_cast<int>(back_at.size()));
+  }
+  void Execute(ReportWave& report) { reports.push_back(report); }
+  void Execute(ExplainPlan&) {}
+
+  void TakeAway(const HostId& host, HostState state) {
+    EXPECT_FALSE(busy.contains(host)) << host.value();
+    hosts.at(host).state = state;
+    back_at[host] = now + milliseconds(2000);
+    Apply(HostOrderFinished{host, HostOrderResult::kDone});
+  }
+
+  HostPlanner planner;
+  std::shared_ptr<const PolicySet> policies;
+  std::map<HostId, HostInfo> hosts;
+  std::map<HostId, Time> back_at;
+  std::set<HostId> busy;
+  std::map<std::string, double> demands = {{"hot", 0}, {"cold", 0}};
+  std::map<std::string, std::string> records;
+  std::vector<std::pair<HostId, ServiceId>> moves;
+  std::vector<HostId> maintained;
+  std::vector<ReportWave> reports;
+  int most_away = 0;
+  bool store_up = true;
+  Time now = Time(std::chrono::seconds(100));
+};
+
+MaintenanceWave WaveOf(const PlannerWorld& world, int most_at_once) {
+  MaintenanceWave wave;
+  wave.number = 1;
+  for (const auto& [id, info] : world.hosts) {
+    wave.hosts.insert(id);
+  }
+  wave.within = std::chrono::seconds(30);
+  wave.most_at_once = most_at_once;
+  return wave;
+}
+
+struct WaveCase {
+  const char* name;
+  int hosts;
+  int most_at_once;
+};
+
+class WaveTest : public testing::TestWithParam<WaveCase> {};
+
+// Guards against a wave that is late, that takes more hosts than allowed, or
+// that is reported as completed with hosts left.
+TEST_P(WaveTest, MaintainsEachHostOnceWithinTheLimit) {
+  PlannerWorld world;
+  for (int i = 0; i < GetParam().hosts; ++i) {
+    world.AddHost("h" + std::to_string(i), i % 2 == 0 ? "hot" : "cold");
+  }
+  world.Start();
+  world.Apply(WavesRead{{WaveOf(world, GetParam().most_at_once)}});
+  world.Rounds(290);
+  EXPECT_EQ(world.maintained.size(), world.hosts.size());
+  EXPECT_LE(world.most_away, GetParam().most_at_once);
+  ASSERT_EQ(world.reports.size(), 2u);
+  EXPECT_TRUE(world.reports.back().completed);
+}
+
+INSTANTIATE_TEST_SUITE_P(Sizes,
+                         WaveTest,
+                         testing::Values(WaveCase{"OneByOne", 5, 1},
+                                         WaveCase{"Some", 20, 6},
+                                         WaveCase{"AllAtOnce", 12, 12}),
+                         [](const auto& it) { return it.param.name; });
+
+// Guards against orders that end runs: a busy host waits until it is vacated.
+TEST(HostPlannerTest, GivesNoOrderToABusyHost) {
+  PlannerWorld world;
+  world.AddHost("h0", "hot");
+  world.AddHost("h1", "hot");
+  world.busy = {HostId("h0")};
+  world.Start();
+  world.Apply(WavesRead{{WaveOf(world, 2)}});
+  world.Rounds(100);
+  EXPECT_EQ(world.maintained, std::vector<HostId>{HostId("h1")});
+  world.busy.clear();
+  world.Rounds(50);
+  EXPECT_EQ(world.maintained.size(), 2u);
+}
+
+// Guards against orders of a planner that the store no longer accepts.
+TEST(HostPlannerTest, GivesNoOrderWithoutAStoredIntent) {
+  PlannerWorld world;
+  world.AddHost("h0", "off");
+  world.AddHost("h1", "hot");
+  world.demands["hot"] = 200;
+  world.store_up = false;
+  world.Start();
+  world.Rounds(50);
+  EXPECT_TRUE(world.moves.empty());
+}
+
+// Guards against two planners that give orders for one host in turns, and
+// against a planner that waits for hosts without recent orders. (The second was
+// found in garza-sched trouble-2, where each takeover stopped all moves.)
+TEST(HostPlannerTest, WaitsOnlyForHostsWithRecentOrders) {
+  PlannerWorld world;
+  world.AddHost("h0", "off");
+  world.AddHost("h1", "off");
+  world.AddHost("h2", "hot");
+  world.demands["hot"] = 500;
+  world.Start({{"h/h0", std::to_string(kWallMs - 1000)},
+               {"h/h1", std::to_string(kWallMs - 60'000)}});
+  world.Rounds(10);
+  ASSERT_EQ(world.moves.size(), 1u);
+  EXPECT_EQ(world.moves[0].first, HostId("h1"));
+  world.Rounds(30);
+  EXPECT_EQ(world.moves.size(), 2u);
+}
+
+// Replays a turn: work waits in one pool while another is idle. Guards against
+// idle hosts beside refused work, and against a donor that is left empty.
+TEST(HostPlannerTest, MovesIdleHostsToWhereWorkWaits) {
+  PlannerWorld world;
+  for (int i = 0; i < 9; ++i) {
+    world.AddHost("cold" + std::to_string(i), "cold");
+    world.AddHost("hot" + std::to_string(i), "hot");
+  }
+  world.AddHost("off0", "off");
+  world.Start();
+  world.Rounds(5);
+  world.demands["hot"] = 300;
+  world.Rounds(4);
+  EXPECT_GE(world.moves.size(), 5u);
+  EXPECT_EQ(world.moves[0].first, HostId("off0"));
+  world.demands["hot"] = 5000;
+  world.Rounds(60);
+  EXPECT_GE(world.Cores("cold"), 64);
+}
+
+}  // namespace
+}  // namespace baobab
--- /dev/null
+++ b/tests/stored_job_test.cc
@@ -0,0 +1,114 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <chrono>
+#include <string>
+
+#include "libjobs/jobs.h"
+
+namespace baobab {
+namespace {
+
+Job MakeJob() {
+  Job job;
+  job.id = JobId("5c0e7a21d94b36f8");
+  job.queue = QueueId("queue");
+  job.service = ServiceId("service");
+  job.max_attempts = 3;
+  job.stretch = 1.6;
+  job.target = std::chrono::milliseconds(600);
+  job.accepted_wall_ms = 1'700'000'000'000;
+  job.spec.payload = std::string("bytes \0 and \xff", 12);
+  job.spec.steps.resize(2);
+  job.spec.steps[0].count = 2;
+  job.spec.steps[0].label = "a";
+  job.spec.steps[0].data_rack = "r1";
+  job.spec.steps[0].gang = true;
+  job.spec.steps[1].after = {0};
+  job.spec.steps[1].lasting = true;
+  job.spec.steps[1].may_miss = 1;
+  job.CreateOccurrence(Time{});
+  return job;
+}
+
+// Guards against a job that a new owner loads differently from what was
+// accepted, or with runs that it takes for ended.
+TEST(StoredJobTest, NewOwnerLoadsWhatWasStored) {
+  Job job = MakeJob();
+  auto& task = job.occurrences.at(0).steps[0][1];
+  task.phase = TaskPhase::kRunning;
+  task.run = RunNumber(4);
+  task.failures = 1;
+  task.worker = WorkerId("w1");
+  task.checkpoint = "c";
+  const auto loaded =
+      DecodeJobs({{AcceptanceKey(job.id), EncodeAcceptance(job)},
+                  {ProgressKey(job.id), EncodeProgress(job)}});
+  ASSERT_TRUE(loaded.faults.empty());
+  const Job& got = loaded.jobs.at(job.id);
+  EXPECT_EQ(got.spec, job.spec);
+  EXPECT_EQ(got.accepted_wall_ms, job.accepted_wall_ms);
+  const auto& inherited = got.occurrences.at(0).steps[0][1];
+  EXPECT_EQ(inherited.phase, TaskPhase::kInherited);
+  EXPECT_EQ(inherited.run, RunNumber(4));
+  EXPECT_EQ(inherited.failures, 1);
+  EXPECT_EQ(inherited.worker, WorkerId("w1"));
+  EXPECT_EQ(inherited.checkpoint, "c");
+  EXPECT_EQ(got.occurrences.at(0).steps[0][0].phase, TaskPhase::kWaiting);
+}
+
+// Guards against one damaged record that keeps a whole shard from loading.
+TEST(StoredJobTest, SkipsRecordsThatCannotBeRead) {
+  const Job job = MakeJob();
+  const auto loaded =
+      DecodeJobs({{AcceptanceKey(job.id), EncodeAcceptance(job)},
+                  {"a/other", "no msgpack"},
+                  {ProgressKey(job.id), "\x93\x01\x02"},
+                  {"", "x"}});
+  EXPECT_EQ(loaded.jobs.size(), 1u);
+  EXPECT_EQ(loaded.faults.size(), 2u);
+}
+
+// Guards against records of any bytes that stop the process.
+RC_GTEST_PROP(StoredJobProperty,
+              AnyBytesAreReadOrSkipped,
+              (const std::string& acceptance, const std::string& progress)) {
+  const Job job = MakeJob();
+  DecodeJobs({{AcceptanceKey(job.id), acceptance}, {"p/x", progress}});
+  DecodeJobs({{AcceptanceKey(job.id), EncodeAcceptance(job)},
+              {ProgressKey(job.id), progress}});
+}
+
+struct SpecCase {
+  const char* name;
+  void (*damage)(JobSpec&);
+};
+
+class CheckSpecTest : public testing::TestWithParam<SpecCase> {};
+
+// Guards against jobs that could never be run, or would take all memory.
+TEST_P(CheckSpecTest, RefusesBadJobs) {
+  JobSpec spec = MakeJob().spec;
+  ASSERT_TRUE(CheckSpec(spec).has_value());
+  GetParam().damage(spec);
+  EXPECT_FALSE(CheckSpec(spec).has_value());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Faults,
+    CheckSpecTest,
+    testing::Values(
+        SpecCase{"NoSteps", [](JobSpec& it) { it.steps.clear(); }},
+        SpecCase{"NoTasks", [](JobSpec& it) { it.steps[0].count = 0; }},
+        SpecCase{"TooManyTasks",
+                 [](JobSpec& it) { it.steps[0].count = 1'000'000; }},
+        SpecCase{"Negative",
+                 [](JobSpec& it) { it.steps[0].need.cpu_milli = -1; }},
+        SpecCase{"DependsOnItself",
+                 [](JobSpec& it) { it.steps[1].after = {1}; }},
+        SpecCase{"DependsOnNone",
+                 [](JobSpec& it) { it.steps[1].after = {-1}; }}),
+    [](const auto& it) { return it.param.name; });
+
+}  // namespace
+}  // namespace baobab
