fleet: own HTTP interface to jobs, status and metrics; tests of nodes on platform stand-ins

Cause: jobs could only be handed in over the platform's interface, and counters were not served. Change: /jobs, /status and /metrics on the control port; each decision is counted, latencies of submissions and commits are observed; fleet_node_test runs two nodes on an in-memory platform.

--- a/src/libfleet/decision_log.cc
+++ b/src/libfleet/decision_log.cc
@@ -3,6 +3,7 @@
 #include <poll.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <iterator>
 #include <utility>
 
@@ -10,7 +11,8 @@
 
 namespace baobab {
 
-DecisionLog::DecisionLog(std::string node) : node_(std::move(node)) {}
+DecisionLog::DecisionLog(std::string node, Metrics& metrics)
+    : node_(std::move(node)), metrics_(metrics) {}
 
 DecisionLog::~DecisionLog() {
   Flush();
@@ -19,6 +21,9 @@
 void DecisionLog::Write(std::string_view event,
                         std::string_view job,
                         std::string_view fields) {
+  std::string counter = "decisions_" + std::string(event);
+  std::replace(counter.begin(), counter.end(), '-', '_');
+  metrics_.Count(counter);
   const auto wall_ms = WallMilliseconds();
   if (wall_ms / 1000 != second_) {
     second_ = wall_ms / 1000;
--- a/src/libfleet/decision_log.h
+++ b/src/libfleet/decision_log.h
@@ -7,6 +7,8 @@
 
 #include <fmt/format.h>
 
+#include "libtelemetry/metrics.h"
+
 namespace baobab {
 
 /** Writes one line for each decision to standard output. Lines are collected
@@ -15,7 +17,8 @@
  * event loop only. */
 class DecisionLog {
  public:
-  explicit DecisionLog(std::string node);
+  /** Each line is counted in `metrics` as decisions_EVENT. */
+  DecisionLog(std::string node, Metrics& metrics);
   ~DecisionLog();
 
   /** "time=.. node=.. event=.. job=.. FIELDS"; `job` may be empty. */
@@ -23,6 +26,8 @@
              std::string_view job,
              std::string_view fields);
 
+  Metrics& metrics() { return metrics_; }
+
   /** Writes what was collected, as far as the reader takes it. */
   void Flush();
 
@@ -37,6 +42,7 @@
               std::string_view fields);
 
   const std::string node_;
+  Metrics& metrics_;
   fmt::memory_buffer buffer_;
   std::int64_t second_ = 0;
   int lines_ = 0;
--- a/src/libfleet/fleet.h
+++ b/src/libfleet/fleet.h
@@ -5,5 +5,6 @@
 // interfaces through which it reaches the platform.
 
 #include "libfleet/fleet_node.h"
+#include "libfleet/job_interface.h"
 
 #endif  // SRC_LIBFLEET_FLEET_H_
--- a/src/libfleet/fleet_node.cc
+++ b/src/libfleet/fleet_node.cc
@@ -414,6 +414,13 @@
                        Duration time_left,
                        std::function<void(SubmitOutcome)> done) {
   using T = SubmitAnswer;
+  done = [this, begin = SteadyNow(),
+          done = std::move(done)](SubmitOutcome outcome) {
+    ports_.log.metrics().Observe(
+        "submit_seconds",
+        std::chrono::duration<double>(SteadyNow() - begin).count());
+    done(std::move(outcome));
+  };
   auto forward = std::make_shared<Forward<T>>();
   forward->shard = ShardOf(queue.service, config_.tuning.shards);
   forward->deadline =
--- a/src/libfleet/shard_owner.cc
+++ b/src/libfleet/shard_owner.cc
@@ -161,32 +161,36 @@
   const auto timeout =
       kFirstAppendTimeout * (1 << std::min(append_tries_, kMostDoublings));
   ++append_tries_;
-  ports_.store.Append({shard_, ShardWriter::kJobs}, token_, sequence_,
-                      commit_.records, timeout,
-                      [self = shared_from_this()](AppendOutcome outcome) {
-                        if (self->stopped_) {
-                          return;
-                        }
-                        switch (outcome) {
-                          case AppendOutcome::kStored:
-                            ++self->sequence_;
-                            self->append_tries_ = 0;
-                            self->Post(CommitStored{self->commit_.commit});
-                            break;
-                          case AppendOutcome::kFenced:
-                          case AppendOutcome::kOutOfSequence:
-                            self->ports_.on_fenced(self->shard_);
-                            break;
-                          case AppendOutcome::kRefused:
-                            self->Retry(&ShardOwner::Append, kRetryDelay);
-                            break;
-                          case AppendOutcome::kUnknown:
-                            // The time limit has passed already, or the
-                            // connection broke.
-                            self->Retry(&ShardOwner::Append, kUnknownDelay);
-                            break;
-                        }
-                      });
+  ports_.store.Append(
+      {shard_, ShardWriter::kJobs}, token_, sequence_, commit_.records, timeout,
+      [self = shared_from_this()](AppendOutcome outcome) {
+        if (self->stopped_) {
+          return;
+        }
+        switch (outcome) {
+          case AppendOutcome::kStored:
+            ++self->sequence_;
+            self->append_tries_ = 0;
+            self->ports_.log.metrics().Observe(
+                "commit_seconds", std::chrono::duration<double>(
+                                      SteadyNow() - self->commit_begun_at_)
+                                      .count());
+            self->Post(CommitStored{self->commit_.commit});
+            break;
+          case AppendOutcome::kFenced:
+          case AppendOutcome::kOutOfSequence:
+            self->ports_.on_fenced(self->shard_);
+            break;
+          case AppendOutcome::kRefused:
+            self->Retry(&ShardOwner::Append, kRetryDelay);
+            break;
+          case AppendOutcome::kUnknown:
+            // The time limit has passed already, or the
+            // connection broke.
+            self->Retry(&ShardOwner::Append, kUnknownDelay);
+            break;
+        }
+      });
 }
 
 void ShardOwner::Execute(PoolEffect& effect) {
@@ -203,6 +207,7 @@
     void operator()(StoreCommit& it) {
       self.commit_ = std::move(it);
       self.append_tries_ = 0;
+      self.commit_begun_at_ = SteadyNow();
       self.Append();
     }
     void operator()(const LookAtWorker& it) {
--- a/src/libfleet/shard_owner.h
+++ b/src/libfleet/shard_owner.h
@@ -80,6 +80,7 @@
   std::uint64_t sequence_ = 0;
   StoreCommit commit_;
   int append_tries_ = 0;
+  Time commit_begun_at_;
 
   std::uint64_t replies_ = 0;
   std::map<ReplyId, SubmitDone> submits_;
--- /dev/null
+++ b/tests/fleet_fakes.h
@@ -0,0 +1,298 @@
+#ifndef TESTS_FLEET_FAKES_H_
+#define TESTS_FLEET_FAKES_H_
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/post.hpp>
+
+#include "libfleet/fleet.h"
+
+namespace baobab {
+
+/** The platform in memory: a store that deals shards to members, and workers
+ * that run tasks in real time. One for all nodes of a test. */
+class FakePlatform {
+ public:
+  static constexpr int kShards = 4;
+
+  explicit FakePlatform(boost::asio::io_context& loop) : loop(loop) {
+    auto set = std::make_shared<PolicySet>();
+    set->version = 1;
+    QueuePolicy queue;
+    queue.name = QueueId("queue");
+    queue.host = "jobs.example";
+    queue.path_prefix = "/q/";
+    queue.service = ServiceId("service");
+    queue.max_attempts = 3;
+    queue.target = std::chrono::seconds(5);
+    set->queues = {queue};
+    set->services[queue.service].name = queue.service;
+    published.policies = set;
+    auto list = std::make_shared<std::vector<WorkerEntry>>();
+    for (int i = 0; i < 3; ++i) {
+      WorkerEntry entry;
+      entry.id = WorkerId("w" + std::to_string(i));
+      entry.service = queue.service;
+      entry.host = HostId("h" + std::to_string(i));
+      entry.address = "w" + std::to_string(i);
+      entry.capacity = {64'000, 64'000, 0};
+      entry.labels = {"a", "r1"};
+      entry.born = 1 + i;
+      list->push_back(entry);
+    }
+    workers = list;
+  }
+
+  struct Member {
+    Time seen_at;
+    std::set<int> shards;
+  };
+  struct Run {
+    TaskId task;
+    RunNumber run;
+    Time ends_at;
+  };
+  struct SimWorker {
+    std::int64_t token = 0;
+    std::vector<Run> running;
+    std::vector<EndedRow> ended;
+    std::int64_t last_end = 0;
+  };
+
+  void After(Duration delay, std::function<void()> action) {
+    auto timer = std::make_shared<LoopTimer>(loop);
+    timer->Set(delay, [timer, action = std::move(action)] { action(); });
+  }
+
+  /** Drops members that stayed away and deals the shards evenly. */
+  void Deal() {
+    const auto now = SteadyNow();
+    const auto before = members.size();
+    std::erase_if(members, [&](const auto& it) {
+      return now - it.second.seen_at > lifetime;
+    });
+    if (members.size() != before || dealt_for != members.size()) {
+      dealt_for = members.size();
+      ++generation;
+      int next = 0;
+      for (auto& [name, member] : members) {
+        member.shards.clear();
+      }
+      for (int shard = 0; shard < kShards && !members.empty(); ++shard) {
+        std::next(members.begin(), next++ % static_cast<int>(members.size()))
+            ->second.shards.insert(shard);
+      }
+    }
+  }
+
+  boost::asio::io_context& loop;
+  Duration lifetime = std::chrono::milliseconds(400);
+  std::map<std::string, Member> members;
+  std::size_t dealt_for = 0;
+  std::int64_t generation = 0;
+  std::map<ShardId, std::map<std::string, std::string>> records;
+  std::map<std::pair<ShardId, ShardWriter>, std::int64_t> epochs;
+  FleetFeed::Published published;
+  std::shared_ptr<const std::vector<WorkerEntry>> workers;
+  std::map<WorkerId, SimWorker> sims;
+  std::map<TaskId, int> starts;
+  /** Members whose calls get no answer. */
+  std::set<std::string> cut_off;
+};
+
+/** The platform as one node sees it. */
+class FakePorts : public JobStore,
+                  public FleetFeed,
+                  public WorkerCalls,
+                  public HostCalls {
+ public:
+  FakePorts(FakePlatform& platform, std::string member)
+      : platform_(platform), member_(std::move(member)) {}
+
+  void Join(std::int64_t, JobStore::Callback<Membership> done) override {
+    Call(done, [this]() -> Result<Membership> {
+      platform_.members[member_].seen_at = SteadyNow();
+      platform_.Deal();
+      Membership membership;
+      membership.generation = platform_.generation;
+      for (const int it : platform_.members[member_].shards) {
+        membership.shards.emplace_back(it);
+      }
+      return membership;
+    });
+  }
+  void Leave(std::function<void()> done) override {
+    platform_.members.erase(member_);
+    platform_.Deal();
+    boost::asio::post(platform_.loop, done);
+  }
+  Duration MemberLifetime() const override { return platform_.lifetime; }
+  void ReadOwners(
+      JobStore::Callback<std::map<ShardId, std::string>> done) override {
+    Call(done, [this]() -> Result<std::map<ShardId, std::string>> {
+      std::map<ShardId, std::string> owners;
+      for (const auto& [name, member] : platform_.members) {
+        for (const int it : member.shards) {
+          owners[ShardId(it)] = name;
+        }
+      }
+      return owners;
+    });
+  }
+  void Fence(const ShardStream& stream,
+             FenceToken token,
+             std::function<void(AppendOutcome)> done) override {
+    Append(stream, token, 0, {}, Duration(0), std::move(done));
+  }
+  void Load(ShardId shard,
+            JobStore::Callback<std::vector<StoredRecord>> done) override {
+    Call(done, [this, shard]() -> Result<std::vector<StoredRecord>> {
+      std::vector<StoredRecord> records;
+      for (const auto& [key, value] : platform_.records[shard]) {
+        records.push_back({key, value});
+      }
+      return records;
+    });
+  }
+  void Append(const ShardStream& stream,
+              FenceToken token,
+              std::uint64_t,
+              const std::vector<StoredRecord>& records,
+              Duration,
+              std::function<void(AppendOutcome)> done) override {
+    if (platform_.cut_off.contains(member_)) {
+      platform_.After(std::chrono::milliseconds(200),
+                      [done] { done(AppendOutcome::kUnknown); });
+      return;
+    }
+    auto& epoch = platform_.epochs[{stream.shard, stream.writer}];
+    if (token.value() < epoch) {
+      boost::asio::post(platform_.loop,
+                        [done] { done(AppendOutcome::kFenced); });
+      return;
+    }
+    epoch = token.value();
+    for (const auto& it : records) {
+      auto& shard = platform_.records[stream.shard];
+      if (it.value.empty()) {
+        shard.erase(it.key);
+      } else {
+        shard[it.key] = it.value;
+      }
+    }
+    platform_.After(std::chrono::milliseconds(2),
+                    [done] { done(AppendOutcome::kStored); });
+  }
+
+  void AwaitPublished(FleetFeed::Callback<Published> done) override {
+    platform_.After(std::chrono::milliseconds(50),
+                    [this, done] { done(platform_.published); });
+  }
+  void ReportWave(const baobab::ReportWave&,
+                  std::function<void(bool)> done) override {
+    done(true);
+  }
+  void ReadWorkers(
+      FleetFeed::Callback<std::shared_ptr<const std::vector<WorkerEntry>>> done)
+      override {
+    boost::asio::post(platform_.loop,
+                      [this, done] { done(platform_.workers); });
+  }
+
+  void Look(const LookAtWorker& look,
+            FenceToken token,
+            std::function<void(OrderResult, WorkerReport)> done) override {
+    auto& sim = platform_.sims[look.worker];
+    if (token.value() < sim.token) {
+      boost::asio::post(platform_.loop,
+                        [done] { done(OrderResult::kFenced, {}); });
+      return;
+    }
+    sim.token = token.value();
+    std::erase_if(sim.ended,
+                  [&](const auto& it) { return it.number <= look.ends_told; });
+    platform_.After(std::min(look.wait, kLookDelay), [this, look, done] {
+      auto& sim = platform_.sims[look.worker];
+      Expire(sim);
+      WorkerReport report;
+      report.born = 1;
+      report.clock_ms = SteadyNow().time_since_epoch().count() / 1000;
+      for (const auto& it : sim.running) {
+        report.running.push_back({it.task, it.run, "", 1, 0});
+      }
+      report.ended = sim.ended;
+      done(OrderResult::kDone, std::move(report));
+    });
+  }
+  void Start(const StartRun& start,
+             FenceToken token,
+             WorkerCalls::Done done) override {
+    auto& sim = platform_.sims[start.worker];
+    auto result = OrderResult::kFenced;
+    if (token.value() >= sim.token) {
+      result = OrderResult::kDone;
+      ++platform_.starts[start.task];
+      sim.running.push_back(
+          {start.task, start.run, SteadyNow() + std::chrono::milliseconds(80)});
+    }
+    boost::asio::post(platform_.loop, [done, result] { done(result); });
+  }
+  void Stop(const StopRun& stop, FenceToken, WorkerCalls::Done done) override {
+    std::erase_if(platform_.sims[stop.worker].running,
+                  [&](const auto& it) { return it.task == stop.task; });
+    boost::asio::post(platform_.loop, [done] { done(OrderResult::kDone); });
+  }
+  void Pace(const PaceRun&, FenceToken, WorkerCalls::Done) override {}
+
+  void List(std::function<void(Result<std::vector<HostInfo>>)> done) override {
+    boost::asio::post(platform_.loop,
+                      [done] { done(std::vector<HostInfo>()); });
+  }
+  void Move(const MoveHost&,
+            FenceToken,
+            std::function<void(HostOrderResult)>) override {}
+  void Maintain(const MaintainHost&,
+                FenceToken,
+                std::function<void(HostOrderResult)>) override {}
+
+ private:
+  static constexpr Duration kLookDelay = std::chrono::milliseconds(20);
+
+  template <typename D, typename F>
+  void Call(D done, F work) {
+    if (platform_.cut_off.contains(member_)) {
+      platform_.After(std::chrono::milliseconds(200), [done] {
+        done(tl::unexpected(Error{"call", "store", "no answer"}));
+      });
+      return;
+    }
+    auto result = work();
+    platform_.After(std::chrono::milliseconds(2),
+                    [done, result = std::move(result)] { done(result); });
+  }
+
+  void Expire(FakePlatform::SimWorker& sim) {
+    std::erase_if(sim.running, [&](const auto& it) {
+      if (SteadyNow() < it.ends_at) {
+        return false;
+      }
+      sim.ended.push_back(
+          {++sim.last_end, it.task, it.run, EndKind::kDone, ""});
+      return true;
+    });
+  }
+
+  FakePlatform& platform_;
+  const std::string member_;
+};
+
+}  // namespace baobab
+
+#endif  // TESTS_FLEET_FAKES_H_
--- /dev/null
+++ b/tests/fleet_node_test.cc
@@ -0,0 +1,174 @@
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fleet_fakes.h"
+
+namespace baobab {
+namespace {
+
+using std::chrono::milliseconds;
+
+/** One node with its ports, on the loop of the test. */
+struct TestNode {
+  TestNode(FakePlatform& platform, const std::string& address)
+      : ports(platform, address),
+        client(platform.loop),
+        log("test", metrics),
+        node({platform.loop, client, ports, ports, ports, ports, log},
+             Config(address)),
+        jobs(node, metrics) {
+    node.Start();
+  }
+
+  static FleetNodeConfig Config(const std::string& address) {
+    FleetNodeConfig config;
+    config.node = NodeId(address);
+    config.peer_address = address;
+    config.tuning.shards = FakePlatform::kShards;
+    return config;
+  }
+
+  FakePorts ports;
+  AsyncHttpClient client;
+  Metrics metrics;
+  DecisionLog log;
+  FleetNode node;
+  JobInterface jobs;
+};
+
+class FleetNodeTest : public testing::Test {
+ protected:
+  void SetUp() override {
+    testing::internal::CaptureStdout();
+    for (int i = 0; i < 2; ++i) {
+      addresses.push_back("127.0.0.1:" + std::to_string(kFirstPort + i));
+      nodes.push_back(std::make_unique<TestNode>(platform, addresses.back()));
+    }
+    loop.run_for(milliseconds(700));
+  }
+
+  void TearDown() override { testing::internal::GetCapturedStdout(); }
+
+  HttpAnswer Call(TestNode& node,
+                  const std::string& method,
+                  const std::string& target,
+                  const std::string& body = "") {
+    std::optional<HttpAnswer> got;
+    node.jobs.Serve({method, target, {}, body},
+                    [&](HttpAnswer answer) { got = std::move(answer); });
+    const auto limit = SteadyNow() + milliseconds(4000);
+    while (!got && SteadyNow() < limit) {
+      loop.run_one_for(milliseconds(50));
+    }
+    return got.value_or(HttpAnswer{0, {}, "no answer"});
+  }
+
+  /** The node that owns the queue's shard, and the other one. */
+  TestNode& Owner() {
+    const int shard =
+        ShardOf(ServiceId("service"), FakePlatform::kShards).value();
+    return *nodes[platform.members[addresses[0]].shards.contains(shard) ? 0
+                                                                        : 1];
+  }
+  TestNode& Other() { return *nodes[&Owner() == nodes[0].get() ? 1 : 0]; }
+
+  static constexpr int kFirstPort = 39'640;
+  static constexpr char kJob[] =
+      R"({"payload":"x","steps":[{"count":3,"cpu_milli":1000,)"
+      R"("estimate_ms":80}]})";
+
+  boost::asio::io_context loop;
+  FakePlatform platform{loop};
+  std::vector<std::string> addresses;
+  std::vector<std::unique_ptr<TestNode>> nodes;
+};
+
+// Guards against a job that only its owner's callers can hand in or ask for.
+TEST_F(FleetNodeTest, ServesJobsThroughAnyNode) {
+  EXPECT_EQ(Call(Other(), "POST", "/jobs/queue/j1", kJob).status, 200);
+  loop.run_for(milliseconds(400));
+  for (auto* it : {&Owner(), &Other()}) {
+    EXPECT_EQ(Call(*it, "GET", "/jobs/queue/j1").body,
+              R"({"state":"completed"})");
+    EXPECT_EQ(Call(*it, "GET", "/jobs/queue").body, R"({"pending":0})");
+    EXPECT_EQ(Call(*it, "GET", "/jobs/queue/j2").status, 404);
+  }
+  EXPECT_EQ(platform.starts.size(), 3u);
+}
+
+// Guards against an accepted job that is lost when its owner stops, and against
+// tasks that run twice because of it.
+TEST_F(FleetNodeTest, JobSurvivesItsOwner) {
+  auto& owner = Owner();
+  auto& other = Other();
+  EXPECT_EQ(Call(owner, "POST", "/jobs/queue/j1", kJob).status, 200);
+  owner.node.Leave();
+  loop.run_for(milliseconds(900));
+  EXPECT_EQ(Call(other, "GET", "/jobs/queue/j1").body,
+            R"({"state":"completed"})");
+  for (const auto& [task, n] : platform.starts) {
+    EXPECT_EQ(n, 1) << ToString(task);
+  }
+}
+
+// Guards against a node that was replaced while it was cut off from the store
+// and still answers that there is no such job, or accepts one.
+TEST_F(FleetNodeTest, NodeThatIsCutOffAnswersNothingForCertain) {
+  auto& owner = Owner();
+  auto& other = Other();
+  platform.cut_off.insert(addresses[&owner == nodes[0].get() ? 0 : 1]);
+  loop.run_for(milliseconds(900));
+  EXPECT_EQ(Call(other, "POST", "/jobs/queue/j1", kJob).status, 200);
+  EXPECT_NE(Call(owner, "GET", "/jobs/queue/j1").status, 404);
+  EXPECT_NE(Call(owner, "DELETE", "/jobs/queue/j1").status, 404);
+  EXPECT_NE(Call(owner, "POST", "/jobs/queue/j2", kJob).status, 200);
+}
+
+struct BadCall {
+  const char* name;
+  const char* method;
+  const char* target;
+  const char* body;
+  int status;
+};
+
+class BadCallTest : public FleetNodeTest,
+                    public testing::WithParamInterface<BadCall> {};
+
+// Guards against bad input that gets no clear error.
+TEST_P(BadCallTest, GetsAClearError) {
+  const auto& call = GetParam();
+  const auto answer = Call(*nodes[0], call.method, call.target, call.body);
+  EXPECT_EQ(answer.status, call.status);
+  EXPECT_NE(answer.body.find("error"), std::string::npos);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Calls,
+    BadCallTest,
+    testing::Values(BadCall{"NoQueue", "GET", "/jobs/none/j1", "", 404},
+                    BadCall{"NoJson", "POST", "/jobs/queue/j1", "{", 400},
+                    BadCall{"NoSteps", "POST", "/jobs/queue/j1",
+                            R"({"steps":[]})", 400},
+                    BadCall{"ManyTasks", "POST", "/jobs/queue/j1",
+                            R"({"steps":[{"count":99999999}]})", 400},
+                    BadCall{"BadId", "POST", "/jobs/queue/j.1", "{}", 400},
+                    BadCall{"Method", "PATCH", "/jobs/queue/j1", "", 405},
+                    BadCall{"Path", "GET", "/", "", 404}),
+    [](const auto& it) { return it.param.name; });
+
+TEST_F(FleetNodeTest, ShowsStatusAndMetrics) {
+  Call(*nodes[0], "POST", "/jobs/queue/j1", kJob);
+  EXPECT_NE(Call(*nodes[0], "GET", "/status").body.find("ready yes"),
+            std::string::npos);
+  EXPECT_NE(Call(*nodes[0], "GET", "/metrics").body.find("submit_seconds"),
+            std::string::npos);
+}
+
+}  // namespace
+}  // namespace baobab
