--- a/src/libjobs/job.h
+++ b/src/libjobs/job.h
@@ -63,6 +63,12 @@
 
 enum class JobEnd : std::uint8_t { kOpen, kCompleted, kFailed, kCancelled };
 
+/** Name for logs. */
+constexpr const char* ToString(JobEnd end) {
+  constexpr const char* kNames[] = {"open", "completed", "failed", "cancelled"};
+  return kNames[static_cast<int>(end)];
+}
+
 struct Job {
   JobId id;
   QueueId queue;
--- a/src/libjobs/pool_engine.cc
+++ b/src/libjobs/pool_engine.cc
@@ -419,7 +419,7 @@
   staged_.dirty.insert(job.id);
   staged_.shown[job.id] = end;
   Explain("end-job", job.id,
-          fmt::format("end={} why={} age_ms={}", static_cast<int>(end), why,
+          fmt::format("end={} why={} age_ms={}", ToString(end), why,
                       wall_ms_ - job.accepted_wall_ms));
   for (auto& [number, occurrence] : job.occurrences) {
     for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
--- a/src/libjobs/pool_engine_tasks.cc
+++ b/src/libjobs/pool_engine_tasks.cc
@@ -78,9 +78,9 @@
     ++task.failures;
     task.failed_on = task.worker;
     if (!spec.lasting && task.failures >= job.max_attempts) {
+      task.phase = TaskPhase::kWaiting;
       EndJob(job, JobEnd::kFailed,
              fmt::format("attempts-used task={}", ToString(id)));
-      task.phase = TaskPhase::kWaiting;
       return;
     }
   }
@@ -317,7 +317,7 @@
   Explain("start-refused", job.id,
           fmt::format("task={} run={} worker={} result={}",
                       ToString(event.task), event.run.value(),
-                      event.worker.value(), static_cast<int>(event.result)));
+                      event.worker.value(), ToString(event.result)));
   FreeRoom(event.task, *task);
   ReturnToWaiting(job, event.task, *task);
   worker.avoid_until =
--- a/src/libjobs/pool_engine_workers.cc
+++ b/src/libjobs/pool_engine_workers.cc
@@ -130,10 +130,9 @@
       worker.ends_told = std::min(worker.ends_told, worker.ends_stored - 1);
       worker.next_look_at = now_ + tuning_.look_retry;
       if (worker.misses == 1 || event.result == OrderResult::kFenced) {
-        Explain(
-            "look-failed", JobId(),
-            fmt::format("worker={} result={} runs={}", event.worker.value(),
-                        static_cast<int>(event.result), worker.runs.size()));
+        Explain("look-failed", JobId(),
+                fmt::format("worker={} result={} runs={}", event.worker.value(),
+                            ToString(event.result), worker.runs.size()));
       }
       break;
   }
@@ -185,11 +184,11 @@
             fmt::format("worker={} failures={}", worker.entry.id.value(),
                         worker.failures_in_row));
   }
-  Explain("run-ended", row.task.job,
-          fmt::format("task={} run={} worker={} end={} ms={}",
-                      ToString(row.task), row.run.value(),
-                      worker.entry.id.value(), static_cast<int>(row.kind),
-                      (now_ - task->started_at).count() / 1000));
+  Explain(
+      "run-ended", row.task.job,
+      fmt::format("task={} run={} worker={} end={} ms={}", ToString(row.task),
+                  row.run.value(), worker.entry.id.value(), ToString(row.kind),
+                  (now_ - task->started_at).count() / 1000));
   EndRun(found->second, row.task, *task, row.kind, row.checkpoint);
 }
 
--- a/src/libjobs/pool_event.h
+++ b/src/libjobs/pool_event.h
@@ -79,6 +79,15 @@
   kUnknown,
 };
 
+/** Name for logs. */
+constexpr const char* ToString(OrderResult result) {
+  constexpr const char* kNames[] = {"done",     "fenced",        "old-run",
+                                    "late",     "no-room",       "no-ticket",
+                                    "busy",     "invalid",       "wrong-life",
+                                    "not-sent", "no-connection", "unanswered"};
+  return kNames[static_cast<int>(result)];
+}
+
 struct LookFinished {
   WorkerId worker;
   std::uint64_t look = 0;
--- a/src/libjobs/worker_report.h
+++ b/src/libjobs/worker_report.h
@@ -44,6 +44,13 @@
   kAlone,
 };
 
+/** Name for logs. */
+constexpr const char* ToString(EndKind kind) {
+  constexpr const char* kNames[] = {"done",   "failed", "stopped",
+                                    "lapsed", "broken", "alone"};
+  return kNames[static_cast<int>(kind)];
+}
+
 /** A run that is present at a worker. */
 struct RunningRow {
   TaskId task;
