--- a/src/libfleet/peer_calls.cc
+++ b/src/libfleet/peer_calls.cc
@@ -85,6 +85,9 @@
   queue.max_attempts = job.max_attempts;
   queue.stretch = job.stretch;
   queue.target = job.target;
+  if (job.needs_advice) {
+    queue.advice = AdviceTerms();
+  }
   owner.Submit(id, queue, job.spec,
                [respond = std::move(respond)](Result<SubmitAnswer> answer) {
                  if (!answer) {
@@ -127,6 +130,7 @@
   carrier.max_attempts = queue.max_attempts;
   carrier.stretch = queue.stretch;
   carrier.target = queue.target;
+  carrier.needs_advice = queue.advice.has_value();
   carrier.spec = spec;
   client_.Call(
       peer,
--- a/src/libfleet/ports.h
+++ b/src/libfleet/ports.h
@@ -125,6 +125,8 @@
   virtual void Start(const StartRun& start, FenceToken token, Done done) = 0;
   virtual void Stop(const StopRun& stop, FenceToken token, Done done) = 0;
   virtual void Pace(const PaceRun& pace, FenceToken token, Done done) = 0;
+  virtual void Ask(const AskAdvice& question,
+                   std::function<void(AdviceGiven)> done) = 0;
 };
 
 }  // namespace baobab
--- a/src/libfleet/shard_owner.cc
+++ b/src/libfleet/shard_owner.cc
@@ -244,6 +244,10 @@
     void operator()(const PaceRun& it) {
       self.ports_.workers.Pace(it, self.token_, [](OrderResult) {});
     }
+    void operator()(const AskAdvice& it) {
+      self.ports_.workers.Ask(
+          it, [post = post](AdviceGiven given) { post(std::move(given)); });
+    }
     void operator()(AnswerSubmit& it) {
       if (auto node = self.submits_.extract(it.reply)) {
         node.mapped()(
--- a/src/libjobs/job.h
+++ b/src/libjobs/job.h
@@ -77,6 +77,8 @@
   int max_attempts = 1;
   double stretch = 1;
   Duration target{0};
+  /** Starts need a ticket of the advice service. */
+  bool needs_advice = false;
   JobSpec spec;
   std::int64_t accepted_wall_ms = 0;
 
--- a/src/libjobs/placement.cc
+++ b/src/libjobs/placement.cc
@@ -45,18 +45,33 @@
          RunsOfStep(worker, job.id, occurrence, step) < spec.most_per_worker;
 }
 
+std::vector<WorkerId> Placement::Candidates(const ServiceId& service,
+                                            const Job& job,
+                                            int occurrence,
+                                            int step) const {
+  std::vector<WorkerId> ids;
+  for (const auto& [id, worker] : workers_) {
+    if (worker.entry.service == service &&
+        Allows(worker, job, occurrence, step)) {
+      ids.push_back(id);
+    }
+  }
+  return ids;
+}
+
 const Worker* Placement::Choose(const ServiceId& service,
                                 const Job& job,
                                 int occurrence,
                                 int step,
                                 const Task& task,
-                                const std::string& rack) const {
+                                const std::string& rack,
+                                const Filter& filter) const {
   const auto& spec = job.Step(step);
   const Worker* best = nullptr;
   std::tuple<bool, bool, bool, std::int64_t> best_cost;
   for (const auto& [id, worker] : workers_) {
     if (worker.entry.service != service ||
-        !Allows(worker, job, occurrence, step)) {
+        !Allows(worker, job, occurrence, step) || (filter && !filter(id))) {
       continue;
     }
     const auto free = worker.Free().cpu_milli;
--- a/src/libjobs/placement.h
+++ b/src/libjobs/placement.h
@@ -1,8 +1,10 @@
 #ifndef SRC_LIBJOBS_PLACEMENT_H_
 #define SRC_LIBJOBS_PLACEMENT_H_
 
+#include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "libjobs/job.h"
 #include "libjobs/worker.h"
@@ -19,6 +21,9 @@
  * workers stay free for large tasks, moves and maintenance. */
 class Placement {
  public:
+  /** Further condition on a worker; none allows all. */
+  using Filter = std::function<bool(const WorkerId&)>;
+
   Placement(const Workers& workers, Time now) : workers_(workers), now_(now) {}
 
   /** The worker for one more task of the step; null if none has room. Workers
@@ -30,7 +35,14 @@
                        int occurrence,
                        int step,
                        const Task& task,
-                       const std::string& rack) const;
+                       const std::string& rack,
+                       const Filter& filter = {}) const;
+
+  /** Workers that have room for a task of the step, without the filter. */
+  std::vector<WorkerId> Candidates(const ServiceId& service,
+                                   const Job& job,
+                                   int occurrence,
+                                   int step) const;
 
  private:
   bool Allows(const Worker& worker,
--- a/src/libjobs/pool_effect.h
+++ b/src/libjobs/pool_effect.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "libjobs/advice_book.h"
 #include "libjobs/stored_job.h"
 
 namespace baobab {
@@ -43,6 +44,15 @@
   /** On the worker's clock. */
   std::int64_t lease_until_ms = 0;
   std::string checkpoint;
+  /** Of the advice service; empty if none is needed. */
+  std::string ticket;
+};
+
+/** Asks the advice service which workers may run a step; reports AdviceGiven.
+ */
+struct AskAdvice {
+  StepId step;
+  std::vector<WorkerId> workers;
 };
 
 /** Reports StopFinished. */
@@ -102,6 +112,7 @@
                                 StartRun,
                                 StopRun,
                                 PaceRun,
+                                AskAdvice,
                                 AnswerSubmit,
                                 AnswerCancel,
                                 WakeUp,
--- a/src/libjobs/pool_engine.cc
+++ b/src/libjobs/pool_engine.cc
@@ -354,6 +354,7 @@
   job.max_attempts = std::max(1, event.queue.max_attempts);
   job.stretch = event.queue.stretch;
   job.target = event.queue.target;
+  job.needs_advice = event.queue.advice.has_value();
   job.spec = event.spec;
   job.accepted_wall_ms = wall_ms_;
   job.accepted_at = now_;
@@ -416,6 +417,7 @@
   ended_.emplace(wall_ms_, job.id);
   timed_.erase(job.id);
   ready_.RemoveJob(job.service, job.id);
+  advice_.Forget(job.id);
   staged_.dirty.insert(job.id);
   staged_.shown[job.id] = end;
   Explain("end-job", job.id,
--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -93,6 +93,7 @@
   void Handle(const LookFinished& event);
   void Handle(const StartFinished& event);
   void Handle(const StopFinished& event);
+  void Handle(const AdviceGiven& event);
 
   // Jobs (pool_engine.cc).
   void AddTombstone(const JobId& id);
@@ -139,6 +140,10 @@
   /** 0 in time, 1 late, 2 too late to be worth anything. */
   int LatenessOf(const ReadyStep& ready) const;
   void PlaceStep(const ServiceId& service, const ReadyStep& ready);
+  /** Asks about workers with room for a step that needs advice. */
+  void SeekAdvice(const ServiceId& service,
+                  const Job& job,
+                  const ReadyStep& ready);
   bool PlaceGang(const ServiceId& service, Job& job, const ReadyStep& ready);
   void Place(Job& job, const TaskId& id, Task& task, const WorkerId& worker);
   void SendStart(const TaskId& id, RunNumber run);
@@ -158,6 +163,7 @@
   std::set<JobId> timed_;
   /** Ended jobs by the wall clock of their end. */
   std::set<std::pair<std::int64_t, JobId>> ended_;
+  AdviceBook advice_;
   DurationModel durations_;
   Admission admission_;
 
--- a/src/libjobs/pool_engine_tasks.cc
+++ b/src/libjobs/pool_engine_tasks.cc
@@ -156,6 +156,13 @@
     return;
   }
   const Placement placement(workers_, now_);
+  const StepId advised{job.id, ready.occurrence, ready.step};
+  Placement::Filter filter;
+  if (job.needs_advice) {
+    filter = [&](const WorkerId& it) {
+      return !advice_.TicketFor(advised, it, now_).empty();
+    };
+  }
   std::string rack;
   bool all = true;
   for (int i = 0; i < static_cast<int>(tasks.size()); ++i) {
@@ -168,9 +175,12 @@
       continue;
     }
     const Worker* worker = placement.Choose(service, job, ready.occurrence,
-                                            ready.step, task, rack);
+                                            ready.step, task, rack, filter);
     if (!worker) {
       all = false;
+      if (job.needs_advice) {
+        SeekAdvice(service, job, ready);
+      }
       break;
     }
     if (spec.rack_local) {
@@ -184,6 +194,33 @@
   }
 }
 
+void PoolEngine::SeekAdvice(const ServiceId& service,
+                            const Job& job,
+                            const ReadyStep& ready) {
+  const StepId step{job.id, ready.occurrence, ready.step};
+  auto asked =
+      advice_.Open(step,
+                   Placement(workers_, now_)
+                       .Candidates(service, job, ready.occurrence, ready.step),
+                   now_);
+  if (!asked.empty()) {
+    effects_.push_back(AskAdvice{step, std::move(asked)});
+  }
+}
+
+void PoolEngine::Handle(const AdviceGiven& event) {
+  Explain("advice", event.step.job,
+          fmt::format("step={}.{} asked={} good={} answered={}",
+                      event.step.occurrence, event.step.step,
+                      event.asked.size(), event.good.size(), event.answered));
+  if (event.answered) {
+    advice_.Close(event.step, event.asked, event.good, event.valid, now_);
+  } else {
+    advice_.Fail(event.step, now_);
+  }
+  schedule_needed_ = true;
+}
+
 bool PoolEngine::PlaceGang(const ServiceId& service,
                            Job& job,
                            const ReadyStep& ready) {
@@ -258,7 +295,13 @@
   }
   Job& job = found->second;
   Worker& worker = workers_.at(task->worker);
-  if (!worker.IsUsable(now_) || !worker.used.FitsIn(worker.entry.capacity)) {
+  std::string ticket;
+  if (job.needs_advice) {
+    ticket =
+        advice_.TicketFor({id.job, id.occurrence, id.step}, task->worker, now_);
+  }
+  if (!worker.IsUsable(now_) || !worker.used.FitsIn(worker.entry.capacity) ||
+      (job.needs_advice && ticket.empty())) {
     // The worker began to leave, fell silent or shrank meanwhile.
     FreeRoom(id, *task);
     ReturnToWaiting(job, id, *task);
@@ -276,7 +319,8 @@
                       ToString(id), run.value(), task->worker.value(),
                       worker.entry.host.value(), worker.Free().cpu_milli));
   effects_.push_back(StartRun{task->worker, worker.entry.address, id, run,
-                              job.spec.payload, lease_until, task->checkpoint});
+                              job.spec.payload, lease_until, task->checkpoint,
+                              std::move(ticket)});
 }
 
 void PoolEngine::Handle(const StartFinished& event) {
@@ -322,6 +366,10 @@
   ReturnToWaiting(job, event.task, *task);
   worker.avoid_until =
       std::max(worker.avoid_until, now_ + tuning_.refused_pause);
+  if (event.result == OrderResult::kNoTicket) {
+    advice_.Refuse({event.task.job, event.task.occurrence, event.task.step},
+                   event.worker);
+  }
   if (event.result == OrderResult::kWrongLife) {
     LoseRuns(worker, "address-reused");
     worker.introduced = false;
--- a/src/libjobs/pool_event.h
+++ b/src/libjobs/pool_event.h
@@ -3,9 +3,12 @@
 
 #include <cstdint>
 #include <memory>
+#include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
+#include "libjobs/advice_book.h"
 #include "libjobs/outlook.h"
 #include "libjobs/policies.h"
 #include "libjobs/stored_job.h"
@@ -110,6 +113,16 @@
   OrderResult result = OrderResult::kUnknown;
 };
 
+/** The advice service answered, or not. */
+struct AdviceGiven {
+  StepId step;
+  std::vector<WorkerId> asked;
+  bool answered = false;
+  /** Workers that may run the step, with their tickets. */
+  std::vector<std::pair<WorkerId, std::string>> good;
+  Duration valid{0};
+};
+
 using PoolEventBody = std::variant<PoolTick,
                                    ShardLoaded,
                                    PoliciesChanged,
@@ -120,7 +133,8 @@
                                    CommitStored,
                                    LookFinished,
                                    StartFinished,
-                                   StopFinished>;
+                                   StopFinished,
+                                   AdviceGiven>;
 
 struct PoolEvent {
   /** Runtime clock; never lower than in an earlier event. */
--- a/src/libjobs/stored_job.cc
+++ b/src/libjobs/stored_job.cc
@@ -73,6 +73,8 @@
   job.spec.repeats = json.at(10).get<int>();
   job.spec.first_due_wall_ms = json.at(11).get<std::int64_t>();
   job.spec.interval_ms = json.at(12).get<std::int64_t>();
+  // Absent in records of earlier releases.
+  job.needs_advice = json.size() > 13 && json.at(13).get<bool>();
   job.stored = true;
   return job;
 }
@@ -129,11 +131,11 @@
   for (const auto& it : job.spec.steps) {
     steps.push_back(StepToJson(it));
   }
-  return Pack(Json::array({kFormat, job.queue.value(), job.service.value(),
-                           job.priority, job.max_attempts, job.stretch,
-                           job.target.count(), job.accepted_wall_ms,
-                           job.spec.payload, std::move(steps), job.spec.repeats,
-                           job.spec.first_due_wall_ms, job.spec.interval_ms}));
+  return Pack(Json::array(
+      {kFormat, job.queue.value(), job.service.value(), job.priority,
+       job.max_attempts, job.stretch, job.target.count(), job.accepted_wall_ms,
+       job.spec.payload, std::move(steps), job.spec.repeats,
+       job.spec.first_due_wall_ms, job.spec.interval_ms, job.needs_advice}));
 }
 
 std::string EncodeProgress(const Job& job) {
--- a/tests/fleet_fakes.h
+++ b/tests/fleet_fakes.h
@@ -250,6 +250,10 @@
     boost::asio::post(platform_.loop, [done] { done(OrderResult::kDone); });
   }
   void Pace(const PaceRun&, FenceToken, WorkerCalls::Done) override {}
+  void Ask(const AskAdvice& question,
+           std::function<void(AdviceGiven)> done) override {
+    done({question.step, question.workers, false, {}, Duration(0)});
+  }
 
   void List(std::function<void(Result<std::vector<HostInfo>>)> done) override {
     boost::asio::post(platform_.loop,
--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -112,6 +112,9 @@
     queue.name = QueueId("queue");
     queue.service = service;
     queue.max_attempts = max_attempts;
+    if (!advised.empty()) {
+      queue.advice = AdviceTerms();
+    }
     queue.stretch = 1.6;
     queue.target = std::chrono::milliseconds(600);
     return queue;
@@ -211,6 +214,10 @@
     return n;
   }
 
+  /** Workers for which the advice service gives tickets. */
+  std::set<WorkerId> advised;
+  Duration advice_valid = std::chrono::seconds(3);
+  int questions = 0;
   int starts = 0;
   /** Starts of each task, and ends that were acknowledged as done. */
   std::map<TaskId, int> starts_of;
@@ -463,6 +470,9 @@
       Violate("not asked for: " + name);
       return;
     }
+    if (!advised.empty() && start.ticket != "ticket-" + start.worker.value()) {
+      Violate("started without a ticket: " + name);
+    }
     const auto verdict = verdicts.find(start.task.job);
     if (verdict != verdicts.end() &&
         verdict->second != SubmitVerdict::kAccepted) {
@@ -531,6 +541,18 @@
 
   void Execute(const Engine&, std::int64_t, PaceRun&) {}
 
+  void Execute(const Engine& owner, std::int64_t of, AskAdvice& question) {
+    ++questions;
+    AdviceGiven given{question.step, question.workers, true, {}, advice_valid};
+    for (const auto& it : question.workers) {
+      if (advised.contains(it)) {
+        given.good.emplace_back(it, "ticket-" + it.value());
+      }
+    }
+    After(std::chrono::milliseconds(40),
+          [this, owner, of, given] { Post(owner, of, given); });
+  }
+
   void Execute(const Engine& owner, std::int64_t of, WakeUp& wake) {
     After(wake.after, [this, owner, of] { Post(owner, of, PoolTick{}); });
   }
--- a/tests/pool_engine_test.cc
+++ b/tests/pool_engine_test.cc
@@ -310,6 +310,28 @@
   EXPECT_EQ(world.workers.at(WorkerId("w2")).runs.size(), 1u);
 }
 
+// Guards against starts without a ticket of the advice service, and against
+// jobs that wait for good when only some workers may run them.
+TEST_F(PoolEngineTest, StartsOnlyWhereTheAdviceServiceAllows) {
+  world.advised = {WorkerId("w2")};
+  world.Submit("j1", TwoSteps());
+  world.Advance(seconds(3));
+  EXPECT_EQ(world.State("j1"), JobState::kCompleted);
+  EXPECT_LE(world.questions, 4);
+}
+
+// Guards against the use of tickets that have expired.
+TEST_F(PoolEngineTest, AsksAgainForExpiredTickets) {
+  world.advised = {WorkerId("w1"), WorkerId("w2"), WorkerId("w3")};
+  world.advice_valid = milliseconds(300);
+  JobSpec spec = TwoSteps();
+  spec.steps[0].count = 40;
+  world.Submit("j1", spec);
+  world.Advance(seconds(6));
+  EXPECT_EQ(world.State("j1"), JobState::kCompleted);
+  EXPECT_GE(world.questions, 2);
+}
+
 // Guards against commits that wait for the next tick.
 TEST_F(PoolEngineTest, StartsWithinAFewMillisecondsOfTheAcceptance) {
   const Time before = world.now;
