--- a/src/libjobs/admission.cc
+++ b/src/libjobs/admission.cc
@@ -19,8 +19,6 @@
 constexpr double kMostWorth = 4.0;
 /** Worth of a late job as a share of one in time. */
 constexpr double kLateWorth = 0.07;
-/** Times the objective until a late job is worth nothing. */
-constexpr int kLateLimit = 3;
 
 /** Weight of a new job in the mean work of its queue. */
 constexpr double kMeanWeight = 0.05;
--- a/src/libjobs/job.h
+++ b/src/libjobs/job.h
@@ -10,6 +10,9 @@
 
 namespace baobab {
 
+/** Times the objective until a late job is worth nothing to its caller. */
+inline constexpr int kLateLimit = 3;
+
 enum class TaskPhase : std::uint8_t {
   kWaiting,
   /** A worker is chosen; the choice is not yet stored. */
--- a/src/libjobs/pool_engine_tasks.cc
+++ b/src/libjobs/pool_engine_tasks.cc
@@ -13,9 +13,6 @@
  * when far more waits than there is room for. */
 constexpr int kMostMisfits = 24;
 
-/** Times the objective until a late job is worth nothing. */
-constexpr int kLateLimit = 3;
-
 /** Most doublings of the pause before a lasting task is started again. */
 constexpr int kMostPauseDoublings = 3;
 
