tests: refusal at once of jobs that reached no owner

Cause: the limit of 250 ms had no test. Change: fleet_node_test checks it; the simulated worker has a file of its own.

--- a/tests/fleet_node_test.cc
+++ b/tests/fleet_node_test.cc
@@ -129,6 +129,21 @@
   EXPECT_NE(Call(owner, "POST", "/jobs/queue/j2", kJob).status, 200);
 }
 
+// Guards against callers that are held although their job reached no owner.
+// (Found in the recorded day of guild-grid: held for 2.2 s, then 504.)
+TEST_F(FleetNodeTest, RefusesAtOnceWhatReachedNoOwner) {
+  auto& owner = Owner();
+  auto& other = Other();
+  platform.cut_off.insert(addresses.begin(), addresses.end());
+  owner.node.Leave();
+  loop.run_for(milliseconds(50));
+  const Time begin = SteadyNow();
+  const auto answer = Call(other, "POST", "/jobs/queue/j1", kJob);
+  EXPECT_EQ(answer.status, 503);
+  EXPECT_FALSE(FindHeader(answer.headers, "Retry-After").empty());
+  EXPECT_LT(SteadyNow() - begin, milliseconds(1000));
+}
+
 struct BadCall {
   const char* name;
   const char* method;
--- /dev/null
+++ b/tests/sim_worker.h
@@ -0,0 +1,62 @@
+#ifndef TESTS_SIM_WORKER_H_
+#define TESTS_SIM_WORKER_H_
+
+#include <map>
+#include <vector>
+
+#include "libjobs/jobs.h"
+
+namespace baobab {
+
+/** A worker as the platform's contract describes it, on simulated time. */
+class SimWorker {
+ public:
+  struct Run {
+    RunNumber run;
+    Time ends_at;
+    std::int64_t lease_until_ms = 0;
+    bool fails = false;
+    bool stopping = false;
+    bool lasting = false;
+    Resources need;
+  };
+
+  WorkerEntry entry;
+  bool reachable = true;
+  bool up = true;
+  /** Speed of the worker's clock. */
+  double clock_rate = 1.0;
+  /** All runs fail, or never end. */
+  bool fails_all = false;
+  bool hangs = false;
+  std::int64_t highest_token = 0;
+  std::map<TaskId, Run> runs;
+  std::map<TaskId, RunNumber> closed;
+  std::vector<EndedRow> ended;
+  std::int64_t last_end = 0;
+  /** Latest lease end that the worker was given. */
+  std::int64_t lease_until_ms = 0;
+  /** Ends up to this number were listed when the lease expired; acknowledging
+   * them later does not count. */
+  std::int64_t void_ends = 0;
+  Time born_at;
+  /** Token of the owner whose looks have a connection; 0 for none. */
+  std::int64_t connected = 0;
+
+  std::int64_t ClockAt(Time now) const {
+    return 1000 + static_cast<std::int64_t>(
+                      static_cast<double>((now - born_at).count()) / 1000.0 *
+                      clock_rate);
+  }
+  Resources Used() const {
+    Resources used;
+    for (const auto& [id, run] : runs) {
+      used += run.need;
+    }
+    return used;
+  }
+};
+
+}  // namespace baobab
+
+#endif  // TESTS_SIM_WORKER_H_
