jobs: slow fillers beside tasks that serve too slowly

Cause: fillers were never paced, so a serving task could stay over its target for longer than the 4 s that are allowed. Change: TailPacer lowers all fillers of a worker in three steps when a tail exceeds 0.9 of its target and raises them after 3 s below 0.6; an order without an answer is given again. Conclusion: shown by the test only.

--- a/src/libfleet/shard_owner.cc
+++ b/src/libfleet/shard_owner.cc
@@ -242,7 +242,11 @@
                                });
     }
     void operator()(const PaceRun& it) {
-      self.ports_.workers.Pace(it, self.token_, [](OrderResult) {});
+      self.ports_.workers.Pace(
+          it, self.token_,
+          [post = post, task = it.task, run = it.run](OrderResult result) {
+            post(PaceFinished{task, run, result});
+          });
     }
     void operator()(const AskAdvice& it) {
       self.ports_.workers.Ask(
--- a/src/libjobs/pool_effect.h
+++ b/src/libjobs/pool_effect.h
@@ -63,7 +63,7 @@
   RunNumber run;
 };
 
-/** Sets the share of its speed at which a run works; has no report. */
+/** Sets the share of its speed at which a run works; reports PaceFinished. */
 struct PaceRun {
   WorkerId worker;
   std::string address;
--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -15,6 +15,7 @@
 #include "libjobs/pool_event.h"
 #include "libjobs/ready_steps.h"
 #include "libjobs/sharding.h"
+#include "libjobs/tail_pacer.h"
 
 namespace baobab {
 
@@ -94,6 +95,7 @@
   void Handle(const LookFinished& event);
   void Handle(const StartFinished& event);
   void Handle(const StopFinished& event);
+  void Handle(const PaceFinished& event);
   void Handle(const AdviceGiven& event);
 
   // Jobs (pool_engine.cc).
@@ -115,6 +117,8 @@
   void ApplyReport(Worker& worker, const LookFinished& event);
   void ApplyEnded(Worker& worker, const EndedRow& row);
   void ApplyRunning(Worker& worker, const RunningRow& row);
+  /** Slows fillers beside tasks that serve too slowly. */
+  void PaceFillers(Worker& worker, const WorkerReport& report);
   void ApplyAbsent(Worker& worker,
                    const std::set<TaskId>& present,
                    bool introduces);
@@ -165,6 +169,7 @@
   /** Ended jobs by the wall clock of their end. */
   std::set<std::pair<std::int64_t, JobId>> ended_;
   AdviceBook advice_;
+  TailPacer pacer_;
   DurationModel durations_;
   Admission admission_;
 
--- a/src/libjobs/pool_engine_workers.cc
+++ b/src/libjobs/pool_engine_workers.cc
@@ -16,6 +16,9 @@
 /** An answer that takes longer has waited for an end. */
 constexpr Duration kPromptAnswer = std::chrono::milliseconds(25);
 
+constexpr int kFullPace = 100;
+constexpr int kUnknownPace = -1;
+
 /** Progress at which a lasting task serves. */
 constexpr int kAtWorkPercent = 100;
 
@@ -164,6 +167,7 @@
     ApplyRunning(worker, it);
   }
   ApplyAbsent(worker, present, introduces);
+  PaceFillers(worker, report);
   if (worker.ends_taken > worker.ends_stored) {
     worker.ends_pending = true;
     worker.next_look_at = now_ + tuning_.pending_look;
@@ -235,6 +239,53 @@
   }
 }
 
+void PoolEngine::PaceFillers(Worker& worker, const WorkerReport& report) {
+  double worst = 0;
+  std::vector<std::pair<TaskId, Task*>> fillers;
+  for (const auto& it : report.running) {
+    const auto found = jobs_.find(it.task.job);
+    Task* task = found == jobs_.end() ? nullptr : found->second.Find(it.task);
+    if (!task || task->run != it.run || task->phase != TaskPhase::kRunning) {
+      continue;
+    }
+    const auto& spec = found->second.Step(it.task.step);
+    if (spec.fills) {
+      fillers.emplace_back(it.task, task);
+    } else if (spec.tail_target.count() > 0) {
+      worst =
+          std::max(worst, static_cast<double>(it.load) * 1000.0 /
+                              static_cast<double>(spec.tail_target.count()));
+    }
+  }
+  if (fillers.empty() || worst <= 0) {
+    pacer_.Forget(worker.entry.id);
+  }
+  const int percent = fillers.empty() || worst <= 0
+                          ? kFullPace
+                          : pacer_.PercentFor(worker.entry.id, worst, now_);
+  for (auto& [id, task] : fillers) {
+    if (task->pace_percent == percent) {
+      continue;
+    }
+    task->pace_percent = percent;
+    Explain("pace-run", id.job,
+            fmt::format("task={} run={} worker={} percent={} worst={:.2f}",
+                        ToString(id), task->run.value(),
+                        worker.entry.id.value(), percent, worst));
+    effects_.push_back(
+        PaceRun{worker.entry.id, worker.entry.address, id, task->run, percent});
+  }
+}
+
+void PoolEngine::Handle(const PaceFinished& event) {
+  const auto found = jobs_.find(event.task.job);
+  Task* task = found == jobs_.end() ? nullptr : found->second.Find(event.task);
+  if (task && task->run == event.run && event.result != OrderResult::kDone) {
+    // Ordered again with the next report of the worker.
+    task->pace_percent = kUnknownPace;
+  }
+}
+
 void PoolEngine::ApplyAbsent(Worker& worker,
                              const std::set<TaskId>& present,
                              bool introduces) {
--- a/src/libjobs/pool_event.h
+++ b/src/libjobs/pool_event.h
@@ -113,6 +113,12 @@
   OrderResult result = OrderResult::kUnknown;
 };
 
+struct PaceFinished {
+  TaskId task;
+  RunNumber run;
+  OrderResult result = OrderResult::kUnknown;
+};
+
 /** The advice service answered, or not. */
 struct AdviceGiven {
   StepId step;
@@ -134,6 +140,7 @@
                                    LookFinished,
                                    StartFinished,
                                    StopFinished,
+                                   PaceFinished,
                                    AdviceGiven>;
 
 struct PoolEvent {
--- /dev/null
+++ b/src/libjobs/tail_pacer.cc
@@ -0,0 +1,45 @@
+#include "libjobs/tail_pacer.h"
+
+#include <array>
+#include <chrono>
+
+namespace baobab {
+
+namespace {
+
+/** Steps from full speed to none; the last is reached within three looks, about
+ * 3 s, and harm is counted after 4 s. */
+constexpr std::array<int, 4> kLevels = {100, 40, 10, 0};
+
+/** Shares of the target above which fillers are slowed, and below which they
+ * may go on. The gap keeps them from changing at each look. */
+constexpr double kSlowAbove = 0.9;
+constexpr double kRaiseBelow = 0.6;
+
+/** A pace takes effect after 100 ms, and the tail is that of the last half
+ * second. */
+constexpr Duration kSettleTime = std::chrono::milliseconds(600);
+constexpr Duration kCalmTime = std::chrono::milliseconds(3000);
+
+}  // namespace
+
+int TailPacer::PercentFor(const WorkerId& worker, double worst, Time now) {
+  auto& state = states_[worker];
+  const bool calm = worst < kRaiseBelow;
+  if (calm && !state.calm) {
+    state.calm_since = now;
+  }
+  state.calm = calm;
+  if (worst > kSlowAbove && state.level + 1 < kLevels.size() &&
+      (state.level == 0 || now - state.changed_at >= kSettleTime)) {
+    ++state.level;
+    state.changed_at = now;
+  } else if (calm && state.level > 0 && now - state.calm_since >= kCalmTime) {
+    --state.level;
+    state.changed_at = now;
+    state.calm_since = now;
+  }
+  return kLevels.at(state.level);
+}
+
+}  // namespace baobab
--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -170,6 +170,12 @@
   std::set<WorkerId> advised;
   Duration advice_valid = std::chrono::seconds(3);
   int questions = 0;
+  /** Tail that serving tasks report, and paces that were ordered. */
+  std::int64_t serving_tail_ms = 0;
+  std::map<TaskId, int> paces;
+  int pace_orders = 0;
+  /** The first orders of a pace that are lost. */
+  int lost_paces = 0;
   int starts = 0;
   /** Starts of each task, and ends that were acknowledged as done. */
   std::map<TaskId, int> starts_of;
@@ -325,7 +331,8 @@
     report.born = worker.entry.born;
     report.clock_ms = worker.ClockAt(now);
     for (const auto& [id, run] : worker.runs) {
-      report.running.push_back({id, run.run, "", run.lasting ? 100 : 1, 0});
+      report.running.push_back({id, run.run, "", run.lasting ? 100 : 1,
+                                run.lasting ? serving_tail_ms : 0});
     }
     report.ended = worker.ended;
     After(std::chrono::milliseconds(2), [this, owner, of, look, report] {
@@ -492,7 +499,17 @@
         std::chrono::milliseconds(2));
   }
 
-  void Execute(const Engine&, std::int64_t, PaceRun&) {}
+  void Execute(const Engine& owner, std::int64_t of, PaceRun& pace) {
+    ++pace_orders;
+    const bool lost = pace_orders <= lost_paces;
+    if (!lost) {
+      paces[pace.task] = pace.percent;
+    }
+    const PaceFinished finished{
+        pace.task, pace.run, lost ? OrderResult::kUnknown : OrderResult::kDone};
+    After(std::chrono::milliseconds(5),
+          [this, owner, of, finished] { Post(owner, of, finished); });
+  }
 
   void Execute(const Engine& owner, std::int64_t of, AskAdvice& question) {
     ++questions;
--- a/tests/pool_engine_test.cc
+++ b/tests/pool_engine_test.cc
@@ -350,6 +350,35 @@
       milliseconds(560));
 }
 
+// Guards against fillers that go on while the tasks beside them serve too
+// slowly for 4 s, and against fillers that stay slowed for good.
+TEST_F(PoolEngineTest, SlowsFillersBesideTasksThatServeTooSlowly) {
+  JobSpec spec = LastingJob(3);
+  spec.steps[0].tail_target = milliseconds(50);
+  world.Submit("serve", spec);
+  JobSpec filler;
+  filler.payload = "fill";
+  filler.steps = {JobWorld::Step(3, 10, 60'000)};
+  filler.steps[0].fills = true;
+  filler.steps[0].most_per_worker = 1;
+  world.Submit("fill", filler);
+  world.serving_tail_ms = 20;
+  world.Advance(seconds(2));
+  EXPECT_TRUE(world.paces.empty());
+  world.serving_tail_ms = 80;
+  world.lost_paces = 2;
+  world.Advance(milliseconds(3500));
+  ASSERT_EQ(world.paces.size(), 3u);
+  for (const auto& [task, percent] : world.paces) {
+    EXPECT_EQ(percent, 0);
+  }
+  world.serving_tail_ms = 20;
+  world.Advance(seconds(12));
+  for (const auto& [task, percent] : world.paces) {
+    EXPECT_EQ(percent, 100);
+  }
+}
+
 // Guards against commits that wait for the next tick.
 TEST_F(PoolEngineTest, StartsWithinAFewMillisecondsOfTheAcceptance) {
   const Time before = world.now;
