tests: take free ports in fleet_node_test

Cause: fixed ports in the range from which the system deals ports could be taken by another test. Change: each node takes a port that was free a moment ago.

--- a/tests/fleet_node_test.cc
+++ b/tests/fleet_node_test.cc
@@ -6,6 +6,8 @@
 #include <string>
 #include <vector>
 
+#include <boost/asio/ip/tcp.hpp>
+
 #include "fleet_fakes.h"
 
 namespace baobab {
@@ -13,6 +15,15 @@
 
 using std::chrono::milliseconds;
 
+/** A port that was free a moment ago; another process takes it rarely, since
+ * the system deals ports in turn. */
+int FreePort() {
+  boost::asio::io_context loop;
+  boost::asio::ip::tcp::acceptor acceptor(
+      loop, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  return acceptor.local_endpoint().port();
+}
+
 /** One node with its ports, on the loop of the test. */
 struct TestNode {
   TestNode(FakePlatform& platform, const std::string& address)
@@ -46,7 +57,7 @@
   void SetUp() override {
     testing::internal::CaptureStdout();
     for (int i = 0; i < 2; ++i) {
-      addresses.push_back("127.0.0.1:" + std::to_string(kFirstPort + i));
+      addresses.push_back("127.0.0.1:" + std::to_string(FreePort()));
       nodes.push_back(std::make_unique<TestNode>(platform, addresses.back()));
     }
     loop.run_for(milliseconds(700));
@@ -77,7 +88,6 @@
   }
   TestNode& Other() { return *nodes[&Owner() == nodes[0].get() ? 1 : 0]; }
 
-  static constexpr int kFirstPort = 39'640;
   static constexpr char kJob[] =
       R"({"payload":"x","steps":[{"count":3,"cpu_milli":1000,)"
       R"("estimate_ms":80}]})";
