--- a/tests/fleet_node_test.cc
+++ b/tests/fleet_node_test.cc
@@ -6,24 +6,14 @@
 #include <string>
 #include <vector>
 
-#include <boost/asio/ip/tcp.hpp>
-
 #include "fleet_fakes.h"
+#include "free_port.h"
 
 namespace baobab {
 namespace {
 
 using std::chrono::milliseconds;
 
-/** A port that was free a moment ago; another process takes it rarely, since
- * the system deals ports in turn. */
-int FreePort() {
-  boost::asio::io_context loop;
-  boost::asio::ip::tcp::acceptor acceptor(
-      loop, {boost::asio::ip::make_address("127.0.0.1"), 0});
-  return acceptor.local_endpoint().port();
-}
-
 /** One node with its ports, on the loop of the test. */
 struct TestNode {
   TestNode(FakePlatform& platform, const std::string& address)
--- a/tests/process_cluster.h
+++ b/tests/process_cluster.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "free_port.h"
 #include "libwire/wire.h"
 #include "process_fixture.h"
 
@@ -27,26 +28,6 @@
   return true;
 }
 
-/** A port that nothing uses, below the range of outgoing connections: nodes
- * name each other's ports in their settings, so they cannot listen on port 0.
- */
-inline int FreePort() {
-  static int next = 20000 + getpid() * 41 % 11000;
-  for (;; ++next) {
-    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    address.sin_port = htons(static_cast<std::uint16_t>(next));
-    const int ec =
-        bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-    close(fd);
-    if (ec == 0) {
-      return next++;
-    }
-  }
-}
-
 /** GET as JSON; null if there is no such answer within 2 s. */
 inline nlohmann::json GetJson(int port, const std::string& path) {
   httplib::Client client("127.0.0.1", port);
