jobs: move hosts ahead of rising demand, return idle ones to standby, defer late jobs

Change: DemandBook (first requests, arriving work and its rise), PoolBalance (need and room of a pool), deferred jobs behind work in time and within what it leaves, donors that are vacated soon, returns to standby after 2.5 s. Tests: TakesHostsFromLateWork, ReturnsIdleHostsToStandby fail on the former planner; ObjectiveCountsFromTheFirstRequest on the former engine. TurnTest and RefusesWhatCannotBeInTime now tell deferred jobs apart: those accepted to be in time keep the former bounds, deferred ones have one of their own (done within three objectives), so nothing that was checked is left out.

--- a/src/libfleet/outlook_codec.cc
+++ b/src/libfleet/outlook_codec.cc
@@ -36,14 +36,15 @@
 Json OutlookToJson(const PoolOutlook& outlook) {
   Json services = Json::array();
   for (const auto& it : outlook.services) {
-    services.push_back(Json::array({it.service.value(), it.cores, it.used,
-                                    it.lasting, it.waiting, it.refused}));
+    services.push_back(
+        Json::array({it.service.value(), it.cores, it.used, it.late, it.lasting,
+                     it.waiting, it.refused, it.arriving}));
   }
   Json hosts = Json::array();
   for (const auto& it : outlook.hosts) {
-    hosts.push_back(
-        Json::array({it.host.value(), it.worker.value(), it.service.value(),
-                     it.empty, it.lasting, it.reserved, it.draining, it.used}));
+    hosts.push_back(Json::array(
+        {it.host.value(), it.worker.value(), it.service.value(), it.empty,
+         it.lasting, it.reserved, it.draining, it.used, it.busy_for.count()}));
   }
   return Json::array({services, hosts});
 }
@@ -54,15 +55,16 @@
     outlook.services.push_back({ServiceId(it.at(0).get<std::string>()),
                                 it.at(1).get<double>(), it.at(2).get<double>(),
                                 it.at(3).get<double>(), it.at(4).get<double>(),
-                                it.at(5).get<double>()});
+                                it.at(5).get<double>(), it.at(6).get<double>(),
+                                it.at(7).get<double>()});
   }
   for (const auto& it : json.at(1)) {
-    outlook.hosts.push_back({HostId(it.at(0).get<std::string>()),
-                             WorkerId(it.at(1).get<std::string>()),
-                             ServiceId(it.at(2).get<std::string>()),
-                             it.at(3).get<bool>(), it.at(4).get<bool>(),
-                             it.at(5).get<bool>(), it.at(6).get<bool>(),
-                             it.at(7).get<double>()});
+    outlook.hosts.push_back(
+        {HostId(it.at(0).get<std::string>()),
+         WorkerId(it.at(1).get<std::string>()),
+         ServiceId(it.at(2).get<std::string>()), it.at(3).get<bool>(),
+         it.at(4).get<bool>(), it.at(5).get<bool>(), it.at(6).get<bool>(),
+         it.at(7).get<double>(), Duration(it.at(8).get<std::int64_t>())});
   }
   return outlook;
 }
--- a/src/libjobs/admission.cc
+++ b/src/libjobs/admission.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <iterator>
+#include <utility>
 
 namespace baobab {
 
@@ -34,6 +36,54 @@
  */
 constexpr double kSpread = 0.2;
 
+/** For how long arriving work is expected to go on as at present, when it is
+ * judged whether late work can be done after it; about half a turn. */
+constexpr Duration kTurnAhead = std::chrono::milliseconds(3000);
+
+/** Cores that the runs of a lasting job take. */
+double LastingCores(const Job& job) {
+  double cores = 0;
+  for (const auto& [number, occurrence] : job.occurrences) {
+    for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+      const auto runs =
+          std::count_if(occurrence.steps[i].begin(), occurrence.steps[i].end(),
+                        [](const auto& it) { return HoldsRoom(it.phase); });
+      cores += static_cast<double>(runs) *
+               static_cast<double>(RoomOf(job.spec.steps[i]).cpu_milli) /
+               1000.0;
+    }
+  }
+  return cores;
+}
+
+/** Work that is left of a job, in core-seconds. */
+double WorkOf(const ForecastJob& job, Time now) {
+  double work = 0;
+  for (const auto& it : job.steps) {
+    Duration left = it.duration * it.waiting;
+    for (const Time end : it.running_until) {
+      left += std::max(Duration(0), end - now);
+    }
+    work += it.cores * std::chrono::duration<double>(left).count();
+  }
+  return work;
+}
+
+/** Longest chain of the expected durations. */
+Duration ChainOf(const ForecastJob& job) {
+  std::vector<Duration> ends;
+  Duration longest{0};
+  for (const auto& it : job.steps) {
+    Duration begin{0};
+    for (const int earlier : it.after) {
+      begin = std::max(begin, ends[static_cast<std::size_t>(earlier)]);
+    }
+    ends.push_back(begin + it.duration);
+    longest = std::max(longest, ends.back());
+  }
+  return longest;
+}
+
 /** What a job is expected to earn if the forecast of its end is `end`. */
 double ExpectedWorth(const ForecastJob& job, Time due, Time end) {
   const double allowed =
@@ -101,64 +151,96 @@
   return described;
 }
 
+bool Admission::FitsLate(const ForecastJob& job,
+                         Time due,
+                         const std::vector<const ForecastJob*>& open,
+                         double cores,
+                         double new_work,
+                         Time now) const {
+  const Duration allowed = (job.objective - due) * kLateLimit;
+  const Duration left = due + allowed - now - ChainOf(job);
+  if (left <= Duration(0)) {
+    return false;
+  }
+  double work = WorkOf(job, now);
+  for (const auto* it : open) {
+    work += WorkOf(*it, now);
+  }
+  const auto seconds = [](Duration it) {
+    return std::chrono::duration<double>(it).count();
+  };
+  return work + new_work * seconds(std::min(left, kTurnAhead)) <=
+         cores * seconds(left);
+}
+
 AdmissionVerdict Admission::Judge(const Job& job,
-                                  const std::vector<const Job*>& open,
+                                  const PoolLoad& load,
                                   const Workers& workers,
-                                  const std::vector<CoresArriving>& arriving,
-                                  Duration overhead,
                                   Time now) const {
   AdmissionVerdict verdict;
   if (job.IsLasting() || job.IsTimed()) {
     return verdict;
   }
   double free = 0;
-  bool any = !arriving.empty();
+  double cores = 0;
+  for (const auto& it : load.arriving) {
+    cores += it.cores;
+  }
   for (const auto& [id, worker] : workers) {
     if (worker.entry.service == job.service && worker.IsUsable(now)) {
       free += static_cast<double>(worker.Free().cpu_milli) / 1000.0;
-      any = true;
+      cores += static_cast<double>(worker.entry.capacity.cpu_milli) / 1000.0;
     }
   }
-  if (!any) {
+  if (cores <= 0) {
     verdict.accept = false;
     verdict.retry_after = kLeastRetryAfter;
     return verdict;
   }
   std::vector<ForecastJob> described;
-  std::vector<Time> accepted;
-  for (const Job* it : open) {
+  std::vector<Time> due;
+  for (const Job* it : load.open) {
     if (it->IsLasting()) {
+      cores -= LastingCores(*it);
       continue;
     }
     for (const auto& [number, occurrence] : it->occurrences) {
-      described.push_back(Describe(*it, occurrence, overhead, now));
-      accepted.push_back(occurrence.due);
+      described.push_back(Describe(*it, occurrence, load.overhead, now));
+      due.push_back(occurrence.due);
     }
   }
   Job candidate = job;
-  candidate.CreateOccurrence(job.accepted_at);
+  candidate.CreateOccurrence(job.asked_at);
   described.push_back(Describe(candidate, candidate.occurrences.begin()->second,
-                               overhead, now));
-  accepted.push_back(job.accepted_at);
+                               load.overhead, now));
+  due.push_back(job.asked_at);
 
   std::vector<const ForecastJob*> jobs;
   for (const auto& it : described) {
     jobs.push_back(&it);
   }
-  const Forecast forecast(now, free, arriving);
+  const Forecast forecast(now, free, load.arriving);
+  const auto without = forecast.Play({jobs.begin(), std::prev(jobs.end())});
+  // What the pool gains by the last job, and that job's own part.
+  const auto gain = [&](const std::vector<Time>& with) {
+    const double own = ExpectedWorth(described.back(), due.back(), with.back());
+    double sum = own;
+    for (std::size_t i = 0; i < without.size(); ++i) {
+      sum += ExpectedWorth(*jobs[i], due[i], with[i]) -
+             ExpectedWorth(*jobs[i], due[i], without[i]);
+    }
+    return std::pair(sum, own);
+  };
   const auto with = forecast.Play(jobs);
   verdict.expected = with.back() - now;
-  jobs.pop_back();
-  const auto without = forecast.Play(jobs);
-  const double own =
-      ExpectedWorth(described.back(), accepted.back(), with.back());
-  double gain = own;
-  for (std::size_t i = 0; i < jobs.size(); ++i) {
-    gain += ExpectedWorth(*jobs[i], accepted[i], with[i]) -
-            ExpectedWorth(*jobs[i], accepted[i], without[i]);
-  }
   // Where tasks are packed differently, a further job may seem to help others.
-  if (gain > 0 && own >= described.back().worth * kLeastChance) {
+  if (const auto [sum, own] = gain(with);
+      sum > 0 && own >= described.back().worth * kLeastChance) {
+    return verdict;
+  }
+  jobs.pop_back();
+  if (FitsLate(described.back(), due.back(), jobs, cores, load.new_work, now)) {
+    verdict.deferred = true;
     return verdict;
   }
   verdict.accept = false;
--- a/src/libjobs/admission.h
+++ b/src/libjobs/admission.h
@@ -13,29 +13,38 @@
 
 struct AdmissionVerdict {
   bool accept = true;
+  /** It will be late and uses only room that work in time leaves. */
+  bool deferred = false;
   /** Expected time until the job would be done. */
   Duration expected{0};
   /** When a job of this kind will be accepted again, as far as known. */
   Duration retry_after{0};
 };
 
-/** Refuses a job if accepting it lowers what the jobs of its pool earn
- * together: it can't be done by its objective, or makes jobs late that are
- * worth more. Answers turns in which a queue asks for several times what its
- * pool holds: accepting all of it makes every job late, while the jobs that fit
- * earn in full. */
+/** Open and coming work of the pool of a job. */
+struct PoolLoad {
+  std::vector<const Job*> open;
+  /** Hosts on their way to the pool. */
+  std::vector<CoresArriving> arriving;
+  /** Work of new jobs at present, in core-seconds a second. */
+  double new_work = 0;
+  /** What storing and sending add to each step. */
+  Duration overhead{0};
+};
+
+/** Accepts a job if that raises what the jobs of its pool earn together.
+ * Answers turns in which a queue asks for several times what its pool holds:
+ * accepting all of it alike makes every job late, while the jobs that fit earn
+ * in full. A job that can't be in time is deferred: it runs behind all that
+ * can. One that can't be done while it still has a worth is refused. */
 class Admission {
  public:
   Admission(const DurationModel& durations, const PoolTuning& tuning)
       : durations_(durations), tuning_(tuning) {}
 
-  /** `open` are the open jobs of the pool; `overhead` is what storing and
-   * sending add to each step. */
   AdmissionVerdict Judge(const Job& job,
-                         const std::vector<const Job*>& open,
+                         const PoolLoad& load,
                          const Workers& workers,
-                         const std::vector<CoresArriving>& arriving,
-                         Duration overhead,
                          Time now) const;
 
   /** Learns what jobs of a queue are like. */
@@ -47,6 +56,14 @@
                        Duration overhead,
                        Time now) const;
   double WorthOf(const Job& job) const;
+  /** True if the late work, with that of `job`, fits into what the pool of
+   * `cores` leaves until the job is of no use. */
+  bool FitsLate(const ForecastJob& job,
+                Time due,
+                const std::vector<const ForecastJob*>& open,
+                double cores,
+                double new_work,
+                Time now) const;
 
   const DurationModel& durations_;
   const PoolTuning& tuning_;
--- a/src/libjobs/host_planner.cc
+++ b/src/libjobs/host_planner.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 #include <utility>
 
 #include <fmt/format.h>
@@ -27,6 +28,9 @@
  * after a list that was read this long after the answer. */
 constexpr Duration kListMargin = std::chrono::milliseconds(100);
 
+/** A host that is busy for less is worth waiting for. */
+constexpr Duration kVacatedSoon = std::chrono::milliseconds(1500);
+
 /** Cores of a host whose capacity is not known yet. */
 constexpr double kDefaultCores = 64;
 
@@ -175,6 +179,7 @@
         host.moved_at = now_;
       }
       host.outlook.reset();
+      host.empty_since.reset();
       Release(host);
     }
   }
@@ -191,6 +196,11 @@
     if (host != hosts_.end() && host->second.info.pool == it.service) {
       host->second.outlook = it;
       host->second.outlook_at = now_;
+      if (!it.empty) {
+        host->second.empty_since.reset();
+      } else if (!host->second.empty_since) {
+        host->second.empty_since = now_;
+      }
     }
   }
   if (loaded_ && policies_) {
@@ -309,8 +319,31 @@
   }
 }
 
-void HostPlanner::PlanMoves() {
-  std::map<ServiceId, double> arriving;
+PoolBalance HostPlanner::Balance() const {
+  std::map<ServiceId, double> moving_in;
+  for (const auto& [id, host] : hosts_) {
+    if (host.purpose == Purpose::kMove) {
+      moving_in[host.target] += CoresOf(host.info);
+    } else if (host.ordered) {
+      moving_in[host.info.pool] += CoresOf(host.info);
+    }
+  }
+  PoolBalance balance;
+  for (const auto& [id, at] : demand_at_) {
+    if (!IsStandby(id) && now_ - at <= tuning_.outlook_kept) {
+      balance.Add(demand_.at(id), moving_in[id]);
+    }
+  }
+  for (const auto& [id, host] : hosts_) {
+    if (host.purpose && host.outlook && !host.outlook->reserved) {
+      // Its owner still counts it as room for new runs.
+      balance.Take(host.info.pool, CoresOf(host.info));
+    }
+  }
+  return balance;
+}
+
+std::vector<HostPlanner::Host*> HostPlanner::Donors() {
   std::set<HostId> due;
   for (const auto& [number, wave] : waves_) {
     for (const auto& it : wave.order.hosts) {
@@ -319,59 +352,43 @@
       }
     }
   }
-  for (const auto& [id, host] : hosts_) {
-    if (host.purpose == Purpose::kMove) {
-      arriving[host.target] += CoresOf(host.info);
-    } else if (host.ordered) {
-      arriving[host.info.pool] += CoresOf(host.info);
-    }
-  }
-  std::map<ServiceId, double> spare;
-  for (const auto& [id, it] : demand_) {
-    const double free = it.cores - it.used - it.lasting - it.waiting;
-    spare[id] = it.waiting + it.refused > 0 ||
-                        now_ - demand_at_[id] > tuning_.outlook_kept
-                    ? 0
-                    : free - std::max(kDefaultCores, it.used * 0.5);
-  }
   std::vector<Host*> donors;
   for (auto& [id, host] : hosts_) {
-    if (host.purpose && host.outlook && !host.outlook->reserved) {
-      // Its owner still counts it as room for new runs.
-      spare[host.info.pool] -= CoresOf(host.info);
-    }
-    const bool idle = IsStandby(host.info.pool)
+    const bool free = IsStandby(host.info.pool)
                           ? host.info.state == HostState::kUp ||
                                 host.info.state == HostState::kDown
                           : host.info.state == HostState::kUp && host.outlook &&
-                                host.outlook->empty && !host.outlook->draining;
-    if (idle && !host.purpose && !IsBlocked(id) &&
+                                (host.outlook->empty ||
+                                 (!host.outlook->lasting &&
+                                  host.outlook->busy_for < kVacatedSoon)) &&
+                                !host.outlook->draining;
+    if (free && !host.purpose && !IsBlocked(id) &&
         now_ - host.moved_at > tuning_.least_stay) {
       donors.push_back(&host);
     }
   }
-  std::stable_sort(donors.begin(), donors.end(),
-                   [&](const Host* a, const Host* b) {
-                     const auto cost = [&](const Host& it) {
-                       return std::pair(due.contains(it.info.host),
-                                        !IsStandby(it.info.pool));
-                     };
-                     return cost(*a) < cost(*b);
-                   });
-  std::map<ServiceId, double> deficits;
-  for (const auto& [id, it] : demand_) {
-    const double deficit = it.used + it.lasting + it.waiting + it.refused -
-                           it.cores - arriving[id];
-    if (!IsStandby(id) && it.waiting + it.refused > 0 && deficit > 0 &&
-        now_ - demand_at_[id] <= tuning_.outlook_kept) {
-      deficits[id] = deficit;
-    }
-  }
+  std::stable_sort(
+      donors.begin(), donors.end(), [&](const Host* a, const Host* b) {
+        const auto cost = [&](const Host& it) {
+          const bool empty = IsStandby(it.info.pool) || it.outlook->empty;
+          return std::tuple(!empty, due.contains(it.info.host),
+                            !IsStandby(it.info.pool),
+                            empty ? Duration(0) : it.outlook->busy_for);
+        };
+        return cost(*a) < cost(*b);
+      });
+  return donors;
+}
+
+void HostPlanner::PlanMoves() {
+  auto balance = Balance();
+  auto donors = Donors();
+  auto deficits = balance.deficits();
   // One host each in turn, so that no pool takes all.
   while (!deficits.empty()) {
     for (auto it = deficits.begin(); it != deficits.end();) {
       auto& [target, deficit] = *it;
-      Host* donor = TakeDonor(donors, spare, target);
+      Host* donor = TakeDonor(donors, balance, target);
       if (donor) {
         deficit -= CoresOf(donor->info);
         Explain("reserve-host",
@@ -382,20 +399,22 @@
       it = !donor || deficit <= 0 ? deficits.erase(it) : std::next(it);
     }
   }
+  ReturnIdle(donors, balance);
 }
 
 HostPlanner::Host* HostPlanner::TakeDonor(std::vector<Host*>& donors,
-                                          std::map<ServiceId, double>& spare,
+                                          PoolBalance& balance,
                                           const ServiceId& target) {
   for (auto it = donors.begin(); it != donors.end(); ++it) {
     Host* donor = *it;
     const auto& pool = donor->info.pool;
     const double cores = CoresOf(donor->info);
-    if (pool == target || (!IsStandby(pool) && spare[pool] < cores)) {
+    if (pool == target ||
+        (!IsStandby(pool) && !balance.CanSpare(pool, cores))) {
       continue;
     }
     if (!IsStandby(pool)) {
-      spare[pool] -= cores;
+      balance.Take(pool, cores);
     }
     donors.erase(it);
     donor->purpose = Purpose::kMove;
@@ -406,6 +425,34 @@
   return nullptr;
 }
 
+void HostPlanner::ReturnIdle(const std::vector<Host*>& donors,
+                             PoolBalance& balance) {
+  const auto standby =
+      std::find_if(policies_->services.begin(), policies_->services.end(),
+                   [](const auto& it) { return it.second.standby; });
+  if (standby == policies_->services.end()) {
+    return;
+  }
+  for (Host* it : donors) {
+    const auto& pool = it->info.pool;
+    const double cores = CoresOf(it->info);
+    if (IsStandby(pool) || !it->empty_since ||
+        now_ - *it->empty_since < tuning_.idle_return ||
+        !balance.CanSpare(pool, cores)) {
+      continue;
+    }
+    balance.Take(pool, cores);
+    it->purpose = Purpose::kMove;
+    it->target = standby->first;
+    it->reserved_at = now_;
+    Explain(
+        "return-host",
+        fmt::format("host={} pool={} target={} idle_ms={}",
+                    it->info.host.value(), pool.value(), standby->first.value(),
+                    (now_ - *it->empty_since).count() / 1000));
+  }
+}
+
 void HostPlanner::GiveOrders() {
   if (storing_) {
     return;
--- a/src/libjobs/host_planner.h
+++ b/src/libjobs/host_planner.h
@@ -12,6 +12,7 @@
 
 #include "libjobs/outlook.h"
 #include "libjobs/policies.h"
+#include "libjobs/pool_balance.h"
 #include "libjobs/stored_job.h"
 
 namespace baobab {
@@ -56,6 +57,9 @@
   Duration order_delay = std::chrono::milliseconds(500);
   /** A host that was moved stays at least this long. */
   Duration least_stay = std::chrono::milliseconds(3000);
+  /** A host without work for this long is returned to a standby pool. Two
+   * moves, there and back, are paid like a host of a pool for about 2.3 s. */
+  Duration idle_return = std::chrono::milliseconds(2500);
   /** An outlook that is older does not allow an order. */
   Duration outlook_kept = std::chrono::milliseconds(700);
   /** Between readings of the platform's list of hosts, while hosts are away
@@ -181,6 +185,8 @@
     HostInfo info;
     std::optional<HostOutlook> outlook;
     Time outlook_at;
+    /** Since when each outlook showed it empty; unset while it is not. */
+    std::optional<Time> empty_since;
     bool listed = true;
 
     std::optional<Purpose> purpose;
@@ -218,9 +224,15 @@
   bool IsVacated(const Host& host) const;
   /** A former planner's order may still be under way. */
   bool IsBlocked(const HostId& host) const;
+  /** Hosts that may be moved, in the order in which they are taken. */
+  std::vector<Host*> Donors();
+  PoolBalance Balance() const;
   Host* TakeDonor(std::vector<Host*>& donors,
-                  std::map<ServiceId, double>& spare,
+                  PoolBalance& balance,
                   const ServiceId& target);
+  /** Moves hosts that nobody needs to a standby pool, where they cost nothing.
+   */
+  void ReturnIdle(const std::vector<Host*>& donors, PoolBalance& balance);
   bool IsAway(const Host& host) const;
   void Release(Host& host);
   void PlanWaves();
--- a/src/libjobs/job.cc
+++ b/src/libjobs/job.cc
@@ -1,6 +1,7 @@
 #include "libjobs/job.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace baobab {
 
@@ -13,19 +14,23 @@
                      [](const auto& it) { return it.lasting; });
 }
 
-Task* Job::Find(const TaskId& task) {
+const Task* Job::Find(const TaskId& task) const {
   const auto it = occurrences.find(task.occurrence);
   if (it == occurrences.end() || task.step < 0 || task.index < 0 ||
       task.step >= static_cast<int>(it->second.steps.size())) {
     return nullptr;
   }
-  auto& tasks = it->second.steps[static_cast<std::size_t>(task.step)];
+  const auto& tasks = it->second.steps[static_cast<std::size_t>(task.step)];
   if (task.index >= static_cast<int>(tasks.size())) {
     return nullptr;
   }
   return &tasks[static_cast<std::size_t>(task.index)];
 }
 
+Task* Job::Find(const TaskId& task) {
+  return const_cast<Task*>(std::as_const(*this).Find(task));
+}
+
 void Job::CreateOccurrence(Time due) {
   auto& occurrence = occurrences[created++];
   occurrence.due = due;
--- a/src/libjobs/job.h
+++ b/src/libjobs/job.h
@@ -83,11 +83,12 @@
   /** Starts need a ticket of the advice service. */
   bool needs_advice = false;
   JobSpec spec;
-  std::int64_t accepted_wall_ms = 0;
-
-  /** Runtime clock of the acceptance; before the start of the process for a
+  /** When its caller first asked for it, also if that was refused; its
+   * objective counts from then. */
+  std::int64_t asked_wall_ms = 0;
+  /** The same on the runtime's clock; before the start of the process for a
    * job taken over. */
-  Time accepted_at;
+  Time asked_at;
   JobEnd end = JobEnd::kOpen;
   std::int64_t ended_wall_ms = 0;
   /** The end as far as it is stored, which is what callers are shown. */
@@ -95,6 +96,9 @@
   /** Its acceptance is stored. */
   bool stored = false;
   bool begun = false;
+  /** Accepted although it will be late; goes behind work that can be in time.
+   */
+  bool deferred = false;
   /** Open occurrences by number. */
   std::map<int, Occurrence> occurrences;
   /** Occurrences below this number were created. */
@@ -113,6 +117,7 @@
   }
   /** Null if there is no such task now. */
   Task* Find(const TaskId& task);
+  const Task* Find(const TaskId& task) const;
   /** Creates the next occurrence, whose objective counts from `due`. */
   void CreateOccurrence(Time due);
   /** True if all steps that `step` depends on are done. */
--- a/src/libjobs/outlook.h
+++ b/src/libjobs/outlook.h
@@ -14,13 +14,17 @@
   ServiceId service;
   /** Of the workers that take new runs. */
   double cores = 0;
-  /** Taken by runs that end, and by lasting ones. */
+  /** Taken by runs that end and can be in time, by those of jobs that are late,
+   * and by lasting ones. */
   double used = 0;
+  double late = 0;
   double lasting = 0;
-  /** Asked for by tasks whose turn has come and that found no room. */
+  /** Asked for by tasks that can be in time and found no room. */
   double waiting = 0;
-  /** Asked for by jobs that were refused within the last second. */
+  /** Asked for at once by jobs that were refused recently. */
   double refused = 0;
+  /** Kept busy by the work that arrives at present, if it goes on. */
+  double arriving = 0;
 };
 
 /** One host of a pool, as the owner of the pool sees it. */
@@ -37,6 +41,8 @@
   bool draining = false;
   /** Cores taken by runs. */
   double used = 0;
+  /** Until its runs have ended, as far as they end. */
+  Duration busy_for{0};
 };
 
 /** What the owner of a shard tells the planner. */
--- /dev/null
+++ b/src/libjobs/pool_balance.cc
@@ -0,0 +1,40 @@
+#include "libjobs/pool_balance.h"
+
+#include <algorithm>
+
+namespace baobab {
+
+namespace {
+
+/** Cores that a pool keeps free for the next jobs: one host of the usual size,
+ * or a share of what it uses. */
+constexpr double kLeastReserve = 192;
+constexpr double kReserveShare = 0.5;
+
+}  // namespace
+
+void PoolBalance::Add(const ServiceOutlook& outlook, double moving_in) {
+  const double present = outlook.used + outlook.waiting + outlook.refused;
+  const double need = outlook.lasting + std::max(present, outlook.arriving);
+  const double deficit = need - outlook.cores - moving_in;
+  if (deficit > 0) {
+    deficits_[outlook.service] = deficit;
+  }
+  const double busy = std::max(outlook.used, outlook.arriving);
+  spare_[outlook.service] =
+      outlook.waiting + outlook.refused > 0
+          ? 0
+          : outlook.cores - outlook.lasting - busy -
+                std::max(kLeastReserve, busy * kReserveShare);
+}
+
+bool PoolBalance::CanSpare(const ServiceId& pool, double cores) const {
+  const auto it = spare_.find(pool);
+  return it != spare_.end() && it->second >= cores;
+}
+
+void PoolBalance::Take(const ServiceId& pool, double cores) {
+  spare_[pool] -= cores;
+}
+
+}  // namespace baobab
--- a/src/libjobs/pool_engine.cc
+++ b/src/libjobs/pool_engine.cc
@@ -15,13 +15,6 @@
 /** Commits over which the time of one is averaged. */
 constexpr int kCommitSamples = 4;
 
-/** From the end of a run until the next one has begun, beside the commit: the
- * answers of two calls, and the batching of commits. */
-constexpr Duration kRunOverhead = std::chrono::milliseconds(20);
-
-/** Refusals that count as present demand. */
-constexpr Duration kRefusalWindow = std::chrono::milliseconds(1500);
-
 /** Ended jobs are kept beyond the promised time by this share, since clocks
  * of the owners differ. */
 constexpr double kRetentionMargin = 1.25;
@@ -93,72 +86,11 @@
   return report;
 }
 
-PoolOutlook PoolEngine::Outlook(Time now) const {
-  PoolOutlook outlook;
-  std::map<ServiceId, ServiceOutlook> services;
-  const auto of = [&](const ServiceId& id) -> ServiceOutlook& {
-    auto& service = services[id];
-    service.service = id;
-    return service;
-  };
-  for (const auto& [id, worker] : workers_) {
-    if (!worker.listed || worker.superseded) {
-      continue;
-    }
-    auto& service = of(worker.entry.service);
-    HostOutlook host{worker.entry.host, id, worker.entry.service};
-    host.reserved = worker.reserved;
-    host.draining = worker.entry.draining;
-    host.empty = worker.introduced && worker.runs.empty() &&
-                 worker.misses == 0 && !worker.looking &&
-                 worker.ends_told >= worker.ends_stored &&
-                 worker.ends_stored >= worker.ends_taken;
-    for (const auto& [task, room] : worker.runs) {
-      const auto job = jobs_.find(task.job);
-      const bool lasting =
-          job != jobs_.end() && job->second.Step(task.step).lasting;
-      host.lasting = host.lasting || lasting;
-      const double cores = static_cast<double>(room.cpu_milli) / 1000.0;
-      host.used += cores;
-      (lasting ? service.lasting : service.used) += cores;
-    }
-    if (worker.IsUsable(now)) {
-      service.cores +=
-          static_cast<double>(worker.entry.capacity.cpu_milli) / 1000.0;
-    }
-    outlook.hosts.push_back(std::move(host));
-  }
-  for (const auto& [id, steps] : ready_.by_service()) {
-    for (const auto& it : steps) {
-      const Job& job = jobs_.at(it.job);
-      const auto& tasks = job.occurrences.at(it.occurrence)
-                              .steps[static_cast<std::size_t>(it.step)];
-      of(id).waiting +=
-          static_cast<double>(RoomOf(job.Step(it.step)).cpu_milli) / 1000.0 *
-          static_cast<double>(
-              std::count_if(tasks.begin(), tasks.end(), [](const auto& task) {
-                return task.phase == TaskPhase::kWaiting;
-              }));
-    }
-  }
-  for (const auto& it : refusals_) {
-    if (now - it.at < kRefusalWindow) {
-      of(it.service).refused += it.cores;
-    }
-  }
-  for (auto& [id, service] : services) {
-    outlook.services.push_back(std::move(service));
-  }
-  return outlook;
-}
-
 void PoolEngine::Handle(const PoolTick&) {
   if (!loaded_) {
     return;
   }
-  while (!refusals_.empty() && now_ - refusals_.front().at >= kRefusalWindow) {
-    refusals_.pop_front();
-  }
+  demand_.Forget(now_);
   if (now_ - planned_at_ >= tuning_.plan_kept &&
       (!plan_.reserved.empty() || !plan_.arriving.empty())) {
     // The planner has gone; its reservations must not outlive it.
@@ -187,7 +119,7 @@
   loaded_at_ = now_;
   jobs_ = std::move(loaded.jobs);
   for (auto& [id, job] : jobs_) {
-    job.accepted_at = now_ - FromMilliseconds(wall_ms_ - job.accepted_wall_ms);
+    job.asked_at = now_ - FromMilliseconds(wall_ms_ - job.asked_wall_ms);
     if (job.end != JobEnd::kOpen) {
       ended_.emplace(job.ended_wall_ms, id);
     }
@@ -197,7 +129,7 @@
               ? now_ +
                     FromMilliseconds(job.spec.first_due_wall_ms +
                                      number * job.spec.interval_ms - wall_ms_)
-              : job.accepted_at;
+              : job.asked_at;
       for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
         auto& tasks = occurrence.steps[step];
         for (std::size_t i = 0; i < tasks.size(); ++i) {
@@ -273,7 +205,7 @@
   const auto expected_ms = verdict.expected.count() / 1000;
   const auto objective_ms = job.Objective().count() / 1000;
   if (!verdict.accept) {
-    CountRefusal(job);
+    demand_.NoteRefused(job, now_);
     refuse(SubmitVerdict::kRefused, verdict.retry_after,
            fmt::format("overload expected_ms={} objective_ms={}", expected_ms,
                        objective_ms));
@@ -281,10 +213,13 @@
   }
   Explain(
       "accept-job", event.job,
-      fmt::format("queue={} service={} expected_ms={} objective_ms={} steps={}",
+      fmt::format("queue={} service={} expected_ms={} objective_ms={} steps={} "
+                  "deferred={} asked_ago_ms={}",
                   job.queue.value(), job.service.value(), expected_ms,
-                  objective_ms, job.spec.steps.size()));
-  ForgetRefusal(event.job);
+                  objective_ms, job.spec.steps.size(), verdict.deferred,
+                  (now_ - job.asked_at).count() / 1000));
+  job.deferred = verdict.deferred;
+  demand_.NoteAccepted(job, now_);
   auto& stored = jobs_.emplace(event.job, std::move(job)).first->second;
   staged_.accepted.insert(event.job);
   staged_.answers.push_back(
@@ -337,8 +272,8 @@
   // proves that there is no later owner, which may know the job.
   Job job;
   job.id = id;
-  job.accepted_at = now_;
-  job.accepted_wall_ms = wall_ms_;
+  job.asked_at = now_;
+  job.asked_wall_ms = wall_ms_;
   job.end = JobEnd::kCancelled;
   job.ended_wall_ms = wall_ms_;
   ended_.emplace(wall_ms_, id);
@@ -360,47 +295,15 @@
   job.target = event.queue.target;
   job.needs_advice = event.queue.advice.has_value();
   job.spec = event.spec;
-  job.accepted_wall_ms = wall_ms_;
-  job.accepted_at = now_;
+  job.asked_at = demand_.FirstAskedAt(event.job, now_);
+  job.asked_wall_ms = wall_ms_ - (now_ - job.asked_at).count() / 1000;
   return job;
 }
 
-AdmissionVerdict PoolEngine::Judge(const Job& job) const {
-  std::vector<const Job*> open;
-  for (const auto& [id, other] : jobs_) {
-    if (other.end == JobEnd::kOpen && other.service == job.service) {
-      open.push_back(&other);
-    }
-  }
-  std::vector<CoresArriving> arriving;
-  for (const auto& it : plan_.arriving) {
-    if (it.service == job.service) {
-      arriving.push_back({planned_at_ + it.in, it.cores});
-    }
-  }
-  return admission_.Judge(job, open, workers_, arriving,
-                          commit_time_ + kRunOverhead, now_);
-}
-
-void PoolEngine::ForgetRefusal(const JobId& job) {
-  std::erase_if(refusals_, [&](const auto& it) { return it.job == job; });
-}
-
-void PoolEngine::CountRefusal(const Job& job) {
-  double widest = 0;
-  for (const auto& it : job.spec.steps) {
-    widest = std::max(
-        widest, static_cast<double>(it.need.cpu_milli) / 1000.0 * it.count);
-  }
-  // A caller that tries again asks for the same cores.
-  ForgetRefusal(job.id);
-  refusals_.push_back({now_, job.service, job.id, widest});
-}
-
 void PoolEngine::BeginDueOccurrences(Job& job) {
   while (job.created < job.Times()) {
     const int number = job.created;
-    Time due = job.accepted_at;
+    Time due = job.asked_at;
     if (job.IsTimed()) {
       const auto wall =
           job.spec.first_due_wall_ms + number * job.spec.interval_ms;
@@ -427,7 +330,7 @@
   staged_.shown[job.id] = end;
   Explain("end-job", job.id,
           fmt::format("end={} why={} age_ms={}", ToString(end), why,
-                      wall_ms_ - job.accepted_wall_ms));
+                      wall_ms_ - job.asked_wall_ms));
   for (auto& [number, occurrence] : job.occurrences) {
     for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
       auto& tasks = occurrence.steps[step];
--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -1,7 +1,6 @@
 #ifndef SRC_LIBJOBS_POOL_ENGINE_H_
 #define SRC_LIBJOBS_POOL_ENGINE_H_
 
-#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -11,6 +10,7 @@
 #include <vector>
 
 #include "libjobs/admission.h"
+#include "libjobs/demand_book.h"
 #include "libjobs/pool_effect.h"
 #include "libjobs/pool_event.h"
 #include "libjobs/ready_steps.h"
@@ -98,12 +98,23 @@
   void Handle(const PaceFinished& event);
   void Handle(const AdviceGiven& event);
 
+  // Demand and room (pool_engine_demand.cc).
+  void AddRun(const TaskId& id,
+              const Resources& room,
+              Time now,
+              ServiceOutlook& service,
+              HostOutlook& host) const;
+  AdmissionVerdict Judge(const Job& job) const;
+  /** Cores that late work may take beside its present runs: what the work in
+   * time leaves that is open or arrives. Late work that begins in a gap between
+   * two steps of other jobs would make these late too. */
+  double RoomForLate(const ServiceId& service) const;
+  /** Cores that the job will take beyond its present runs, if it is in time. */
+  double CoresToCome(const Job& job) const;
+
   // Jobs (pool_engine.cc).
   void AddTombstone(const JobId& id);
   Job MakeJob(const SubmitRequested& event) const;
-  AdmissionVerdict Judge(const Job& job) const;
-  void CountRefusal(const Job& job);
-  void ForgetRefusal(const JobId& job);
   void BeginDueOccurrences(Job& job);
   void EndJob(Job& job, JobEnd end, const std::string& why);
   void DropExpiredJobs();
@@ -142,9 +153,12 @@
   void ReturnToWaiting(Job& job, const TaskId& id, Task& task);
   void FinishTask(Job& job, const TaskId& id, Task& task);
   void Schedule();
-  /** 0 in time, 1 late, 2 too late to be worth anything. */
-  int LatenessOf(const ReadyStep& ready) const;
-  void PlaceStep(const ServiceId& service, const ReadyStep& ready);
+  /** 0 in time, 1 late, 2 deferred or too late to be worth anything. */
+  int LatenessOf(const ReadyStep& ready, Time now) const;
+  /** `allowance` are the cores that the step may take; it is lowered. */
+  void PlaceStep(const ServiceId& service,
+                 const ReadyStep& ready,
+                 double& allowance);
   /** Asks about workers with room for a step that needs advice. */
   void SeekAdvice(const ServiceId& service,
                   const Job& job,
@@ -182,14 +196,7 @@
   bool wake_requested_ = false;
   Time swept_at_;
   bool schedule_needed_ = false;
-  /** Cores that refused jobs asked for, by the time of the refusal. */
-  struct Refusal {
-    Time at;
-    ServiceId service;
-    JobId job;
-    double cores = 0;
-  };
-  std::deque<Refusal> refusals_;
+  DemandBook demand_;
   HostPlan plan_;
   Time planned_at_;
   std::uint64_t looks_ = 0;
--- /dev/null
+++ b/src/libjobs/pool_engine_demand.cc
@@ -0,0 +1,169 @@
+#include <algorithm>
+#include <chrono>
+
+#include "libjobs/pool_engine.h"
+
+namespace baobab {
+
+namespace {
+
+/** From the end of a run until the next one has begun, beside the commit: the
+ * answers of two calls, and the batching of commits. */
+constexpr Duration kRunOverhead = std::chrono::milliseconds(20);
+
+}  // namespace
+
+PoolOutlook PoolEngine::Outlook(Time now) const {
+  PoolOutlook outlook;
+  std::map<ServiceId, ServiceOutlook> services;
+  const auto of = [&](const ServiceId& id) -> ServiceOutlook& {
+    auto& service = services[id];
+    service.service = id;
+    return service;
+  };
+  for (const auto& [id, worker] : workers_) {
+    if (!worker.listed || worker.superseded) {
+      continue;
+    }
+    auto& service = of(worker.entry.service);
+    HostOutlook host{worker.entry.host, id, worker.entry.service};
+    host.reserved = worker.reserved;
+    host.draining = worker.entry.draining;
+    host.empty = worker.introduced && worker.runs.empty() &&
+                 worker.misses == 0 && !worker.looking &&
+                 worker.ends_told >= worker.ends_stored &&
+                 worker.ends_stored >= worker.ends_taken;
+    for (const auto& [task, room] : worker.runs) {
+      AddRun(task, room, now, service, host);
+    }
+    if (worker.IsUsable(now)) {
+      service.cores +=
+          static_cast<double>(worker.entry.capacity.cpu_milli) / 1000.0;
+    }
+    outlook.hosts.push_back(std::move(host));
+  }
+  for (const auto& [id, steps] : ready_.by_service()) {
+    for (const auto& it : steps) {
+      if (LatenessOf(it, now) > 0) {
+        continue;
+      }
+      const Job& job = jobs_.at(it.job);
+      const auto& tasks = job.occurrences.at(it.occurrence)
+                              .steps[static_cast<std::size_t>(it.step)];
+      of(id).waiting +=
+          static_cast<double>(RoomOf(job.Step(it.step)).cpu_milli) / 1000.0 *
+          static_cast<double>(
+              std::count_if(tasks.begin(), tasks.end(), [](const auto& task) {
+                return task.phase == TaskPhase::kWaiting;
+              }));
+    }
+  }
+  for (auto& [id, service] : services) {
+    service.refused = demand_.RefusedCores(id, now);
+    service.arriving = demand_.ArrivingCores(id, now);
+    outlook.services.push_back(std::move(service));
+  }
+  return outlook;
+}
+
+void PoolEngine::AddRun(const TaskId& id,
+                        const Resources& room,
+                        Time now,
+                        ServiceOutlook& service,
+                        HostOutlook& host) const {
+  const double cores = static_cast<double>(room.cpu_milli) / 1000.0;
+  host.used += cores;
+  const auto found = jobs_.find(id.job);
+  if (found == jobs_.end()) {
+    service.used += cores;
+    return;
+  }
+  const Job& job = found->second;
+  if (job.Step(id.step).lasting) {
+    host.lasting = true;
+    service.lasting += cores;
+    return;
+  }
+  const Task* task = job.Find(id);
+  if (task && job.end == JobEnd::kOpen) {
+    const auto expected =
+        durations_.Expect(job.queue, job.Step(id.step).estimate);
+    const auto begun =
+        task->phase == TaskPhase::kPlaced ? now : task->started_at;
+    host.busy_for = std::max(host.busy_for, begun + expected - now);
+  }
+  const auto occurrence = job.occurrences.find(id.occurrence);
+  const bool late = occurrence != job.occurrences.end() &&
+                    LatenessOf(ReadyKey(job, id.occurrence, id.step), now) > 0;
+  (late ? service.late : service.used) += cores;
+}
+
+AdmissionVerdict PoolEngine::Judge(const Job& job) const {
+  PoolLoad load;
+  for (const auto& [id, other] : jobs_) {
+    if (other.end == JobEnd::kOpen && other.service == job.service) {
+      load.open.push_back(&other);
+    }
+  }
+  for (const auto& it : plan_.arriving) {
+    if (it.service == job.service) {
+      load.arriving.push_back({planned_at_ + it.in, it.cores});
+    }
+  }
+  load.new_work = demand_.NewWork(job.service, now_);
+  load.overhead = commit_time_ + kRunOverhead;
+  return admission_.Judge(job, load, workers_, now_);
+}
+
+double PoolEngine::RoomForLate(const ServiceId& service) const {
+  double room = 0;
+  double in_time = 0;
+  for (const auto& [id, worker] : workers_) {
+    if (worker.entry.service != service || !worker.IsUsable(now_)) {
+      continue;
+    }
+    room += static_cast<double>(worker.entry.capacity.cpu_milli) / 1000.0;
+    ServiceOutlook runs;
+    HostOutlook host;
+    for (const auto& [task, taken] : worker.runs) {
+      AddRun(task, taken, now_, runs, host);
+    }
+    room -= runs.lasting + runs.late;
+    in_time += runs.used;
+  }
+  for (const auto& [id, job] : jobs_) {
+    if (job.end == JobEnd::kOpen && job.service == service) {
+      in_time += CoresToCome(job);
+    }
+  }
+  return room - in_time;
+}
+
+double PoolEngine::CoresToCome(const Job& job) const {
+  if (job.IsLasting()) {
+    return 0;
+  }
+  double cores = 0;
+  for (const auto& [number, occurrence] : job.occurrences) {
+    double running = 0;
+    double widest = 0;
+    for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+      const int step = static_cast<int>(i);
+      if (LatenessOf(ReadyKey(job, number, step), now_) > 0) {
+        continue;
+      }
+      const double each =
+          static_cast<double>(RoomOf(job.Step(step)).cpu_milli) / 1000.0;
+      double waiting = 0;
+      for (const auto& it : occurrence.steps[i]) {
+        (it.phase == TaskPhase::kWaiting ? waiting : running) +=
+            it.phase == TaskPhase::kDone ? 0 : each;
+      }
+      widest = std::max(widest, waiting);
+    }
+    cores += std::max(0.0, widest - running);
+  }
+  return cores;
+}
+
+}  // namespace baobab
--- a/src/libjobs/pool_engine_tasks.cc
+++ b/src/libjobs/pool_engine_tasks.cc
@@ -1,5 +1,7 @@
 #include <algorithm>
 #include <chrono>
+#include <limits>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -13,6 +15,9 @@
  * when far more waits than there is room for. */
 constexpr int kMostMisfits = 24;
 
+/** Lateness of work that only takes what all other work leaves. */
+constexpr int kDeferred = 2;
+
 /** Most doublings of the pause before a lasting task is started again. */
 constexpr int kMostPauseDoublings = 3;
 
@@ -117,31 +122,45 @@
     // Work that can no longer keep its objective goes after work that can, or a
     // queue that is behind would make each of its jobs late; work that is too
     // late to be worth anything goes last.
-    for (const int lateness : {0, 1, 2}) {
+    double allowance = std::numeric_limits<double>::max();
+    bool any_late = false;
+    for (const int lateness : {0, 1, kDeferred}) {
       for (const auto& it : all) {
-        if (misfits >= kMostMisfits) {
+        if (misfits >= kMostMisfits || allowance <= 0) {
           break;
         }
-        if (LatenessOf(it) == lateness) {
-          PlaceStep(service, it);
-          misfits += ready_.by_service().at(service).contains(it) ? 1 : 0;
+        if (LatenessOf(it, now_) != lateness) {
+          continue;
+        }
+        if (lateness == kDeferred && !std::exchange(any_late, true)) {
+          allowance = RoomForLate(service);
         }
+        PlaceStep(service, it, allowance);
+        misfits += ready_.by_service().at(service).contains(it) ? 1 : 0;
       }
     }
   }
 }
 
-int PoolEngine::LatenessOf(const ReadyStep& ready) const {
+int PoolEngine::LatenessOf(const ReadyStep& ready, Time now) const {
   const auto found = jobs_.find(ready.job);
-  if (!ready.ends || ready.due >= now_ || found == jobs_.end()) {
+  if (!ready.ends || found == jobs_.end()) {
     return 0;
   }
   const Job& job = found->second;
+  if (job.deferred) {
+    return kDeferred;
+  }
+  if (ready.due >= now) {
+    return 0;
+  }
   const Time due = job.occurrences.at(ready.occurrence).due;
-  return now_ < due + job.Objective() * kLateLimit ? 1 : 2;
+  return now < due + job.Objective() * kLateLimit ? 1 : kDeferred;
 }
 
-void PoolEngine::PlaceStep(const ServiceId& service, const ReadyStep& ready) {
+void PoolEngine::PlaceStep(const ServiceId& service,
+                           const ReadyStep& ready,
+                           double& allowance) {
   Job& job = jobs_.at(ready.job);
   const auto& spec = job.Step(ready.step);
   auto& tasks = job.occurrences.at(ready.occurrence)
@@ -161,6 +180,7 @@
     };
   }
   std::string rack;
+  const double cores = static_cast<double>(RoomOf(spec).cpu_milli) / 1000.0;
   bool all = true;
   for (int i = 0; i < static_cast<int>(tasks.size()); ++i) {
     Task& task = tasks[static_cast<std::size_t>(i)];
@@ -171,6 +191,10 @@
       all = false;
       continue;
     }
+    if (allowance < cores) {
+      all = false;
+      break;
+    }
     const Worker* worker = placement.Choose(service, job, ready.occurrence,
                                             ready.step, task, rack, filter);
     if (!worker) {
@@ -183,6 +207,7 @@
     if (spec.rack_local) {
       rack = worker->Rack();
     }
+    allowance -= cores;
     Place(job, {job.id, ready.occurrence, ready.step, i}, task,
           worker->entry.id);
   }
--- a/src/libjobs/stored_job.cc
+++ b/src/libjobs/stored_job.cc
@@ -65,7 +65,7 @@
   job.max_attempts = json.at(4).get<int>();
   job.stretch = json.at(5).get<double>();
   job.target = Duration(json.at(6).get<std::int64_t>());
-  job.accepted_wall_ms = json.at(7).get<std::int64_t>();
+  job.asked_wall_ms = json.at(7).get<std::int64_t>();
   job.spec.payload = json.at(8).get<std::string>();
   for (const auto& it : json.at(9)) {
     job.spec.steps.push_back(StepFromJson(it));
@@ -133,7 +133,7 @@
   }
   return Pack(Json::array(
       {kFormat, job.queue.value(), job.service.value(), job.priority,
-       job.max_attempts, job.stretch, job.target.count(), job.accepted_wall_ms,
+       job.max_attempts, job.stretch, job.target.count(), job.asked_wall_ms,
        job.spec.payload, std::move(steps), job.spec.repeats,
        job.spec.first_due_wall_ms, job.spec.interval_ms, job.needs_advice}));
 }
