jobs: owners that fall behind refuse new jobs; net: one timer for all calls

Change: OwnerLoad (lag of the periodic event, with hysteresis): new jobs are refused at once while the owner is behind, known ones are answered. The HTTP client arms one timer for all deadlines. Nodes without shards tick at 4 Hz. Tests: OwnerLoadTest; BusyOwnerRefusesNewJobsOnly fails on the former engine.

--- a/src/libfleet/fleet_node.cc
+++ b/src/libfleet/fleet_node.cc
@@ -21,6 +21,8 @@
 constexpr Duration kOwnerRefresh = std::chrono::milliseconds(150);
 /** Timers of the engines are multiples of this. */
 constexpr Duration kTickInterval = std::chrono::milliseconds(50);
+/** Without shards there is only the log to be flushed. */
+constexpr Duration kIdleTickInterval = std::chrono::milliseconds(250);
 /** An owner that could not renew for this long stops giving orders, since
  * another node may own its shards by now. PoolTuning::former_owner exceeds
  * it. */
@@ -377,13 +379,17 @@
 }
 
 void FleetNode::TickLoop() {
+  const auto now = SteadyNow();
+  const auto lag = tick_due_ == Time() ? Duration(0) : now - tick_due_;
   for (auto& [id, shard] : shards_) {
     if (shard->IsLoaded()) {
-      shard->Tick();
+      shard->Tick(lag);
     }
   }
   ports_.log.Flush();
-  tick_timer_.Set(kTickInterval, [this] { TickLoop(); });
+  const auto interval = shards_.empty() ? kIdleTickInterval : kTickInterval;
+  tick_due_ = now + interval;
+  tick_timer_.Set(interval, [this] { TickLoop(); });
 }
 
 template <typename T>
--- a/src/libfleet/fleet_node.h
+++ b/src/libfleet/fleet_node.h
@@ -138,6 +138,8 @@
   std::map<ShardId, ShardHolder> owners_;
   bool reading_owners_ = false;
   Time owners_read_at_;
+  /** When the next tick should be handled. */
+  Time tick_due_;
   std::int64_t generation_ = 0;
   /** When the newest answered renewal of the membership was sent. */
   Time joined_at_;
--- a/src/libfleet/shard_owner.h
+++ b/src/libfleet/shard_owner.h
@@ -57,7 +57,8 @@
   void Cancel(const JobId& job, CancelDone done);
   /** Takes over the plan and tells how the pools of the shard are. */
   PoolOutlook Plan(HostPlan plan);
-  void Tick() { Post(PoolTick{}); }
+  /** `lag` is how late the tick is. */
+  void Tick(Duration lag) { Post(PoolTick{lag}); }
   void SetPolicies(std::shared_ptr<const PolicySet> policies);
   void SetWorkers(std::shared_ptr<const std::vector<WorkerEntry>> workers);
 
--- a/src/libjobs/placement.cc
+++ b/src/libjobs/placement.cc
@@ -32,9 +32,7 @@
   return room;
 }
 
-Placement::Placement(const Workers& workers,
-                     const ServiceId& service,
-                     Time now)
+Placement::Placement(const Workers& workers, const ServiceId& service, Time now)
     : most_free_cpu_(std::numeric_limits<std::int64_t>::max()) {
   for (const auto& [id, worker] : workers) {
     if (worker.IsUsable(now) && worker.entry.service == service) {
--- a/src/libjobs/placement.h
+++ b/src/libjobs/placement.h
@@ -17,9 +17,9 @@
 /** What a task takes from the room of a worker. */
 Resources RoomOf(const StepSpec& step);
 
-/** Chooses workers of one service for tasks. Answers large tasks that come among many small
- * ones: runs are packed onto the fullest worker that has room, so that whole
- * workers stay free for large tasks, moves and maintenance. */
+/** Chooses workers of one service for tasks. Answers large tasks that come
+ * among many small ones: runs are packed onto the fullest worker that has room,
+ * so that whole workers stay free for large tasks, moves and maintenance. */
 class Placement {
  public:
   /** Further condition on a worker; none allows all. */
--- a/src/libjobs/pool_engine.cc
+++ b/src/libjobs/pool_engine.cc
@@ -86,10 +86,15 @@
   return report;
 }
 
-void PoolEngine::Handle(const PoolTick&) {
+void PoolEngine::Handle(const PoolTick& event) {
   if (!loaded_) {
     return;
   }
+  if (const bool was_busy = load_.IsBusy();
+      load_.Observe(event.lag), load_.IsBusy() != was_busy) {
+    Explain(load_.IsBusy() ? "owner-busy" : "owner-calm", JobId(),
+            fmt::format("lag_ms={}", event.lag.count() / 1000));
+  }
   demand_.Forget(now_);
   if (now_ - planned_at_ >= tuning_.plan_kept &&
       (!plan_.reserved.empty() || !plan_.arriving.empty())) {
@@ -200,6 +205,12 @@
     return;
   }
   Job job = MakeJob(event);
+  if (load_.IsBusy() && !job.IsLasting()) {
+    demand_.NoteRefused(job, now_);
+    refuse(SubmitVerdict::kRefused, load_.RetryAfter(),
+           fmt::format("owner-busy lag_ms={}", load_.lag().count() / 1000));
+    return;
+  }
   admission_.Observe(job);
   const auto verdict = Judge(job);
   const auto expected_ms = verdict.expected.count() / 1000;
--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -11,6 +11,7 @@
 
 #include "libjobs/admission.h"
 #include "libjobs/demand_book.h"
+#include "libjobs/owner_load.h"
 #include "libjobs/pool_effect.h"
 #include "libjobs/pool_event.h"
 #include "libjobs/ready_steps.h"
@@ -202,8 +203,9 @@
   Time swept_at_;
   bool schedule_needed_ = false;
   DemandBook demand_;
-  /** RoomForLate by service, kept for a moment, since a pass over all runs costs
-   * as much as placing dozens of tasks. */
+  OwnerLoad load_;
+  /** RoomForLate by service, kept for a moment, since a pass over all runs
+   * costs as much as placing dozens of tasks. */
   struct LateRoom {
     Time at;
     double cores = 0;
--- a/src/libjobs/pool_engine_tasks.cc
+++ b/src/libjobs/pool_engine_tasks.cc
@@ -201,8 +201,8 @@
       all = false;
       break;
     }
-    const Worker* worker = placement.Choose(
-        job, ready.occurrence, ready.step, task, rack, filter);
+    const Worker* worker =
+        placement.Choose(job, ready.occurrence, ready.step, task, rack, filter);
     if (!worker) {
       all = false;
       if (job.needs_advice) {
@@ -226,10 +226,8 @@
                             const Job& job,
                             const ReadyStep& ready) {
   const StepId step{job.id, ready.occurrence, ready.step};
-  auto asked =
-      advice_.Open(step,
-                   placement.Candidates(job, ready.occurrence, ready.step),
-                   now_);
+  auto asked = advice_.Open(
+      step, placement.Candidates(job, ready.occurrence, ready.step), now_);
   if (!asked.empty()) {
     effects_.push_back(AskAdvice{step, std::move(asked)});
   }
--- a/src/libjobs/pool_engine_workers.cc
+++ b/src/libjobs/pool_engine_workers.cc
@@ -450,8 +450,8 @@
                   .empty();
     };
   }
-  return placement.Choose(job, id.occurrence, id.step, Task(), "",
-                          filter) != nullptr;
+  return placement.Choose(job, id.occurrence, id.step, Task(), "", filter) !=
+         nullptr;
 }
 
 void PoolEngine::EvacuateWorkers() {
--- a/src/libjobs/pool_event.h
+++ b/src/libjobs/pool_event.h
@@ -17,7 +17,10 @@
 namespace baobab {
 
 /** Lets timers run; the shell sends one every 50 ms. */
-struct PoolTick {};
+struct PoolTick {
+  /** How late the event comes, since its process is busy. */
+  Duration lag{0};
+};
 
 /** The records of the shard were read after it was closed to former owners. */
 struct ShardLoaded {
--- a/src/libnet/async_http_client.cc
+++ b/src/libnet/async_http_client.cc
@@ -23,6 +23,7 @@
 namespace http = boost::beast::http;
 using asio::ip::tcp;
 using boost::system::error_code;
+using SteadyClock = std::chrono::steady_clock;
 
 /** A connection is opened within a few round trips, or not at all. */
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(600);
@@ -49,7 +50,7 @@
 
 class AsyncHttpClient::Impl : public std::enable_shared_from_this<Impl> {
  public:
-  explicit Impl(asio::io_context& loop) : loop_(loop) {}
+  explicit Impl(asio::io_context& loop) : loop_(loop), timer_(loop) {}
 
   void Call(const std::string& address,
             HttpRequest request,
@@ -64,9 +65,18 @@
 
   std::shared_ptr<Connection> TakeIdle(const std::string& pool);
   void Keep(std::shared_ptr<Connection> connection);
+  /** Lets the connection end its call at `deadline`, if it still waits. */
+  void Watch(SteadyClock::time_point deadline,
+             std::weak_ptr<Connection> connection);
+  void ArmTimer();
 
   asio::io_context& loop_;
   std::map<std::string, Idle> idle_;
+  /** One timer for all calls: nearly all are answered long before, and a timer
+   * for each would cost two system calls. */
+  asio::steady_timer timer_;
+  std::multimap<SteadyClock::time_point, std::weak_ptr<Connection>> deadlines_;
+  SteadyClock::time_point armed_for_ = SteadyClock::time_point::max();
   Counters counters_;
 };
 
@@ -79,8 +89,7 @@
       : client_(std::move(client)),
         address_(std::move(address)),
         pool_(std::move(pool)),
-        socket_(client_->loop_),
-        timer_(client_->loop_) {}
+        socket_(client_->loop_) {}
 
   /** Name under which it is kept. */
   const std::string& pool() const { return pool_; }
@@ -114,6 +123,15 @@
         });
   }
 
+  /** The pending operation of an overdue call ends with an error, which reports
+   * the failure. */
+  void CheckDeadline(SteadyClock::time_point now) {
+    if (done_ && deadline_ <= now) {
+      timed_out_ = true;
+      Close();
+    }
+  }
+
   void Reuse(HttpRequest request, Duration timeout, Callback done) {
     Prepare(std::move(request), std::move(done));
     Send(timeout);
@@ -180,7 +198,7 @@
   }
 
   void Succeed() {
-    timer_.cancel();
+    deadline_ = SteadyClock::time_point::max();
     auto message = parser_->release();
     HttpAnswer answer;
     answer.status = static_cast<int>(message.result_int());
@@ -202,7 +220,7 @@
   }
 
   void Fail(CallFailure failure) {
-    timer_.cancel();
+    deadline_ = SteadyClock::time_point::max();
     Close();
     ++client_->counters_.failures;
     if (auto done = std::exchange(done_, {})) {
@@ -211,17 +229,8 @@
   }
 
   void Arm(Duration timeout) {
-    timer_.expires_after(timeout);
-    timer_.async_wait([weak = weak_from_this()](const error_code& error) {
-      const auto self = weak.lock();
-      if (error || !self || !self->done_ ||
-          self->timer_.expiry() > std::chrono::steady_clock::now()) {
-        return;
-      }
-      // The pending operation ends with an error, which reports the failure.
-      self->timed_out_ = true;
-      self->Close();
-    });
+    deadline_ = SteadyClock::now() + timeout;
+    client_->Watch(deadline_, weak_from_this());
   }
 
   void Close() {
@@ -233,7 +242,7 @@
   const std::string address_;
   const std::string pool_;
   tcp::socket socket_;
-  asio::steady_timer timer_;
+  SteadyClock::time_point deadline_ = SteadyClock::time_point::max();
   boost::beast::flat_buffer buffer_;
   http::request<http::string_body> request_;
   std::optional<http::response_parser<http::string_body>> parser_;
@@ -268,6 +277,38 @@
   }
 }
 
+void AsyncHttpClient::Impl::Watch(SteadyClock::time_point deadline,
+                                  std::weak_ptr<Connection> connection) {
+  deadlines_.emplace(deadline, std::move(connection));
+  if (deadline < armed_for_) {
+    ArmTimer();
+  }
+}
+
+void AsyncHttpClient::Impl::ArmTimer() {
+  armed_for_ = deadlines_.begin()->first;
+  timer_.expires_at(armed_for_);
+  timer_.async_wait([weak = weak_from_this()](const error_code& error) {
+    const auto self = weak.lock();
+    if (error || !self) {
+      return;
+    }
+    const auto now = SteadyClock::now();
+    while (!self->deadlines_.empty() &&
+           self->deadlines_.begin()->first <= now) {
+      const auto connection = self->deadlines_.begin()->second.lock();
+      self->deadlines_.erase(self->deadlines_.begin());
+      if (connection) {
+        connection->CheckDeadline(now);
+      }
+    }
+    self->armed_for_ = SteadyClock::time_point::max();
+    if (!self->deadlines_.empty()) {
+      self->ArmTimer();
+    }
+  });
+}
+
 void AsyncHttpClient::Impl::Call(const std::string& address,
                                  HttpRequest request,
                                  Duration timeout,
