net: wait for an answer as long as parts of it come

Change: each part of an answer extends the deadline by 800 ms. Tests: SlowAnswerTest.Steady fails on the former client; Silent passes on both.

--- a/src/libnet/async_http_client.cc
+++ b/src/libnet/async_http_client.cc
@@ -39,6 +39,10 @@
 
 constexpr std::size_t kMostIdleForAddress = 8;
 
+/** An answer that is coming in is waited for as long as a part of it comes
+ * within this time: a busy node takes seconds for a large one. */
+constexpr Duration kLeastProgress = std::chrono::milliseconds(800);
+
 constexpr std::uint64_t kMaxAnswerBytes = 16u << 20;
 
 /** Unacknowledged data breaks the connection after this many ms; a partition
@@ -192,7 +196,7 @@
   }
 
   void Receive() {
-    http::async_read(
+    http::async_read_some(
         socket_, buffer_, *parser_,
         [self = shared_from_this()](const error_code& error, std::size_t n) {
           self->client_->counters_.bytes_received += n;
@@ -200,9 +204,14 @@
             self->Fail({.not_sent = false,
                         .timed_out = self->timed_out_,
                         .message = "receive: " + error.message()});
-            return;
+          } else if (self->parser_->is_done()) {
+            self->Succeed();
+          } else {
+            self->deadline_ =
+                std::max(self->deadline_, SteadyClock::now() + kLeastProgress);
+            self->client_->Watch(self->deadline_, self);
+            self->Receive();
           }
-          self->Succeed();
         });
   }
 
--- a/tests/async_http_test.cc
+++ b/tests/async_http_test.cc
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -104,6 +105,54 @@
 }
 
 // Guards against an unreachable server that is taken for an unknown outcome.
+struct PartsCase {
+  const char* name;
+  /** Pauses in ms before each part of the answer. */
+  std::vector<int> pauses;
+  bool whole;
+};
+
+class SlowAnswerTest : public AsyncHttpTest,
+                       public testing::WithParamInterface<PartsCase> {};
+
+// Guards against answers that are given up while they come in, over and over:
+// a busy node needed seconds for a large configuration. (Found in
+// garza-sched-grown: CONFIG.) A connection that falls silent still ends the
+// call.
+TEST_P(SlowAnswerTest, WaitsAsLongAsPartsCome) {
+  tcp::acceptor acceptor(loop,
+                         tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+  address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  const auto& pauses = GetParam().pauses;
+  std::thread sender([&] {
+    asio::io_context own;
+    tcp::socket socket = acceptor.accept(own);
+    boost::system::error_code ec;
+    std::string part(1000, 'x');
+    asio::write(socket,
+                asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: " +
+                             std::to_string(1000 * pauses.size()) + "\r\n\r\n"),
+                ec);
+    for (const int it : pauses) {
+      std::this_thread::sleep_for(milliseconds(it));
+      asio::write(socket, asio::buffer(part), ec);
+    }
+  });
+  const auto answer = Call({"GET", "/", {}, ""});
+  sender.join();
+  EXPECT_EQ(answer.has_value(), GetParam().whole);
+  if (!answer) {
+    EXPECT_TRUE(answer.error().timed_out);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Answers,
+    SlowAnswerTest,
+    testing::Values(PartsCase{"Steady", {300, 300, 300, 300, 300, 300}, true},
+                    PartsCase{"Silent", {300, 300, 2000}, false}),
+    [](const auto& it) { return it.param.name; });
+
 TEST_F(AsyncHttpTest, RefusedConnectionSentNothing) {
   Serve(Echo);
   server->Stop();
