fleet: bound log lines on single runs apart from those on jobs

Cause: a saturated owner writes 2 lines a task, about 400 KB a second, and pays for each kilobyte. Change: at most 300 lines a second on single runs; what is left out is counted in log-lines-left-out. Lines on jobs, workers and hosts keep their bound. Test: DecisionLogTest fails on the former log (3000 lines of runs, and none of the later lines on jobs).

--- a/src/libfleet/decision_log.cc
+++ b/src/libfleet/decision_log.cc
@@ -20,7 +20,8 @@
 
 void DecisionLog::Write(std::string_view event,
                         std::string_view job,
-                        std::string_view fields) {
+                        std::string_view fields,
+                        LineKind kind) {
   std::string counter = "decisions_" + std::string(event);
   std::replace(counter.begin(), counter.end(), '-', '_');
   metrics_.Count(counter);
@@ -28,12 +29,14 @@
   if (wall_ms / 1000 != second_) {
     second_ = wall_ms / 1000;
     lines_ = 0;
+    run_lines_ = 0;
     if (left_out_ > 0 && buffer_.size() < kMostBuffered) {
       Append(wall_ms, "log-lines-left-out", "",
              fmt::format("count={}", std::exchange(left_out_, 0)));
     }
   }
-  if (++lines_ > kMostLinesPerSecond || buffer_.size() >= kMostBuffered) {
+  if ((kind == LineKind::kRun && ++run_lines_ > kMostRunLinesPerSecond) ||
+      ++lines_ > kMostLinesPerSecond || buffer_.size() >= kMostBuffered) {
     ++left_out_;
     return;
   }
--- a/src/libfleet/decision_log.h
+++ b/src/libfleet/decision_log.h
@@ -11,6 +11,12 @@
 
 namespace baobab {
 
+enum class LineKind {
+  kDecision,
+  /** On one run of a task; a busy owner makes thousands a second. */
+  kRun,
+};
+
 /** Writes one line for each decision to standard output. Lines are collected
  * and written together, without waiting for a slow reader; what exceeds the
  * rate or the buffer is left out and counted in a later line. Used from the
@@ -24,7 +30,8 @@
   /** "time=.. node=.. event=.. job=.. FIELDS"; `job` may be empty. */
   void Write(std::string_view event,
              std::string_view job,
-             std::string_view fields);
+             std::string_view fields,
+             LineKind kind = LineKind::kDecision);
 
   Metrics& metrics() { return metrics_; }
 
@@ -34,6 +41,9 @@
  private:
   /** Lines a second; about ten times the decisions of a busy node. */
   static constexpr int kMostLinesPerSecond = 3000;
+  /** Of these, lines on single runs, so that they leave room for those on jobs
+   * and take little of the processor time of a busy owner. */
+  static constexpr int kMostRunLinesPerSecond = 300;
   static constexpr std::size_t kMostBuffered = 512u << 10;
 
   void Append(std::int64_t wall_ms,
@@ -46,6 +56,7 @@
   fmt::memory_buffer buffer_;
   std::int64_t second_ = 0;
   int lines_ = 0;
+  int run_lines_ = 0;
   std::uint64_t left_out_ = 0;
 };
 
--- a/src/libfleet/shard_owner.cc
+++ b/src/libfleet/shard_owner.cc
@@ -271,7 +271,8 @@
                         [post = post, body = std::move(body)] { post(body); });
     }
     void operator()(const ExplainDecision& it) {
-      self.ports_.log.Write(it.decision, it.job.value(), it.fields);
+      self.ports_.log.Write(it.decision, it.job.value(), it.fields,
+                            it.of_run ? LineKind::kRun : LineKind::kDecision);
     }
   };
   std::visit(Visitor{*this, post}, effect);
--- a/src/libjobs/pool_effect.h
+++ b/src/libjobs/pool_effect.h
@@ -105,6 +105,8 @@
   JobId job;
   /** Further fields as "name=value" pairs. */
   std::string fields;
+  /** One of many lines of a job, on a single run. */
+  bool of_run = false;
 };
 
 using PoolEffect = std::variant<StoreCommit,
--- a/src/libjobs/pool_engine.cc
+++ b/src/libjobs/pool_engine.cc
@@ -490,4 +490,11 @@
   effects_.push_back(ExplainDecision{decision, job, std::move(fields)});
 }
 
+void PoolEngine::ExplainRun(const std::string& decision,
+                            const TaskId& task,
+                            std::string fields) {
+  effects_.push_back(
+      ExplainDecision{decision, task.job, std::move(fields), true});
+}
+
 }  // namespace baobab
--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -176,6 +176,10 @@
   void Explain(const std::string& decision,
                const JobId& job,
                std::string fields);
+  /** The same, for a decision on one run. */
+  void ExplainRun(const std::string& decision,
+                  const TaskId& task,
+                  std::string fields);
 
   const ShardId shard_;
   const PoolTuning tuning_;
--- a/src/libjobs/pool_engine_tasks.cc
+++ b/src/libjobs/pool_engine_tasks.cc
@@ -338,10 +338,10 @@
   task->percent = 0;
   const auto lease_until = worker.ClockAt(now_) + tuning_.lease.count() / 1000;
   worker.lease_sent_ms = std::max(worker.lease_sent_ms, lease_until);
-  Explain("start-run", id.job,
-          fmt::format("task={} run={} worker={} host={} free_cpu={}",
-                      ToString(id), run.value(), task->worker.value(),
-                      worker.entry.host.value(), worker.Free().cpu_milli));
+  ExplainRun("start-run", id,
+             fmt::format("task={} run={} worker={} host={} free_cpu={}",
+                         ToString(id), run.value(), task->worker.value(),
+                         worker.entry.host.value(), worker.Free().cpu_milli));
   effects_.push_back(StartRun{task->worker, worker.entry.address, id, run,
                               job.spec.payload, lease_until, task->checkpoint,
                               std::move(ticket)});
--- a/src/libjobs/pool_engine_workers.cc
+++ b/src/libjobs/pool_engine_workers.cc
@@ -193,8 +193,8 @@
             fmt::format("worker={} failures={}", worker.entry.id.value(),
                         worker.failures_in_row));
   }
-  Explain(
-      "run-ended", row.task.job,
+  ExplainRun(
+      "run-ended", row.task,
       fmt::format("task={} run={} worker={} end={} ms={}", ToString(row.task),
                   row.run.value(), worker.entry.id.value(), ToString(row.kind),
                   (now_ - task->started_at).count() / 1000));
--- a/tests/fleet_node_test.cc
+++ b/tests/fleet_node_test.cc
@@ -228,6 +228,36 @@
   testing::internal::GetCapturedStdout();
 }
 
+// Guards against lines on single runs that crowd out those on jobs, and against
+// a volume that grows with the load.
+TEST(DecisionLogTest, LinesOnRunsAreBoundedApart) {
+  testing::internal::CaptureStdout();
+  {
+    Metrics metrics;
+    DecisionLog log("test", metrics);
+    for (int i = 0; i < 5000; ++i) {
+      log.Write("start-run", "job", "", LineKind::kRun);
+    }
+    for (int i = 0; i < 100; ++i) {
+      log.Write("accept-job", "job", "");
+    }
+    log.Flush();
+  }
+  const auto text = testing::internal::GetCapturedStdout();
+  const auto count = [&](const std::string& word) {
+    int n = 0;
+    for (auto at = text.find(word); at != std::string::npos;
+         at = text.find(word, at + 1)) {
+      ++n;
+    }
+    return n;
+  };
+  // The loop may pass from one second to the next.
+  EXPECT_GE(count("event=start-run"), 300);
+  EXPECT_LE(count("event=start-run"), 600);
+  EXPECT_EQ(count("event=accept-job"), 100);
+}
+
 struct DutyCase {
   const char* name;
   int own;
