--- /dev/null
+++ b/src/libfleet/fleet_node_calls.cc
@@ -0,0 +1,251 @@
+#include "libfleet/fleet_node.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace baobab {
+
+namespace {
+
+/** One try to reach an owner, and the pause before the next. */
+constexpr Duration kTryTimeout = std::chrono::milliseconds(900);
+constexpr Duration kTryPause = std::chrono::milliseconds(120);
+/** Longest search for the owner of a shard before a caller is told to come
+ * back; a takeover takes about this long. */
+constexpr Duration kSearchLimit = std::chrono::milliseconds(2200);
+/** A job that certainly reached no owner is refused after this time, since its
+ * caller can do better than wait for a takeover of unknown length. */
+constexpr Duration kQuickSearch = std::chrono::milliseconds(250);
+
+/** What is left of the caller's time for the answer's way. */
+constexpr Duration kAnswerMargin = std::chrono::milliseconds(150);
+
+/** Time for the owner of what the caller has left. */
+Duration OwnerTime(Duration time_left) {
+  return time_left - std::min(kAnswerMargin, time_left / 4);
+}
+
+}  // namespace
+
+template <typename T>
+struct FleetNode::Forward {
+  ShardId shard;
+  Time deadline;
+  /** Until then another try is made although nothing was done yet. */
+  Time search_until;
+  /** Starts a try on this node, or on another. */
+  std::function<void(ShardOwner&,
+                     std::function<void(tl::expected<T, PeerFault>)>)>
+      local;
+  std::function<void(const std::string& peer,
+                     Duration timeout,
+                     std::function<void(tl::expected<T, PeerFault>)>)>
+      remote;
+  std::function<void(tl::expected<T, PeerFault>, bool any_unknown)> done;
+  /** A former try may have been carried out. */
+  bool any_unknown = false;
+};
+
+template <typename T>
+void FleetNode::Try(std::shared_ptr<Forward<T>> forward) {
+  // An owner may wait for the store longer than the caller waits for it.
+  auto timer = std::make_shared<LoopTimer>(ports_.loop);
+  auto settled = std::make_shared<bool>(false);
+  const auto settle = [this, forward, timer,
+                       settled](tl::expected<T, PeerFault> answer) {
+    if (!std::exchange(*settled, true)) {
+      timer->Cancel();
+      Settle<T>(forward, std::move(answer));
+    }
+  };
+  const auto left = forward->deadline - SteadyNow();
+  if (auto* owner = FindLoaded(forward->shard)) {
+    forward->local(*owner, settle);
+    if (!*settled) {
+      timer->Set(std::max(left, Duration(0)),
+                 [settle] { settle(tl::unexpected(PeerFault::kUnknown)); });
+    }
+    return;
+  }
+  const auto owner = owners_.find(forward->shard);
+  if (owner == owners_.end() ||
+      owner->second.peer_address == config_.peer_address) {
+    settle(tl::unexpected(PeerFault::kNotDone));
+    return;
+  }
+  forward->remote(owner->second.peer_address, std::min(left, kTryTimeout),
+                  settle);
+}
+
+template <typename T>
+void FleetNode::Settle(std::shared_ptr<Forward<T>> forward,
+                       tl::expected<T, PeerFault> answer) {
+  const bool failed = !answer;
+  if (failed && answer.error() == PeerFault::kUnknown) {
+    forward->any_unknown = true;
+  }
+  const Time now = SteadyNow();
+  const bool hopeless = now + kTryPause * 2 > forward->deadline ||
+                        (!forward->any_unknown && now > forward->search_until);
+  if (!failed || hopeless) {
+    forward->done(std::move(answer), forward->any_unknown);
+    return;
+  }
+  RefreshOwners();
+  auto timer = std::make_shared<LoopTimer>(ports_.loop);
+  timer->Set(kTryPause, [this, forward, timer] { Try<T>(forward); });
+}
+
+void FleetNode::Submit(const JobId& job,
+                       const QueuePolicy& queue,
+                       const JobSpec& spec,
+                       Duration time_left,
+                       std::function<void(SubmitOutcome)> done) {
+  using T = SubmitAnswer;
+  done = [this, begin = SteadyNow(),
+          done = std::move(done)](SubmitOutcome outcome) {
+    ports_.log.metrics().Observe(
+        "submit_seconds",
+        std::chrono::duration<double>(SteadyNow() - begin).count());
+    done(std::move(outcome));
+  };
+  auto forward = std::make_shared<Forward<T>>();
+  forward->shard = ShardOf(queue.service, config_.tuning.shards);
+  forward->deadline =
+      SteadyNow() + std::min(OwnerTime(time_left), kSearchLimit);
+  forward->search_until = SteadyNow() + kQuickSearch;
+  forward->local = [job, queue, spec](ShardOwner& owner, auto settle) {
+    owner.Submit(job, queue, spec, [settle](Result<SubmitAnswer> answer) {
+      if (answer) {
+        settle(std::move(*answer));
+      } else {
+        settle(tl::unexpected(PeerFault::kUnknown));
+      }
+    });
+  };
+  forward->remote = [this, shard = forward->shard, job, queue, spec](
+                        const std::string& peer, Duration timeout,
+                        auto settle) {
+    peers_.Submit(peer, shard, job, queue, spec, timeout, settle);
+  };
+  forward->done = [done = std::move(done)](tl::expected<T, PeerFault> answer,
+                                           bool any_unknown) {
+    SubmitOutcome outcome;
+    if (!answer) {
+      outcome.outcome =
+          any_unknown ? CallOutcome::kUnknown : CallOutcome::kNotDone;
+      outcome.retry_after = std::chrono::milliseconds(1000);
+      outcome.reason = "owner-unreachable";
+    } else if (answer->verdict == SubmitVerdict::kAccepted) {
+      outcome.outcome = CallOutcome::kDone;
+    } else {
+      // A former try may still arrive at an owner, so a refusal is not final.
+      outcome.outcome = any_unknown ? CallOutcome::kUnknown
+                        : answer->verdict == SubmitVerdict::kInvalid
+                            ? CallOutcome::kInvalid
+                            : CallOutcome::kNotDone;
+      outcome.retry_after = answer->retry_after;
+      outcome.reason = answer->reason;
+    }
+    done(std::move(outcome));
+  };
+  Try<T>(forward);
+}
+
+void FleetNode::Cancel(const JobId& job,
+                       const QueuePolicy& queue,
+                       Duration time_left,
+                       std::function<void(CallOutcome)> done) {
+  using T = bool;
+  auto forward = std::make_shared<Forward<T>>();
+  forward->shard = ShardOf(queue.service, config_.tuning.shards);
+  forward->deadline = SteadyNow() + OwnerTime(time_left);
+  forward->search_until = forward->deadline;
+  forward->local = [job](ShardOwner& owner, auto settle) {
+    owner.Cancel(job, [settle](Result<bool> found) {
+      if (found) {
+        settle(*found);
+      } else {
+        settle(tl::unexpected(PeerFault::kUnknown));
+      }
+    });
+  };
+  forward->remote = [this, shard = forward->shard, job](const std::string& peer,
+                                                        Duration timeout,
+                                                        auto settle) {
+    peers_.Cancel(peer, shard, job, timeout, settle);
+  };
+  forward->done = [done = std::move(done)](tl::expected<T, PeerFault> answer,
+                                           bool any_unknown) {
+    if (!answer) {
+      done(any_unknown ? CallOutcome::kUnknown : CallOutcome::kNotDone);
+    } else {
+      done(*answer ? CallOutcome::kDone : CallOutcome::kInvalid);
+    }
+  };
+  Try<T>(forward);
+}
+
+void FleetNode::Ask(const JobId& job,
+                    const QueuePolicy& queue,
+                    Duration time_left,
+                    std::function<void(CallOutcome, JobAnswer)> done) {
+  using T = JobAnswer;
+  auto forward = std::make_shared<Forward<T>>();
+  forward->shard = ShardOf(queue.service, config_.tuning.shards);
+  forward->deadline = SteadyNow() + OwnerTime(time_left);
+  forward->search_until = forward->deadline;
+  forward->local = [job, is_current = IsCurrentCheck()](ShardOwner& owner,
+                                                        auto settle) {
+    // Only a present owner can tell that there is no such job.
+    const auto state = owner.engine().StateOf(job);
+    if (state || is_current()) {
+      settle(JobAnswer{state});
+    } else {
+      settle(tl::unexpected(PeerFault::kNotDone));
+    }
+  };
+  forward->remote = [this, shard = forward->shard, job](const std::string& peer,
+                                                        Duration timeout,
+                                                        auto settle) {
+    peers_.Ask(peer, shard, job, timeout, settle);
+  };
+  forward->done = [done = std::move(done)](tl::expected<T, PeerFault> answer,
+                                           bool) {
+    done(answer ? CallOutcome::kDone : CallOutcome::kNotDone,
+         answer ? *answer : JobAnswer{});
+  };
+  Try<T>(forward);
+}
+
+void FleetNode::Pending(const QueuePolicy& queue,
+                        Duration time_left,
+                        std::function<void(CallOutcome, int)> done) {
+  using T = int;
+  auto forward = std::make_shared<Forward<T>>();
+  forward->shard = ShardOf(queue.service, config_.tuning.shards);
+  forward->deadline = SteadyNow() + OwnerTime(time_left);
+  forward->search_until = forward->deadline;
+  forward->local = [name = queue.name, is_current = IsCurrentCheck()](
+                       ShardOwner& owner, auto settle) {
+    if (is_current()) {
+      settle(owner.engine().Pending(name));
+    } else {
+      settle(tl::unexpected(PeerFault::kNotDone));
+    }
+  };
+  forward->remote = [this, shard = forward->shard, name = queue.name](
+                        const std::string& peer, Duration timeout,
+                        auto settle) {
+    peers_.Pending(peer, shard, name, timeout, settle);
+  };
+  forward->done = [done = std::move(done)](tl::expected<T, PeerFault> answer,
+                                           bool) {
+    done(answer ? CallOutcome::kDone : CallOutcome::kNotDone,
+         answer.value_or(0));
+  };
+  Try<T>(forward);
+}
+
+}  // namespace baobab
--- a/src/libjobs/pool_balance.cc
+++ b/src/libjobs/pool_balance.cc
@@ -9,9 +9,10 @@
 /** Cores of a host of the usual size. */
 constexpr double kHostCores = 64;
 
-/** Cores that a pool keeps free for the next jobs: one host of the usual size,
- * or a share of what it uses. */
-constexpr double kLeastReserve = 192;
+/** Cores that a pool keeps free for the next jobs: three hosts of the usual
+ * size, about what the first second of a turn asks for before moved hosts
+ * arrive; or a share of what it uses. */
+constexpr double kLeastReserve = 3 * kHostCores;
 constexpr double kReserveShare = 0.5;
 
 }  // namespace
