libjobs: give no order of any kind to a host with a recent order of another planner

Cause: only moves asked IsBlocked(). The former planner may also send an order 0.5 s after its intent was stored, and the call may take 0.9 s to arrive; the wait covered neither. Conclusion: two planners cannot order one host within a lease by way of a wave.

--- a/src/libjobs/host_planner.cc
+++ b/src/libjobs/host_planner.cc
@@ -117,7 +117,7 @@
 
 void HostPlanner::Handle(const PlannerLoaded& event) {
   const auto recent =
-      (tuning_.former_order_timeout + tuning_.max_clock_difference).count() /
+      (tuning_.FormerOrderTimeout() + tuning_.max_clock_difference).count() /
       1000;
   for (const auto& it : event.records) {
     if (it.value.empty() ||
@@ -232,7 +232,7 @@
       Release(host);
     }
   }
-  if (now_ - loaded_at_ >= tuning_.former_order_timeout) {
+  if (now_ - loaded_at_ >= tuning_.FormerOrderTimeout()) {
     blocked_.clear();
   }
   PlanWaves();
@@ -264,7 +264,8 @@
     if (host.purpose == Purpose::kMaintenance || (begun && IsAway(host))) {
       ++in_progress;
       ++away[host.info.pool];
-    } else if (!begun && !host.purpose && host.info.state == HostState::kUp) {
+    } else if (!begun && !host.purpose && !IsBlocked(id) &&
+               host.info.state == HostState::kUp) {
       open.push_back(&host);
     }
   }
@@ -477,7 +478,7 @@
   std::set<int> changed;
   for (auto& [id, host] : hosts_) {
     if (!host.purpose || host.order_in_progress || host.order_sent ||
-        !IsVacated(host)) {
+        !IsVacated(host) || IsBlocked(id)) {
       continue;
     }
     if (host.purpose == Purpose::kMaintenance) {
--- a/src/libjobs/host_planner.h
+++ b/src/libjobs/host_planner.h
@@ -47,9 +47,11 @@
    * platform. */
   Duration move_time = std::chrono::milliseconds(1500);
   Duration maintenance_time = std::chrono::milliseconds(2000);
-  /** How long this planner sends no orders to a host that a previous planner
-   * has recently sent an order to. */
-  Duration former_order_timeout = std::chrono::milliseconds(3300);
+  /** Time for which a host belongs to the planner whose order it received last;
+   * set by the platform. */
+  Duration order_lease = std::chrono::milliseconds(3000);
+  /** Maximum time from sending an order until it arrives. */
+  Duration order_timeout = std::chrono::milliseconds(900);
   /** Maximum difference between the clocks of two nodes, jumps included. */
   Duration max_clock_difference = std::chrono::milliseconds(5000);
   /** Time from the return of a host until the owner of its pool knows the new
@@ -63,6 +65,11 @@
   /** Time without work after which a host is returned to a standby pool. The
    * two moves, there and back, cost as much as 2.3 s of a host in a pool. */
   Duration idle_timeout = std::chrono::milliseconds(2500);
+  /** Returns how long a new planner sends no orders to a host that a previous
+   * planner has recently stored an intent for. */
+  Duration FormerOrderTimeout() const {
+    return order_lease + max_order_delay + order_timeout;
+  }
   /** Maximum age of a usage report on which an order may be based. */
   Duration max_usage_age = std::chrono::milliseconds(700);
   /** Intervals between reads of the platform's list of hosts: while hosts are
