libnet: count the bytes of a peer session before their effect is visible

Cause: PeerLinks counted after Read() and Write() had passed messages on, so a reader of the counters could see a message before its bytes (PeerLinksTest.MessagesArriveInOrderBothWays failed 2 of 3000 times). Change: the session reports traffic before it interprets received bytes and before it sends.

--- a/src/libnet/peer_links.cc
+++ b/src/libnet/peer_links.cc
@@ -238,6 +238,8 @@
         [&link](std::uint8_t* buf, std::size_t n) {
           return link.outbox.Take(buf, n);
         });
+    link.session->OnTraffic(
+        [this, &link] { CountBytes(*link.session, link.peer.id); });
     link.next_ping = now;
     metrics_.Count("peer_connections");
   }
@@ -370,6 +372,8 @@
       return "a message of another node than the first";
     }
     timeline_.MergeClock(envelope->clock);
+    // The sender of the first bytes of a connection is known only now.
+    CountBytes(*it->session, it->from);
     metrics_.Count("peer_messages_received");
     post_(PeerMessageReceived{std::move(*envelope)});
     return {};
--- a/src/libnet/peer_session.cc
+++ b/src/libnet/peer_session.cc
@@ -48,6 +48,12 @@
   }
 }
 
+void PeerSession::ReportTraffic() {
+  if (on_traffic_) {
+    on_traffic_();
+  }
+}
+
 bool PeerSession::wants_write() const {
   return out_sent_ < out_buffer_.size() ||
          nghttp2_session_want_write(session_) != 0;
@@ -70,6 +76,7 @@
     }
     total += static_cast<std::size_t>(n);
     bytes_in_ += static_cast<std::uint64_t>(n);
+    ReportTraffic();
     last_received_ = SocketClock::now();
     const ssize_t used = nghttp2_session_mem_recv(session_, buf.data(),
                                                   static_cast<std::size_t>(n));
@@ -106,6 +113,8 @@
       }
       out_buffer_.assign(reinterpret_cast<const char*>(data),
                          static_cast<std::size_t>(n));
+      bytes_out_ += static_cast<std::uint64_t>(n);
+      ReportTraffic();
     }
     const ssize_t n =
         ::send(fd(), out_buffer_.data() + out_sent_,
@@ -121,7 +130,6 @@
       return false;
     }
     out_sent_ += static_cast<std::size_t>(n);
-    bytes_out_ += static_cast<std::uint64_t>(n);
   }
 }
 
--- a/src/libnet/peer_session.h
+++ b/src/libnet/peer_session.h
@@ -37,9 +37,15 @@
   /** True if the connection ended because the other side sent invalid data. */
   bool is_protocol_error() const { return is_protocol_error_; }
   SocketTime last_received() const { return last_received_; }
+  /** Sets a function that is called before received bytes are interpreted and
+   * before bytes are handed to the socket, so that counters include them
+   * before anyone sees their effect. */
+  void OnTraffic(std::function<void()> listener) {
+    on_traffic_ = std::move(listener);
+  }
   /** Returns the number of bytes received since the last call. */
   std::uint64_t TakeBytesIn();
-  /** Returns the number of bytes sent since the last call. */
+  /** Returns the number of bytes handed to the socket since the last call. */
   std::uint64_t TakeBytesOut();
 
  protected:
@@ -50,9 +56,12 @@
   nghttp2_session* session_ = nullptr;
 
  private:
+  void ReportTraffic();
+
   UniqueFd fd_;
   std::string reason_;
   bool is_protocol_error_ = false;
+  std::function<void()> on_traffic_;
   /** Bytes for the socket; the first `out_sent_` of them are sent. */
   std::string out_buffer_;
   std::size_t out_sent_ = 0;
