libjobs, libfleet: divide each pool into cells with an owner each

Cause: one pool had one owner. Change: PoolDivision assigns each host and each job of a pool to one of several cells by a hash; the cells of a pool are stored once and never change, so copies of different age cannot disagree. DivisionKeeper reads it, the planner's node divides new pools with a conditional append. The planner sums the cells of a pool and sends hosts where a cell lacks most.

--- a/src/libfleet/fleet_node.cc
+++ b/src/libfleet/fleet_node.cc
@@ -43,6 +43,10 @@
     : ports_(ports),
       config_(config),
       eligibility_(config.milli_cores),
+      keeper_({ports.loop, ports.store, ports.log,
+               [this] { return OwnerMilliCores(); },
+               [this](const auto& division) { OnDivision(division); }},
+              config.tuning.shards),
       peers_(ports.client),
       peer_server_(
           ports.loop,
@@ -196,6 +200,7 @@
     if (policies_) {
       shard->SetPolicies(policies_);
     }
+    shard->SetDivision(keeper_.division());
     if (worker_list_) {
       shard->SetWorkers(worker_list_);
     }
@@ -253,6 +258,7 @@
       for (auto& [id, shard] : shards_) {
         shard->SetPolicies(policies_);
       }
+      keeper_.SetPolicies(*policies_);
     }
     if (planner_ && (policies || waves)) {
       planner_->SetPublished(published_);
@@ -261,7 +267,36 @@
   });
 }
 
+void FleetNode::OnDivision(
+    const std::shared_ptr<const PoolDivision>& division) {
+  for (auto& [id, shard] : shards_) {
+    shard->SetDivision(division);
+  }
+  if (planner_) {
+    planner_->SetDivision(division);
+  }
+}
+
+int FleetNode::OwnerMilliCores() const {
+  std::map<std::string, int> nodes;
+  for (const auto& [shard, owner] : owners_) {
+    if (owner.milli_cores > 0) {
+      nodes[owner.peer_address] = owner.milli_cores;
+    }
+  }
+  if (nodes.empty()) {
+    return config_.milli_cores;
+  }
+  std::vector<int> shares;
+  for (const auto& [peer, milli_cores] : nodes) {
+    shares.push_back(milli_cores);
+  }
+  std::sort(shares.begin(), shares.end());
+  return shares[shares.size() / 2];
+}
+
 void FleetNode::SetPlannerOwned(bool owned) {
+  keeper_.SetPlannerOwned(owned);
   if (!owned) {
     if (planner_) {
       planner_->Stop();
@@ -285,8 +320,9 @@
         ExchangePlan(shard, std::move(plan), std::move(done));
       }};
   planner_ = std::make_shared<PlannerOwner>(
-      ports, FenceToken(generation_), config_.planner, config_.tuning.shards);
+      ports, FenceToken(generation_), config_.planner);
   planner_->SetPublished(published_);
+  planner_->SetDivision(keeper_.division());
   planner_->Start();
 }
 
@@ -327,6 +363,7 @@
           Result<std::shared_ptr<const std::vector<WorkerEntry>>> read) {
         if (read) {
           worker_list_ = *read;
+          keeper_.SetWorkers(*worker_list_);
           for (auto& [id, shard] : shards_) {
             shard->SetWorkers(worker_list_);
           }
--- a/src/libfleet/fleet_node.h
+++ b/src/libfleet/fleet_node.h
@@ -4,9 +4,11 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
+#include "libfleet/division_keeper.h"
 #include "libfleet/ownership_eligibility.h"
 #include "libfleet/peer_calls.h"
 #include "libfleet/planner_owner.h"
@@ -136,6 +138,19 @@
   std::function<bool()> MakeMembershipCheck() const;
   /** Returns the shard if this node owns it and has loaded it, or null. */
   ShardOwner* FindLoadedShard(ShardId shard);
+  /** Passes a division with more pools to the shards and the planner. */
+  void OnDivision(const std::shared_ptr<const PoolDivision>& division);
+  /** Returns the median CPU share of the owners that state theirs, in
+   * thousandths of a core. */
+  int OwnerMilliCores() const;
+  /** Returns a function that looks up the shard of the job's cell. */
+  std::function<std::optional<ShardId>()> CellOfJob(const QueuePolicy& queue,
+                                                    const JobId& job) const;
+  /** Counts the pending jobs of a queue in one cell of its pool. */
+  void PendingInCell(ShardId cell,
+                     const QueueId& queue,
+                     Duration time_left,
+                     std::function<void(tl::expected<int, PeerFault>)> done);
 
   template <typename T>
   void StartAttempt(std::shared_ptr<Forward<T>> forward);
@@ -146,6 +161,7 @@
   const Ports ports_;
   const FleetNodeConfig config_;
   OwnershipEligibility eligibility_;
+  DivisionKeeper keeper_;
   PeerCalls peers_;
   AsyncHttpServer peer_server_;
   LoopTimer join_timer_;
--- a/src/libfleet/fleet_node_calls.cc
+++ b/src/libfleet/fleet_node_calls.cc
@@ -30,7 +30,8 @@
 
 template <typename T>
 struct FleetNode::Forward {
-  ShardId shard;
+  /** Returns the shard to ask; empty while the pool is not divided. */
+  std::function<std::optional<ShardId>()> find_shard;
   Time deadline;
   /** End of the retries while no attempt can have been carried out. */
   Time retry_until;
@@ -39,6 +40,7 @@
                      std::function<void(tl::expected<T, PeerFault>)>)>
       local;
   std::function<void(const std::string& peer,
+                     ShardId shard,
                      Duration timeout,
                      std::function<void(tl::expected<T, PeerFault>)>)>
       remote;
@@ -60,7 +62,12 @@
     }
   };
   const auto left = forward->deadline - SteadyNow();
-  if (auto* owner = FindLoadedShard(forward->shard)) {
+  const auto shard = forward->find_shard();
+  if (!shard) {
+    settle(tl::unexpected(PeerFault::kNotDone));
+    return;
+  }
+  if (auto* owner = FindLoadedShard(*shard)) {
     forward->local(*owner, settle);
     if (!*settled) {
       timer->Set(std::max(left, Duration(0)),
@@ -68,14 +75,14 @@
     }
     return;
   }
-  const auto owner = owners_.find(forward->shard);
+  const auto owner = owners_.find(*shard);
   if (owner == owners_.end() ||
       owner->second.peer_address == config_.peer_address) {
     settle(tl::unexpected(PeerFault::kNotDone));
     return;
   }
-  forward->remote(owner->second.peer_address, std::min(left, kAttemptTimeout),
-                  settle);
+  forward->remote(owner->second.peer_address, *shard,
+                  std::min(left, kAttemptTimeout), settle);
 }
 
 template <typename T>
@@ -112,7 +119,7 @@
     done(std::move(outcome));
   };
   auto forward = std::make_shared<Forward<T>>();
-  forward->shard = ShardOf(queue.service, config_.tuning.shards);
+  forward->find_shard = CellOfJob(queue, job);
   forward->deadline =
       SteadyNow() + std::min(OwnerTimeBudget(time_left), kOwnerSearchTimeout);
   forward->retry_until = SteadyNow() + kUnsentSubmitTimeout;
@@ -125,9 +132,9 @@
       }
     });
   };
-  forward->remote = [this, shard = forward->shard, job, queue, spec](
-                        const std::string& peer, Duration timeout,
-                        auto settle) {
+  forward->remote = [this, job, queue, spec](const std::string& peer,
+                                             ShardId shard, Duration timeout,
+                                             auto settle) {
     peers_.Submit(peer, shard, job, queue, spec, timeout, settle);
   };
   forward->done = [done = std::move(done)](tl::expected<T, PeerFault> answer,
@@ -160,7 +167,7 @@
                        std::function<void(CallOutcome)> done) {
   using T = bool;
   auto forward = std::make_shared<Forward<T>>();
-  forward->shard = ShardOf(queue.service, config_.tuning.shards);
+  forward->find_shard = CellOfJob(queue, job);
   forward->deadline = SteadyNow() + OwnerTimeBudget(time_left);
   forward->retry_until = forward->deadline;
   forward->local = [job](ShardOwner& owner, auto settle) {
@@ -172,9 +179,8 @@
       }
     });
   };
-  forward->remote = [this, shard = forward->shard, job](const std::string& peer,
-                                                        Duration timeout,
-                                                        auto settle) {
+  forward->remote = [this, job](const std::string& peer, ShardId shard,
+                                Duration timeout, auto settle) {
     peers_.Cancel(peer, shard, job, timeout, settle);
   };
   forward->done = [done = std::move(done)](tl::expected<T, PeerFault> answer,
@@ -195,7 +201,7 @@
     std::function<void(CallOutcome, JobStateAnswer)> done) {
   using T = JobStateAnswer;
   auto forward = std::make_shared<Forward<T>>();
-  forward->shard = ShardOf(queue.service, config_.tuning.shards);
+  forward->find_shard = CellOfJob(queue, job);
   forward->deadline = SteadyNow() + OwnerTimeBudget(time_left);
   forward->retry_until = forward->deadline;
   forward->local = [job, membership_is_valid = MakeMembershipCheck()](
@@ -208,9 +214,8 @@
       settle(tl::unexpected(PeerFault::kNotDone));
     }
   };
-  forward->remote = [this, shard = forward->shard, job](const std::string& peer,
-                                                        Duration timeout,
-                                                        auto settle) {
+  forward->remote = [this, job](const std::string& peer, ShardId shard,
+                                Duration timeout, auto settle) {
     peers_.GetJobState(peer, shard, job, timeout, settle);
   };
   forward->done = [done = std::move(done)](tl::expected<T, PeerFault> answer,
@@ -224,31 +229,66 @@
 void FleetNode::Pending(const QueuePolicy& queue,
                         Duration time_left,
                         std::function<void(CallOutcome, int)> done) {
+  struct Sum {
+    std::size_t open = 0;
+    int pending = 0;
+    bool failed = false;
+  };
+  const auto& cells = keeper_.division()->CellsOf(queue.service);
+  if (cells.empty()) {
+    done(CallOutcome::kNotDone, 0);
+    return;
+  }
+  // A sum without one of the cells would be wrong, so all must answer.
+  auto sum = std::make_shared<Sum>();
+  sum->open = cells.size();
+  for (const auto& it : cells) {
+    PendingInCell(it, queue.name, time_left,
+                  [sum, done](tl::expected<int, PeerFault> pending) {
+                    sum->failed = sum->failed || !pending;
+                    sum->pending += pending.value_or(0);
+                    if (--sum->open == 0) {
+                      done(sum->failed ? CallOutcome::kNotDone
+                                       : CallOutcome::kDone,
+                           sum->failed ? 0 : sum->pending);
+                    }
+                  });
+  }
+}
+
+void FleetNode::PendingInCell(
+    ShardId cell,
+    const QueueId& queue,
+    Duration time_left,
+    std::function<void(tl::expected<int, PeerFault>)> done) {
   using T = int;
   auto forward = std::make_shared<Forward<T>>();
-  forward->shard = ShardOf(queue.service, config_.tuning.shards);
+  forward->find_shard = [cell] { return cell; };
   forward->deadline = SteadyNow() + OwnerTimeBudget(time_left);
   forward->retry_until = forward->deadline;
-  forward->local = [name = queue.name,
-                    membership_is_valid = MakeMembershipCheck()](
+  forward->local = [queue, membership_is_valid = MakeMembershipCheck()](
                        ShardOwner& owner, auto settle) {
     if (membership_is_valid()) {
-      settle(owner.engine().Pending(name));
+      settle(owner.engine().Pending(queue));
     } else {
       settle(tl::unexpected(PeerFault::kNotDone));
     }
   };
-  forward->remote = [this, shard = forward->shard, name = queue.name](
-                        const std::string& peer, Duration timeout,
-                        auto settle) {
-    peers_.Pending(peer, shard, name, timeout, settle);
+  forward->remote = [this, queue](const std::string& peer, ShardId shard,
+                                  Duration timeout, auto settle) {
+    peers_.Pending(peer, shard, queue, timeout, settle);
   };
   forward->done = [done = std::move(done)](tl::expected<T, PeerFault> answer,
-                                           bool) {
-    done(answer ? CallOutcome::kDone : CallOutcome::kNotDone,
-         answer.value_or(0));
-  };
+                                           bool) { done(std::move(answer)); };
   StartAttempt<T>(forward);
 }
 
+std::function<std::optional<ShardId>()> FleetNode::CellOfJob(
+    const QueuePolicy& queue,
+    const JobId& job) const {
+  return [this, service = queue.service, job] {
+    return keeper_.division()->CellOfJob(service, job);
+  };
+}
+
 }  // namespace baobab
--- a/src/libfleet/planner_owner.cc
+++ b/src/libfleet/planner_owner.cc
@@ -1,5 +1,6 @@
 #include "libfleet/planner_owner.h"
 
+#include <algorithm>
 #include <chrono>
 #include <set>
 #include <utility>
@@ -15,17 +16,18 @@
 /** Interval between plans. Demand changes within seconds and moving a host
  * takes 1.5 s, so an older plan is of little use. */
 constexpr Duration kTickInterval = std::chrono::milliseconds(100);
+/** Maximum number of owners that get a plan per tick; bounds the planner's
+ * cost. With 40 cells a usage report is at most 300 ms old. */
+constexpr std::size_t kMaxExchangesPerTick = 16;
 
 }  // namespace
 
 PlannerOwner::PlannerOwner(const Ports& ports,
                            FenceToken token,
-                           const PlannerTuning& tuning,
-                           int shards)
+                           const PlannerTuning& tuning)
     : ports_(ports),
       token_(token),
-      shards_(shards),
-      planner_(tuning, shards),
+      planner_(tuning),
       retry_timer_(ports.loop),
       tick_timer_(ports.loop),
       report_timer_(ports.loop) {}
@@ -83,6 +85,7 @@
         self->loaded_ = true;
         self->Post(PlannerLoaded{std::move(*records)});
         self->SetPublished(self->published_);
+        self->SetDivision(self->division_);
         self->TickLoop();
       });
 }
@@ -95,6 +98,13 @@
   }
 }
 
+void PlannerOwner::SetDivision(std::shared_ptr<const PoolDivision> division) {
+  division_ = std::move(division);
+  if (loaded_ && division_) {
+    Post(PlannerDivision{division_});
+  }
+}
+
 void PlannerOwner::TickLoop() {
   Post(PlannerTick{});
   ExchangePlans();
@@ -107,15 +117,24 @@
 }
 
 void PlannerOwner::ExchangePlans() {
-  if (!published_.policies) {
+  if (!published_.policies || !division_) {
     return;
   }
   std::set<ShardId> shards;
   for (const auto& [id, service] : published_.policies->services) {
-    shards.insert(ShardOf(id, shards_));
+    const auto& cells = division_->CellsOf(id);
+    shards.insert(cells.begin(), cells.end());
+  }
+  std::vector<ShardId> turn(shards.upper_bound(last_exchanged_), shards.end());
+  turn.insert(turn.end(), shards.begin(), shards.upper_bound(last_exchanged_));
+  turn.resize(std::min(turn.size(), kMaxExchangesPerTick));
+  if (turn.empty()) {
+    return;
   }
-  for (const auto& it : shards) {
-    ports_.exchange(it, planner_.PlanFor(it, SteadyNow()),
+  last_exchanged_ = turn.back();
+  auto plans = planner_.Plans(SteadyNow());
+  for (const auto& it : turn) {
+    ports_.exchange(it, std::move(plans[it]),
                     [weak = weak_from_this(), it](PoolUsage usage) {
                       if (const auto self = weak.lock()) {
                         self->Post(PoolUsageRead{it, std::move(usage)});
--- a/src/libfleet/planner_owner.h
+++ b/src/libfleet/planner_owner.h
@@ -31,12 +31,12 @@
 
   PlannerOwner(const Ports& ports,
                FenceToken token,
-               const PlannerTuning& tuning,
-               int shards);
+               const PlannerTuning& tuning);
 
   void Start();
   void Stop();
   void SetPublished(const FleetFeed::PublishedConfig& published);
+  void SetDivision(std::shared_ptr<const PoolDivision> division);
 
  private:
   void FenceFormerOwners();
@@ -46,7 +46,8 @@
   /** Runs a failed step again after a delay. */
   void Retry(void (PlannerOwner::*step)());
   void TickLoop();
-  /** Sends the plans to the owners of all shards and collects usage reports. */
+  /** Sends the plans to the owners of the next cells in turn, and collects
+   * usage reports. */
   void ExchangePlans();
   /** Passes an event to the planner and executes its effects. */
   void Post(decltype(PlannerEvent::body) body);
@@ -56,7 +57,6 @@
 
   const Ports ports_;
   const FenceToken token_;
-  const int shards_;
   HostPlanner planner_;
   LoopTimer retry_timer_;
   LoopTimer tick_timer_;
@@ -68,6 +68,9 @@
   /** Intent that is being stored. */
   StoreIntent intent_;
   FleetFeed::PublishedConfig published_;
+  std::shared_ptr<const PoolDivision> division_;
+  /** Shard with which plans were exchanged last. */
+  ShardId last_exchanged_;
 };
 
 }  // namespace baobab
--- a/src/libfleet/ports.h
+++ b/src/libfleet/ports.h
@@ -78,6 +78,18 @@
   /** Reads the newest record of each key. */
   virtual void Load(ShardId shard,
                     Callback<std::vector<StoredRecord>> done) = 0;
+  /** Stored division of the pools, and the position of its last record. */
+  struct StoredDivision {
+    PoolDivision division;
+    std::uint64_t end = 0;
+  };
+  /** Reads the division of the pools. */
+  virtual void ReadDivision(Callback<StoredDivision> done) = 0;
+  /** Adds records to the division if `end` is still its end; otherwise the
+   * outcome is kOutOfSequence. */
+  virtual void ExtendDivision(const std::vector<StoredRecord>& records,
+                              std::uint64_t end,
+                              std::function<void(AppendOutcome)> done) = 0;
   /** Stores all records or none. Repeating a call with the same sequence number
    * has no further effect. */
   virtual void Append(const ShardStream& stream,
--- a/src/libfleet/shard_owner.cc
+++ b/src/libfleet/shard_owner.cc
@@ -107,6 +107,9 @@
     if (self->policies_) {
       self->Post(PoliciesChanged{self->policies_});
     }
+    if (self->division_) {
+      self->Post(DivisionChanged{self->division_});
+    }
     if (self->workers_) {
       self->Post(WorkersListed{self->workers_});
     }
@@ -135,6 +138,16 @@
   }
 }
 
+void ShardOwner::SetDivision(std::shared_ptr<const PoolDivision> division) {
+  division_ = std::move(division);
+  if (IsLoaded()) {
+    Post(DivisionChanged{division_});
+    if (workers_) {
+      Post(WorkersListed{workers_});
+    }
+  }
+}
+
 void ShardOwner::SetWorkers(
     std::shared_ptr<const std::vector<WorkerEntry>> workers) {
   workers_ = std::move(workers);
--- a/src/libfleet/shard_owner.h
+++ b/src/libfleet/shard_owner.h
@@ -63,6 +63,7 @@
   /** Passes a tick to the engine; `lag` is its delay behind schedule. */
   void Tick(Duration lag) { Post(PoolTick{lag}); }
   void SetPolicies(std::shared_ptr<const PolicySet> policies);
+  void SetDivision(std::shared_ptr<const PoolDivision> division);
   void SetWorkers(std::shared_ptr<const std::vector<WorkerEntry>> workers);
 
  private:
@@ -95,9 +96,10 @@
   /** Callbacks of the requests that await the engine's answer. */
   std::map<ReplyId, SubmitDone> submits_;
   std::map<ReplyId, CancelDone> cancels_;
-  /** Latest configuration and worker list, for an engine that is still
-   * loading. */
+  /** Latest configuration, division and worker list, for an engine that is
+   * still loading. */
   std::shared_ptr<const PolicySet> policies_;
+  std::shared_ptr<const PoolDivision> division_;
   std::shared_ptr<const std::vector<WorkerEntry>> workers_;
 };
 
--- a/src/libjobs/host_planner.cc
+++ b/src/libjobs/host_planner.cc
@@ -8,8 +8,6 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
-#include "libjobs/sharding.h"
-
 namespace baobab {
 
 namespace {
@@ -47,8 +45,7 @@
 
 }  // namespace
 
-HostPlanner::HostPlanner(const PlannerTuning& tuning, int shards)
-    : tuning_(tuning), shards_(shards) {}
+HostPlanner::HostPlanner(const PlannerTuning& tuning) : tuning_(tuning) {}
 
 PlannerEffects HostPlanner::Apply(const PlannerEvent& event) {
   now_ = event.at;
@@ -57,27 +54,29 @@
   return std::exchange(effects_, {});
 }
 
-HostPlan HostPlanner::PlanFor(ShardId shard, Time now) const {
-  HostPlan plan;
+std::map<ShardId, HostPlan> HostPlanner::Plans(Time now) const {
+  std::map<ShardId, HostPlan> plans;
   for (const auto& [id, host] : hosts_) {
-    if (host.purpose && ShardOf(host.info.pool, shards_) == shard) {
-      plan.reserved.insert(id);
+    if (const auto shard = division_->CellOfHost(host.info.pool, id);
+        host.purpose && shard) {
+      plans[*shard].reserved.insert(id);
     }
     const bool moves = host.purpose == Purpose::kMove;
     if (!host.order_sent && !moves) {
       continue;
     }
     const auto& pool = moves ? host.target : host.info.pool;
-    if (ShardOf(pool, shards_) == shard && !IsStandby(pool)) {
+    const auto shard = division_->CellOfHost(pool, id);
+    if (shard && !IsStandby(pool)) {
       const Duration away =
           (moves ? tuning_.move_time : tuning_.maintenance_time) +
           tuning_.arrival_lag;
-      plan.arriving.push_back(
+      plans[*shard].arriving.push_back(
           {pool, CoresOf(host.info),
            std::max(Duration(0), host.order_at + away - now)});
     }
   }
-  return plan;
+  return plans;
 }
 
 bool HostPlanner::IsStandby(const ServiceId& pool) const {
@@ -148,6 +147,10 @@
   policies_ = event.policies;
 }
 
+void HostPlanner::Handle(const PlannerDivision& event) {
+  division_ = event.division;
+}
+
 void HostPlanner::Handle(const WavesRead& event) {
   for (const auto& it : event.waves) {
     auto& wave = waves_[it.number];
@@ -190,8 +193,7 @@
 
 void HostPlanner::Handle(const PoolUsageRead& event) {
   for (const auto& it : event.usage.services) {
-    pool_usage_[it.service] = it;
-    pool_usage_at_[it.service] = now_;
+    cell_usage_[it.service][event.shard] = {it, now_};
   }
   for (const auto& it : event.usage.hosts) {
     const auto host = hosts_.find(it.host);
@@ -300,15 +302,20 @@
   for (const auto& [id, host] : hosts_) {
     ++size[host.info.pool];
   }
+  std::set<ServiceId> in_demand;
+  for (const auto& [pool, cells] : cell_usage_) {
+    const auto usage = PoolUsageOf(pool);
+    if (usage && usage->waiting + usage->refused > 0) {
+      in_demand.insert(pool);
+    }
+  }
   for (Host* it : open) {
     if (in_progress >= wave.spec.max_concurrent + kMaxReservedAhead) {
       return;
     }
     const auto& pool = it->info.pool;
-    const auto& demand = pool_usage_[pool];
-    const bool in_demand = demand.waiting + demand.refused > 0;
-    const double share =
-        in_demand ? tuning_.max_away_share : 2 * tuning_.max_away_share;
+    const double share = in_demand.contains(pool) ? tuning_.max_away_share
+                                                  : 2 * tuning_.max_away_share;
     const int max_away =
         std::max(1, static_cast<int>(std::lround(share * size[pool])));
     if (!urgent && !IsStandby(pool) && away[pool] >= max_away) {
@@ -325,6 +332,42 @@
   }
 }
 
+std::optional<ServiceUsage> HostPlanner::PoolUsageOf(
+    const ServiceId& pool) const {
+  const auto cells = cell_usage_.find(pool);
+  if (cells == cell_usage_.end()) {
+    return std::nullopt;
+  }
+  std::optional<ServiceUsage> sum;
+  for (const auto& [shard, it] : cells->second) {
+    if (now_ - it.at > tuning_.max_usage_age) {
+      continue;
+    }
+    if (!sum) {
+      sum.emplace();
+      sum->service = pool;
+    }
+    *sum += it.usage;
+  }
+  return sum;
+}
+
+std::map<ShardId, double> HostPlanner::CoresMovingTo(
+    const ServiceId& pool) const {
+  std::map<ShardId, double> cores;
+  for (const auto& [id, host] : hosts_) {
+    const bool moves = host.purpose == Purpose::kMove;
+    const auto& target = moves ? host.target : host.info.pool;
+    if (target != pool || (!moves && !host.order_sent)) {
+      continue;
+    }
+    if (const auto shard = division_->CellOfHost(pool, id)) {
+      cores[*shard] += CoresOf(host.info);
+    }
+  }
+  return cores;
+}
+
 PoolBalance HostPlanner::ComputeBalance() const {
   std::map<ServiceId, double> moving_in;
   for (const auto& [id, host] : hosts_) {
@@ -335,9 +378,12 @@
     }
   }
   PoolBalance balance;
-  for (const auto& [id, at] : pool_usage_at_) {
-    if (!IsStandby(id) && now_ - at <= tuning_.max_usage_age) {
-      balance.Add(pool_usage_.at(id), moving_in[id]);
+  for (const auto& [pool, cells] : cell_usage_) {
+    if (IsStandby(pool)) {
+      continue;
+    }
+    if (const auto usage = PoolUsageOf(pool)) {
+      balance.Add(*usage, moving_in[pool]);
     }
   }
   for (const auto& [id, host] : hosts_) {
@@ -349,6 +395,22 @@
   return balance;
 }
 
+std::map<ShardId, double> HostPlanner::CellDeficits(
+    const ServiceId& pool) const {
+  std::map<ShardId, double> deficits;
+  const auto cells = cell_usage_.find(pool);
+  if (cells == cell_usage_.end()) {
+    return deficits;
+  }
+  const auto moving_in = CoresMovingTo(pool);
+  for (const auto& [shard, it] : cells->second) {
+    const auto moving = moving_in.find(shard);
+    deficits[shard] = PoolBalance::DeficitOf(it.usage) -
+                      (moving == moving_in.end() ? 0 : moving->second);
+  }
+  return deficits;
+}
+
 std::vector<HostPlanner::Host*> HostPlanner::FindDonors() {
   std::set<HostId> due;
   for (const auto& [number, wave] : waves_) {
@@ -390,11 +452,16 @@
   auto balance = ComputeBalance();
   auto donors = FindDonors();
   auto deficits = balance.deficits();
+  std::map<ServiceId, std::map<ShardId, double>> cell_deficits;
+  for (const auto& [pool, deficit] : deficits) {
+    cell_deficits[pool] = CellDeficits(pool);
+  }
   // Pools take turns with one host each, so that no pool takes all donors.
   while (!deficits.empty()) {
     for (auto it = deficits.begin(); it != deficits.end();) {
       auto& [target, deficit] = *it;
-      Host* donor = ReserveDonor(donors, balance, target);
+      Host* donor =
+          ReserveDonor(donors, balance, target, cell_deficits[target]);
       if (donor) {
         deficit -= CoresOf(donor->info);
         LogDecision(
@@ -409,27 +476,55 @@
   ReturnIdleHosts(donors, balance);
 }
 
-HostPlanner::Host* HostPlanner::ReserveDonor(std::vector<Host*>& donors,
-                                             PoolBalance& balance,
-                                             const ServiceId& target) {
+HostPlanner::Host* HostPlanner::ReserveDonor(
+    std::vector<Host*>& donors,
+    PoolBalance& balance,
+    const ServiceId& target,
+    std::map<ShardId, double>& cell_deficits) {
+  const auto is_empty = [this](const Host& it) {
+    return IsStandby(it.info.pool) || it.usage->empty;
+  };
+  const auto deficit_of = [&](const Host& it) {
+    const auto shard = division_->CellOfHost(target, it.info.host);
+    const auto found =
+        shard ? cell_deficits.find(*shard) : cell_deficits.end();
+    return found == cell_deficits.end() ? 0.0 : found->second;
+  };
+  auto best = donors.end();
+  double best_deficit = 0;
   for (auto it = donors.begin(); it != donors.end(); ++it) {
-    Host* donor = *it;
-    const auto& pool = donor->info.pool;
-    const double cores = CoresOf(donor->info);
+    const auto& pool = (*it)->info.pool;
     if (pool == target ||
-        (!IsStandby(pool) && !balance.CanSpare(pool, cores))) {
+        (!IsStandby(pool) && !balance.CanSpare(pool, CoresOf((*it)->info)))) {
       continue;
     }
-    if (!IsStandby(pool)) {
-      balance.RemoveCores(pool, cores);
+    if (best != donors.end() && is_empty(**it) != is_empty(**best)) {
+      // Donors are sorted; the rest would have to be vacated first.
+      break;
+    }
+    const double deficit = deficit_of(**it);
+    if (best == donors.end() || deficit > best_deficit) {
+      best = it;
+      best_deficit = deficit;
     }
-    donors.erase(it);
-    donor->purpose = Purpose::kMove;
-    donor->target = target;
-    donor->reserved_at = now_;
-    return donor;
   }
-  return nullptr;
+  if (best == donors.end()) {
+    return nullptr;
+  }
+  Host* donor = *best;
+  const auto& pool = donor->info.pool;
+  const double cores = CoresOf(donor->info);
+  if (!IsStandby(pool)) {
+    balance.RemoveCores(pool, cores);
+  }
+  if (const auto shard = division_->CellOfHost(target, donor->info.host)) {
+    cell_deficits[*shard] -= cores;
+  }
+  donors.erase(best);
+  donor->purpose = Purpose::kMove;
+  donor->target = target;
+  donor->reserved_at = now_;
+  return donor;
 }
 
 void HostPlanner::ReturnIdleHosts(const std::vector<Host*>& donors,
--- a/src/libjobs/host_planner.h
+++ b/src/libjobs/host_planner.h
@@ -12,6 +12,7 @@
 
 #include "libjobs/policies.h"
 #include "libjobs/pool_balance.h"
+#include "libjobs/pool_division.h"
 #include "libjobs/pool_usage.h"
 #include "libjobs/stored_job.h"
 
@@ -91,6 +92,10 @@
 struct PlannerPolicies {
   std::shared_ptr<const PolicySet> policies;
 };
+/** A division with more pools than the last one. */
+struct PlannerDivision {
+  std::shared_ptr<const PoolDivision> division;
+};
 /** The maintenance waves of the platform have been read. */
 struct WavesRead {
   std::vector<MaintenanceWave> waves;
@@ -138,6 +143,7 @@
   std::variant<PlannerTick,
                PlannerLoaded,
                PlannerPolicies,
+               PlannerDivision,
                WavesRead,
                HostsRead,
                PoolUsageRead,
@@ -194,13 +200,14 @@
  * time limit of the wave allows. */
 class HostPlanner {
  public:
-  HostPlanner(const PlannerTuning& tuning, int shards);
+  explicit HostPlanner(const PlannerTuning& tuning);
 
   /** Handles an event and returns the effects for the caller to carry out. */
   PlannerEffects Apply(const PlannerEvent& event);
 
-  /** Returns the current plan for the owner of the shard. */
-  HostPlan PlanFor(ShardId shard, Time now) const;
+  /** Returns the current plans for the owners of all shards with cells that
+   * have hosts or get some. */
+  std::map<ShardId, HostPlan> Plans(Time now) const;
 
  private:
   /** Why a host is reserved. */
@@ -249,6 +256,7 @@
   void Handle(const PlannerTick& event);
   void Handle(const PlannerLoaded& event);
   void Handle(const PlannerPolicies& event);
+  void Handle(const PlannerDivision& event);
   void Handle(const WavesRead& event);
   void Handle(const HostsRead& event);
   void Handle(const PoolUsageRead& event);
@@ -263,13 +271,23 @@
   /** Returns the hosts that may be moved to another pool, in order of
    * preference. */
   std::vector<Host*> FindDonors();
+  /** Returns the sum of the reports on the pool's cells that are recent; empty
+   * if there is none. */
+  std::optional<ServiceUsage> PoolUsageOf(const ServiceId& pool) const;
+  /** Returns the cores that are on their way to each cell of the pool. */
+  std::map<ShardId, double> CoresMovingTo(const ServiceId& pool) const;
   /** Returns the balance of the pools with recent usage reports. */
   PoolBalance ComputeBalance() const;
-  /** Reserves the first donor that `target` can get and removes it from
-   * `donors`. Returns null if there is none. */
+  /** Returns the cores that each cell of the pool lacks; negative for a cell
+   * with free cores. */
+  std::map<ShardId, double> CellDeficits(const ServiceId& pool) const;
+  /** Reserves a donor that `target` can get and removes it from `donors`: the
+   * first one, or one that is as good and joins a cell that lacks more cores.
+   * Lowers that cell's deficit. Returns null if there is none. */
   Host* ReserveDonor(std::vector<Host*>& donors,
                      PoolBalance& balance,
-                     const ServiceId& target);
+                     const ServiceId& target,
+                     std::map<ShardId, double>& cell_deficits);
   /** Reserves hosts that no pool needs for a move to a standby pool, where they
    * cost nothing. */
   void ReturnIdleHosts(const std::vector<Host*>& donors, PoolBalance& balance);
@@ -288,18 +306,22 @@
   void LogDecision(const std::string& decision, std::string fields);
 
   const PlannerTuning tuning_;
-  /** Number of shards. */
-  const int shards_;
   bool loaded_ = false;
   Time loaded_at_;
   /** Hosts with a recent order of a previous planner. */
   std::set<HostId> blocked_;
   std::shared_ptr<const PolicySet> policies_;
+  std::shared_ptr<const PoolDivision> division_ =
+      std::make_shared<const PoolDivision>();
   std::map<HostId, Host> hosts_;
   std::map<int, Wave> waves_;
-  /** Last usage report by pool, and when it came. */
-  std::map<ServiceId, ServiceUsage> pool_usage_;
-  std::map<ServiceId, Time> pool_usage_at_;
+  /** Last usage report on one cell of a pool, and when it came. */
+  struct CellUsage {
+    ServiceUsage usage;
+    Time at;
+  };
+  /** By pool and shard. */
+  std::map<ServiceId, std::map<ShardId, CellUsage>> cell_usage_;
   bool reading_hosts_ = false;
   /** When the last read of the host list was started. */
   Time hosts_read_started_at_;
--- a/src/libjobs/jobs.h
+++ b/src/libjobs/jobs.h
@@ -5,6 +5,7 @@
 // a shard's owner.
 
 #include "libjobs/host_planner.h"
+#include "libjobs/pool_division.h"
 #include "libjobs/pool_engine.h"
 
 #endif  // SRC_LIBJOBS_JOBS_H_
--- a/src/libjobs/pool_balance.cc
+++ b/src/libjobs/pool_balance.cc
@@ -17,13 +17,15 @@
 
 }  // namespace
 
-void PoolBalance::Add(const ServiceUsage& usage, double moving_in) {
+double PoolBalance::DeficitOf(const ServiceUsage& usage) {
   const double current_demand = usage.used + usage.waiting + usage.refused;
   const double need =
       usage.long_running + std::max(current_demand, usage.arriving);
-  const double deficit =
-      std::max(need - usage.cores, usage.missing_hosts * kTypicalHostCores) -
-      moving_in;
+  return std::max(need - usage.cores, usage.missing_hosts * kTypicalHostCores);
+}
+
+void PoolBalance::Add(const ServiceUsage& usage, double moving_in) {
+  const double deficit = DeficitOf(usage) - moving_in;
   if (deficit > 0) {
     deficits_[usage.service] = deficit;
   }
--- a/src/libjobs/pool_balance.h
+++ b/src/libjobs/pool_balance.h
@@ -14,6 +14,10 @@
  * demand peak. */
 class PoolBalance {
  public:
+  /** Returns the cores that a pool, or one cell of it, lacks; negative if it has
+   * free cores. */
+  static double DeficitOf(const ServiceUsage& usage);
+
   /** Adds a pool. `moving_in` are the cores of hosts on their way to it. */
   void Add(const ServiceUsage& usage, double moving_in);
 
--- a/src/libjobs/pool_engine.cc
+++ b/src/libjobs/pool_engine.cc
@@ -167,6 +167,10 @@
   schedule_needed_ = true;
 }
 
+void PoolEngine::Handle(const DivisionChanged& event) {
+  division_ = event.division;
+}
+
 void PoolEngine::Handle(const SubmitRequested& event) {
   const auto refuse = [&](SubmitVerdict verdict, Duration retry_after,
                           std::string reason) {
--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -16,7 +16,6 @@
 #include "libjobs/pool_effect.h"
 #include "libjobs/pool_event.h"
 #include "libjobs/ready_steps.h"
-#include "libjobs/sharding.h"
 
 namespace baobab {
 
@@ -97,6 +96,7 @@
   void Handle(const PoolTick& event);
   void Handle(const ShardLoaded& event);
   void Handle(const PoliciesChanged& event);
+  void Handle(const DivisionChanged& event);
   void Handle(const WorkersListed& event);
   void Handle(const SubmitRequested& event);
   void Handle(const CancelRequested& event);
@@ -237,6 +237,8 @@
   const PoolTuning tuning_;
   bool loaded_ = false;
   std::shared_ptr<const PolicySet> policies_;
+  /** Null until the first one is known; then no worker belongs to the shard. */
+  std::shared_ptr<const PoolDivision> division_;
   std::map<JobId, Job> jobs_;
   Workers workers_;
   ReadySteps ready_;
--- a/src/libjobs/pool_engine_workers.cc
+++ b/src/libjobs/pool_engine_workers.cc
@@ -43,6 +43,9 @@
 }
 
 void PoolEngine::Handle(const WorkersListed& event) {
+  if (workers_.empty() && (!division_ || !division_->Uses(shard_))) {
+    return;
+  }
   std::set<WorkerId> listed;
   std::map<HostId, std::pair<std::int64_t, WorkerId>> newest;
   for (const auto& it : *event.workers) {
@@ -50,7 +53,7 @@
       auto& host = newest[it.host];
       host = std::max(host, std::pair(it.incarnation, it.id));
     }
-    if (ShardOf(it.service, tuning_.shards) != shard_) {
+    if (!division_ || division_->CellOfHost(it.service, it.host) != shard_) {
       continue;
     }
     listed.insert(it.id);
--- a/src/libjobs/pool_event.h
+++ b/src/libjobs/pool_event.h
@@ -10,6 +10,7 @@
 
 #include "libjobs/advice_cache.h"
 #include "libjobs/policies.h"
+#include "libjobs/pool_division.h"
 #include "libjobs/pool_usage.h"
 #include "libjobs/stored_job.h"
 #include "libjobs/worker_report.h"
@@ -32,6 +33,11 @@
   std::shared_ptr<const PolicySet> policies;
 };
 
+/** A division with more pools than the last one. */
+struct DivisionChanged {
+  std::shared_ptr<const PoolDivision> division;
+};
+
 /** All workers that the platform lists, including those of other shards. */
 struct WorkersListed {
   std::shared_ptr<const std::vector<WorkerEntry>> workers;
@@ -144,6 +150,7 @@
 using PoolEventBody = std::variant<PoolTick,
                                    ShardLoaded,
                                    PoliciesChanged,
+                                   DivisionChanged,
                                    WorkersListed,
                                    SubmitRequested,
                                    CancelRequested,
--- /dev/null
+++ b/src/libjobs/pool_usage.cc
@@ -0,0 +1,17 @@
+#include "libjobs/pool_usage.h"
+
+namespace baobab {
+
+ServiceUsage& ServiceUsage::operator+=(const ServiceUsage& other) {
+  cores += other.cores;
+  used += other.used;
+  late += other.late;
+  long_running += other.long_running;
+  waiting += other.waiting;
+  refused += other.refused;
+  missing_hosts += other.missing_hosts;
+  arriving += other.arriving;
+  return *this;
+}
+
+}  // namespace baobab
--- a/src/libjobs/pool_usage.h
+++ b/src/libjobs/pool_usage.h
@@ -30,6 +30,9 @@
   int missing_hosts = 0;
   /** Cores that new jobs will keep busy if the current trend continues. */
   double arriving = 0;
+
+  /** Adds the figures of another cell of the same pool. */
+  ServiceUsage& operator+=(const ServiceUsage& other);
 };
 
 /** State of one host as the owner of its pool sees it. */
--- a/tests/fleet_fakes.h
+++ b/tests/fleet_fakes.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include <boost/asio/post.hpp>
+#include <nlohmann/json.hpp>
 
 #include "libfleet/fleet.h"
 
@@ -35,21 +36,41 @@
     set->queues = {queue};
     set->services[queue.service].name = queue.service;
     published.policies = set;
+    AddWorkers(3);
+  }
+
+  /** Adds workers of the queue's service to the list. */
+  void AddWorkers(int n) {
     auto list = std::make_shared<std::vector<WorkerEntry>>();
-    for (int i = 0; i < 3; ++i) {
+    if (workers) {
+      *list = *workers;
+    }
+    for (int left = n; left > 0; --left) {
+      const auto i = list->size();
       WorkerEntry entry;
       entry.id = WorkerId("w" + std::to_string(i));
-      entry.service = queue.service;
+      entry.service = ServiceId("service");
       entry.host = HostId("h" + std::to_string(i));
       entry.address = "w" + std::to_string(i);
       entry.capacity = {64'000, 64'000, 0};
       entry.labels = {"a", "r1"};
-      entry.incarnation = 1 + i;
+      entry.incarnation = 1 + static_cast<std::int64_t>(i);
       list->push_back(entry);
     }
     workers = list;
   }
 
+  /** Stores a division of the pool, as if an earlier planner had made it. */
+  void Divide(const std::string& pool, const std::vector<ShardId>& cells) {
+    auto json = nlohmann::json::array();
+    for (const auto& it : cells) {
+      json.push_back(it.value());
+    }
+    std::string value;
+    nlohmann::json::to_msgpack(json, value);
+    division.push_back({pool, std::move(value)});
+  }
+
   /** CPU share of the nodes in thousandths of a core, by peer address. */
   std::map<std::string, int> milli_cores;
 
@@ -64,6 +85,8 @@
   };
   struct SimWorker {
     std::int64_t token = 0;
+    /** Fencing tokens of all calls. */
+    std::set<std::int64_t> tokens;
     std::vector<Run> running;
     std::vector<EndedRun> ended;
     std::int64_t last_end = 0;
@@ -104,6 +127,9 @@
   std::int64_t generation = 0;
   std::map<ShardId, std::map<std::string, std::string>> records;
   std::map<std::pair<ShardId, ShardWriter>, std::int64_t> epochs;
+  /** Records of the division of pools, in the order in which they were
+   * stored. */
+  std::vector<StoredRecord> division;
   FleetFeed::PublishedConfig published;
   std::shared_ptr<const std::vector<WorkerEntry>> workers;
   std::map<WorkerId, SimWorker> sim_workers;
@@ -166,6 +192,24 @@
       return records;
     });
   }
+  void ReadDivision(JobStore::Callback<StoredDivision> done) override {
+    Call(done, [this]() -> Result<StoredDivision> {
+      return StoredDivision{DecodeDivision(platform_.division),
+                            platform_.division.size()};
+    });
+  }
+  void ExtendDivision(const std::vector<StoredRecord>& records,
+                      std::uint64_t end,
+                      std::function<void(AppendOutcome)> done) override {
+    auto outcome = AppendOutcome::kOutOfSequence;
+    if (end == platform_.division.size()) {
+      platform_.division.insert(platform_.division.end(), records.begin(),
+                                records.end());
+      outcome = AppendOutcome::kStored;
+    }
+    platform_.After(std::chrono::milliseconds(2),
+                    [done, outcome] { done(outcome); });
+  }
   void Append(const ShardStream& stream,
               FenceToken token,
               std::uint64_t,
@@ -221,6 +265,7 @@
       return;
     }
     sim.token = token.value();
+    sim.tokens.insert(token.value());
     std::erase_if(sim.ended, [&](const auto& it) {
       return it.number <= poll.acknowledged_ends;
     });
--- a/tests/fleet_node_test.cc
+++ b/tests/fleet_node_test.cc
@@ -48,10 +48,35 @@
   JobInterface jobs;
 };
 
+/** Calls the interface to jobs of a node and runs the loop until it answers. */
+HttpResponse CallNode(boost::asio::io_context& loop,
+                      TestNode& node,
+                      const std::string& method,
+                      const std::string& target,
+                      const std::string& body = "") {
+  std::optional<HttpResponse> got;
+  node.jobs.Serve({method, target, {}, body},
+                  [&](HttpResponse answer) { got = std::move(answer); });
+  const auto limit = SteadyNow() + milliseconds(4000);
+  while (!got && SteadyNow() < limit) {
+    loop.run_one_for(milliseconds(50));
+  }
+  return got.value_or(HttpResponse{0, {}, "no answer"});
+}
+
+/** Shard of the only cell of the pool. */
+const ShardId kCell{1};
+
 class FleetNodeTest : public testing::Test {
+ public:
+  static constexpr char kJob[] =
+      R"({"payload":"x","steps":[{"count":3,"cpu_milli":1000,)"
+      R"("estimate_ms":80}]})";
+
  protected:
   void SetUp() override {
     testing::internal::CaptureStdout();
+    platform.Divide("service", {kCell});
     for (int i = 0; i < 2; ++i) {
       addresses.push_back("127.0.0.1:" + std::to_string(FreePort()));
       nodes.push_back(std::make_unique<TestNode>(platform, addresses.back()));
@@ -65,29 +90,17 @@
                     const std::string& method,
                     const std::string& target,
                     const std::string& body = "") {
-    std::optional<HttpResponse> got;
-    node.jobs.Serve({method, target, {}, body},
-                    [&](HttpResponse answer) { got = std::move(answer); });
-    const auto limit = SteadyNow() + milliseconds(4000);
-    while (!got && SteadyNow() < limit) {
-      loop.run_one_for(milliseconds(50));
-    }
-    return got.value_or(HttpResponse{0, {}, "no answer"});
+    return CallNode(loop, node, method, target, body);
   }
 
   /** The node that owns the queue's shard, and the other one. */
   TestNode& Owner() {
-    const int shard =
-        ShardOf(ServiceId("service"), FakePlatform::kShards).value();
+    const int shard = kCell.value();
     return *nodes[platform.members[addresses[0]].shards.contains(shard) ? 0
                                                                         : 1];
   }
   TestNode& Other() { return *nodes[&Owner() == nodes[0].get() ? 1 : 0]; }
 
-  static constexpr char kJob[] =
-      R"({"payload":"x","steps":[{"count":3,"cpu_milli":1000,)"
-      R"("estimate_ms":80}]})";
-
   boost::asio::io_context loop;
   FakePlatform platform{loop};
   std::vector<std::string> addresses;
@@ -229,6 +242,99 @@
   testing::internal::GetCapturedStdout();
 }
 
+// A pool in two cells with an owner each. Guards against jobs that only the node
+// of their cell knows, a count of pending jobs that leaves out a cell, and
+// workers that two owners or none use.
+TEST(DividedPoolTest, ServesJobsOfAllCellsThroughAnyNode) {
+  testing::internal::CaptureStdout();
+  boost::asio::io_context loop;
+  FakePlatform platform(loop);
+  platform.AddWorkers(16);
+  platform.Divide("service", {ShardId(1), ShardId(2)});
+  std::vector<std::unique_ptr<TestNode>> nodes;
+  for (int i = 0; i < 2; ++i) {
+    nodes.push_back(std::make_unique<TestNode>(
+        platform, "127.0.0.1:" + std::to_string(FreePort())));
+  }
+  loop.run_for(milliseconds(900));
+  std::set<ShardId> cells;
+  const auto division = DecodeDivision(platform.division);
+  for (int i = 0; i < 8; ++i) {
+    const auto id = "j" + std::to_string(i);
+    cells.insert(*division.CellOfJob(ServiceId("service"), JobId(id)));
+    EXPECT_EQ(CallNode(loop, *nodes[i % 2], "POST", "/jobs/queue/" + id,
+                       FleetNodeTest::kJob)
+                  .status,
+              200);
+  }
+  EXPECT_EQ(cells.size(), 2u);
+  loop.run_for(milliseconds(600));
+  for (const auto& node : nodes) {
+    for (int i = 0; i < 8; ++i) {
+      EXPECT_EQ(CallNode(loop, *node, "GET",
+                         "/jobs/queue/j" + std::to_string(i))
+                    .body,
+                R"({"state":"completed"})");
+    }
+    EXPECT_EQ(CallNode(loop, *node, "GET", "/jobs/queue").body,
+              R"({"pending":0})");
+  }
+  for (const auto& [task, n] : platform.starts) {
+    EXPECT_EQ(n, 1) << ToString(task);
+  }
+  for (const auto& [worker, sim] : platform.sim_workers) {
+    EXPECT_EQ(sim.tokens.size(), 1u) << worker.value();
+  }
+  EXPECT_EQ(platform.sim_workers.size(), 19u);
+  testing::internal::GetCapturedStdout();
+}
+
+// Guards against a fleet whose pools nobody divides, against two nodes that
+// divide a pool differently, and against jobs that are lost when all nodes
+// restart.
+TEST(DividedPoolTest, PlannerDividesNewPoolsOnce) {
+  testing::internal::CaptureStdout();
+  boost::asio::io_context loop;
+  FakePlatform platform(loop);
+  platform.AddWorkers(61);
+  std::vector<std::unique_ptr<TestNode>> nodes;
+  const auto start = [&] {
+    nodes.clear();
+    for (int i = 0; i < 2; ++i) {
+      nodes.push_back(std::make_unique<TestNode>(
+          platform, "127.0.0.1:" + std::to_string(FreePort()), 500));
+    }
+  };
+  start();
+  EXPECT_EQ(CallNode(loop, *nodes[0], "POST", "/jobs/queue/early",
+                     FleetNodeTest::kJob)
+                .status,
+            503);
+  loop.run_for(milliseconds(2500));
+  ASSERT_EQ(platform.division.size(), 1u);
+  EXPECT_EQ(DecodeDivision(platform.division)
+                .CellsOf(ServiceId("service"))
+                .size(),
+            2u);
+  for (int i = 0; i < 4; ++i) {
+    EXPECT_EQ(CallNode(loop, *nodes[0], "POST",
+                       "/jobs/queue/j" + std::to_string(i),
+                       FleetNodeTest::kJob)
+                  .status,
+              200);
+  }
+  start();
+  loop.run_for(milliseconds(2500));
+  EXPECT_EQ(platform.division.size(), 1u);
+  for (int i = 0; i < 4; ++i) {
+    EXPECT_EQ(CallNode(loop, *nodes[1], "GET",
+                       "/jobs/queue/j" + std::to_string(i))
+                  .status,
+              200);
+  }
+  testing::internal::GetCapturedStdout();
+}
+
 // Guards against log lines on single runs that crowd out lines on jobs, and
 // against a log volume that grows with the load.
 TEST(DecisionLogTest, RunLinesHaveTheirOwnLimit) {
--- a/tests/host_planner_test.cc
+++ b/tests/host_planner_test.cc
@@ -11,14 +11,14 @@
 
 using std::chrono::milliseconds;
 
-constexpr int kShards = 32;
+const ShardId kCell{1};
 constexpr std::int64_t kWallMs = 1'700'000'000'000;
 
 /** Runs a planner with hosts of three pools, whose owners follow its plans at
  * once. */
 class PlannerWorld {
  public:
-  PlannerWorld() : planner(Tuning(), kShards) {
+  PlannerWorld() : planner(Tuning()) {
     auto set = std::make_shared<PolicySet>();
     set->version = 1;
     for (const char* it : {"hot", "cold", "off"}) {
@@ -43,15 +43,24 @@
   void Start(std::vector<StoredRecord> records = {}) {
     Apply(PlannerLoaded{std::move(records)});
     Apply(PlannerPolicies{policies});
+    auto division = std::make_shared<PoolDivision>();
+    for (const auto& [id, service] : policies->services) {
+      division->Add(id, {kCell});
+    }
+    Apply(PlannerDivision{division});
+  }
+
+  bool IsReserved(const HostId& host) const {
+    const auto plans = planner.Plans(now);
+    const auto it = plans.find(kCell);
+    return it != plans.end() && it->second.reserved.contains(host);
   }
 
   /** Advances by 100 ms: reports the usage of all pools, then sends a tick. */
   void Round() {
     now += milliseconds(100);
     for (auto it = late_until.begin(); it != late_until.end();) {
-      const auto& pool = hosts.at(it->first).pool;
-      const bool reserved = planner.PlanFor(ShardOf(pool, kShards), now)
-                                .reserved.contains(it->first);
+      const bool reserved = IsReserved(it->first);
       if (it->second > now) {
         ++it;
       } else if (reserved) {
@@ -82,11 +91,10 @@
       if (late_until.contains(id)) {
         host.busy_for = std::max(Duration(0), late_until.at(id) - now);
       }
-      host.reserved = planner.PlanFor(ShardOf(info.pool, kShards), now)
-                          .reserved.contains(id);
+      host.reserved = IsReserved(id);
       usage.hosts.push_back(host);
     }
-    Apply(PoolUsageRead{ShardId(0), usage});
+    Apply(PoolUsageRead{kCell, usage});
     Apply(PlannerTick{});
   }
 
@@ -101,8 +109,7 @@
     double cores = 0;
     for (const auto& [id, info] : hosts) {
       // Owners do not count reserved hosts as capacity.
-      const bool reserved = planner.PlanFor(ShardOf(info.pool, kShards), now)
-                                .reserved.contains(id);
+      const bool reserved = IsReserved(id);
       if (info.pool == ServiceId(pool) && info.state == HostState::kUp &&
           !reserved) {
         cores += 64;
--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -27,6 +27,16 @@
   double failing_run = 0;
 };
 
+/** Shard of the simulated jobs and workers. */
+inline const ShardId kShard{1};
+
+/** Returns a division in which the pool is one cell of kShard. */
+inline std::shared_ptr<const PoolDivision> WholePool(const ServiceId& pool) {
+  auto division = std::make_shared<PoolDivision>();
+  division->Add(pool, {kShard});
+  return division;
+}
+
 /** Simulates the owners of one shard, its workers and the store. It checks the
  * guarantees to callers and workers while it runs; see `violations`. */
 class JobWorld {
@@ -80,14 +90,14 @@
     ++token;
     former = engine;
     former_token = token - 1;
-    engine =
-        std::make_shared<PoolEngine>(ShardOf(service, tuning.shards), tuning);
+    engine = std::make_shared<PoolEngine>(kShard, tuning);
     std::vector<StoredRecord> records;
     for (const auto& [key, value] : store) {
       records.push_back({key, value});
     }
     store_token = token;
     Post(engine, token, ShardLoaded{records});
+    Post(engine, token, DivisionChanged{WholePool(service)});
     List();
   }
 
