--- a/src/libfleet/division_keeper.cc
+++ b/src/libfleet/division_keeper.cc
@@ -10,8 +10,8 @@
 
 namespace {
 
-/** Delay between two reads while pools lack cells; doubles with each read, since
- * all nodes read at the same time. */
+/** Delay between two reads while pools lack cells; doubles with each read,
+ * since all nodes read at the same time. */
 constexpr Duration kMinReadDelay = std::chrono::milliseconds(150);
 constexpr Duration kMaxReadDelay = std::chrono::milliseconds(1200);
 
--- a/src/libfleet/fleet_node.cc
+++ b/src/libfleet/fleet_node.cc
@@ -319,8 +319,8 @@
       [this](ShardId shard, HostPlan plan, auto done) {
         ExchangePlan(shard, std::move(plan), std::move(done));
       }};
-  planner_ = std::make_shared<PlannerOwner>(
-      ports, FenceToken(generation_), config_.planner);
+  planner_ = std::make_shared<PlannerOwner>(ports, FenceToken(generation_),
+                                            config_.planner);
   planner_->SetPublished(published_);
   planner_->SetDivision(keeper_.division());
   planner_->Start();
--- a/src/libfleet/fleet_node.h
+++ b/src/libfleet/fleet_node.h
@@ -146,6 +146,29 @@
   /** Returns a function that looks up the shard of the job's cell. */
   std::function<std::optional<ShardId>()> CellOfJob(const QueuePolicy& queue,
                                                     const JobId& job) const;
+  /** Cell that knows a job, and the job's state. */
+  struct Found {
+    ShardId cell;
+    JobState state = JobState::kQueued;
+  };
+  /** Looks for a job in the cells other than that of its id; `done` gets an
+   * empty result if none of them knows it. */
+  void FindInCells(const JobId& job,
+                   const QueuePolicy& queue,
+                   Duration time_left,
+                   std::function<void(CallOutcome, std::optional<Found>)> done);
+  /** Asks the cell that decides on the job, beginning with that of
+   * `find_cell`. */
+  void StateInCell(
+      std::function<std::optional<ShardId>()> find_cell,
+      const JobId& job,
+      Duration time_left,
+      std::function<void(tl::expected<JobStateAnswer, PeerFault>, bool)> done);
+  void CancelInCell(std::function<std::optional<ShardId>()> find_cell,
+                    const JobId& job,
+                    Duration time_left,
+                    std::function<void(tl::expected<CancelAnswer, PeerFault>,
+                                       bool maybe_done)> done);
   /** Counts the pending jobs of a queue in one cell of its pool. */
   void PendingInCell(ShardId cell,
                      const QueueId& queue,
--- a/src/libfleet/fleet_node_calls.cc
+++ b/src/libfleet/fleet_node_calls.cc
@@ -32,6 +32,10 @@
 struct FleetNode::Forward {
   /** Returns the shard to ask; empty while the pool is not divided. */
   std::function<std::optional<ShardId>()> find_shard;
+  /** Returns the cell to which the answer delegates the job, if it does. */
+  std::function<std::optional<ShardId>(const T&)> delegated_to;
+  /** Shard to ask instead, once an answer has delegated the job. */
+  std::optional<ShardId> delegate;
   Time deadline;
   /** End of the retries while no attempt can have been carried out. */
   Time retry_until;
@@ -62,7 +66,8 @@
     }
   };
   const auto left = forward->deadline - SteadyNow();
-  const auto shard = forward->find_shard();
+  const auto shard =
+      forward->delegate ? forward->delegate : forward->find_shard();
   if (!shard) {
     settle(tl::unexpected(PeerFault::kNotDone));
     return;
@@ -88,6 +93,13 @@
 template <typename T>
 void FleetNode::FinishAttempt(std::shared_ptr<Forward<T>> forward,
                               tl::expected<T, PeerFault> answer) {
+  if (answer && forward->delegated_to && !forward->delegate) {
+    forward->delegate = forward->delegated_to(*answer);
+    if (forward->delegate) {
+      StartAttempt<T>(forward);
+      return;
+    }
+  }
   const bool failed = !answer;
   if (failed && answer.error() == PeerFault::kUnknown) {
     forward->maybe_done = true;
@@ -123,19 +135,31 @@
   forward->deadline =
       SteadyNow() + std::min(OwnerTimeBudget(time_left), kOwnerSearchTimeout);
   forward->retry_until = SteadyNow() + kUnsentSubmitTimeout;
-  forward->local = [job, queue, spec](ShardOwner& owner, auto settle) {
-    owner.Submit(job, queue, spec, [settle](Result<SubmitAnswer> answer) {
-      if (answer) {
-        settle(std::move(*answer));
-      } else {
-        settle(tl::unexpected(PeerFault::kUnknown));
-      }
-    });
+  auto delegated_ago = std::make_shared<std::optional<Duration>>();
+  forward->delegated_to =
+      [delegated_ago](const SubmitAnswer& answer) -> std::optional<ShardId> {
+    if (answer.verdict != SubmitVerdict::kDelegated) {
+      return std::nullopt;
+    }
+    *delegated_ago = answer.asked_ago;
+    return answer.cell;
+  };
+  forward->local = [job, queue, spec, delegated_ago](ShardOwner& owner,
+                                                     auto settle) {
+    owner.Submit(job, queue, spec, *delegated_ago,
+                 [settle](Result<SubmitAnswer> answer) {
+                   if (answer) {
+                     settle(std::move(*answer));
+                   } else {
+                     settle(tl::unexpected(PeerFault::kUnknown));
+                   }
+                 });
   };
-  forward->remote = [this, job, queue, spec](const std::string& peer,
-                                             ShardId shard, Duration timeout,
-                                             auto settle) {
-    peers_.Submit(peer, shard, job, queue, spec, timeout, settle);
+  forward->remote = [this, job, queue, spec, delegated_ago](
+                        const std::string& peer, ShardId shard,
+                        Duration timeout, auto settle) {
+    peers_.Submit(peer, shard, job, queue, spec, *delegated_ago, timeout,
+                  settle);
   };
   forward->done = [done = std::move(done)](tl::expected<T, PeerFault> answer,
                                            bool maybe_done) {
@@ -165,15 +189,54 @@
                        const QueuePolicy& queue,
                        Duration time_left,
                        std::function<void(CallOutcome)> done) {
-  using T = bool;
+  const Time deadline = SteadyNow() + time_left;
+  CancelInCell(
+      CellOfJob(queue, job), job, time_left,
+      [this, job, queue, deadline, done = std::move(done)](
+          tl::expected<CancelAnswer, PeerFault> answer, bool maybe_done) {
+        if (!answer) {
+          done(maybe_done ? CallOutcome::kUnknown : CallOutcome::kNotDone);
+        } else if (answer->found) {
+          done(CallOutcome::kDone);
+        } else {
+          // The delegation of a long job may have expired.
+          FindInCells(job, queue, deadline - SteadyNow(),
+                      [this, job, deadline, done](CallOutcome outcome,
+                                                  std::optional<Found> found) {
+                        if (outcome != CallOutcome::kDone) {
+                          done(CallOutcome::kNotDone);
+                        } else if (!found) {
+                          done(CallOutcome::kInvalid);
+                        } else {
+                          CancelInCell([cell = found->cell] { return cell; },
+                                       job, deadline - SteadyNow(),
+                                       [done](auto answer, bool) {
+                                         done(answer && answer->found
+                                                  ? CallOutcome::kDone
+                                                  : CallOutcome::kUnknown);
+                                       });
+                        }
+                      });
+        }
+      });
+}
+
+void FleetNode::CancelInCell(
+    std::function<std::optional<ShardId>()> find_cell,
+    const JobId& job,
+    Duration time_left,
+    std::function<void(tl::expected<CancelAnswer, PeerFault>, bool maybe_done)>
+        done) {
+  using T = CancelAnswer;
   auto forward = std::make_shared<Forward<T>>();
-  forward->find_shard = CellOfJob(queue, job);
+  forward->find_shard = std::move(find_cell);
+  forward->delegated_to = [](const T& answer) { return answer.cell; };
   forward->deadline = SteadyNow() + OwnerTimeBudget(time_left);
   forward->retry_until = forward->deadline;
   forward->local = [job](ShardOwner& owner, auto settle) {
-    owner.Cancel(job, [settle](Result<bool> found) {
-      if (found) {
-        settle(*found);
+    owner.Cancel(job, [settle](Result<CancelAnswer> answer) {
+      if (answer) {
+        settle(*answer);
       } else {
         settle(tl::unexpected(PeerFault::kUnknown));
       }
@@ -183,14 +246,7 @@
                                 Duration timeout, auto settle) {
     peers_.Cancel(peer, shard, job, timeout, settle);
   };
-  forward->done = [done = std::move(done)](tl::expected<T, PeerFault> answer,
-                                           bool maybe_done) {
-    if (!answer) {
-      done(maybe_done ? CallOutcome::kUnknown : CallOutcome::kNotDone);
-    } else {
-      done(*answer ? CallOutcome::kDone : CallOutcome::kInvalid);
-    }
-  };
+  forward->done = std::move(done);
   StartAttempt<T>(forward);
 }
 
@@ -199,17 +255,43 @@
     const QueuePolicy& queue,
     Duration time_left,
     std::function<void(CallOutcome, JobStateAnswer)> done) {
+  const Time deadline = SteadyNow() + time_left;
+  StateInCell(CellOfJob(queue, job), job, time_left,
+              [this, job, queue, deadline, done = std::move(done)](
+                  tl::expected<JobStateAnswer, PeerFault> answer, bool) {
+                if (!answer || answer->state) {
+                  done(answer ? CallOutcome::kDone : CallOutcome::kNotDone,
+                       answer.value_or(JobStateAnswer()));
+                  return;
+                }
+                // The delegation of a long job may have expired.
+                FindInCells(
+                    job, queue, deadline - SteadyNow(),
+                    [done](CallOutcome outcome, std::optional<Found> found) {
+                      done(outcome,
+                           found ? JobStateAnswer{found->state, std::nullopt}
+                                 : JobStateAnswer());
+                    });
+              });
+}
+
+void FleetNode::StateInCell(
+    std::function<std::optional<ShardId>()> find_cell,
+    const JobId& job,
+    Duration time_left,
+    std::function<void(tl::expected<JobStateAnswer, PeerFault>, bool)> done) {
   using T = JobStateAnswer;
   auto forward = std::make_shared<Forward<T>>();
-  forward->find_shard = CellOfJob(queue, job);
+  forward->find_shard = std::move(find_cell);
+  forward->delegated_to = [](const T& answer) { return answer.cell; };
   forward->deadline = SteadyNow() + OwnerTimeBudget(time_left);
   forward->retry_until = forward->deadline;
   forward->local = [job, membership_is_valid = MakeMembershipCheck()](
                        ShardOwner& owner, auto settle) {
     // Only the current owner knows that there is no such job.
-    const auto state = owner.engine().StateOf(job);
-    if (state || membership_is_valid()) {
-      settle(JobStateAnswer{state});
+    const auto answer = StateAt(owner, job);
+    if (answer.state || answer.cell || membership_is_valid()) {
+      settle(answer);
     } else {
       settle(tl::unexpected(PeerFault::kNotDone));
     }
@@ -218,14 +300,46 @@
                                 Duration timeout, auto settle) {
     peers_.GetJobState(peer, shard, job, timeout, settle);
   };
-  forward->done = [done = std::move(done)](tl::expected<T, PeerFault> answer,
-                                           bool) {
-    done(answer ? CallOutcome::kDone : CallOutcome::kNotDone,
-         answer ? *answer : JobStateAnswer{});
-  };
+  forward->done = std::move(done);
   StartAttempt<T>(forward);
 }
 
+void FleetNode::FindInCells(
+    const JobId& job,
+    const QueuePolicy& queue,
+    Duration time_left,
+    std::function<void(CallOutcome, std::optional<Found>)> done) {
+  struct Search {
+    std::size_t open = 0;
+    bool failed = false;
+    std::optional<Found> found;
+  };
+  auto cells = keeper_.division()->CellsOf(queue.service);
+  std::erase(cells, keeper_.division()->CellOfJob(queue.service, job));
+  if (cells.empty()) {
+    done(CallOutcome::kDone, std::nullopt);
+    return;
+  }
+  auto search = std::make_shared<Search>();
+  search->open = cells.size();
+  for (const auto& it : cells) {
+    StateInCell([it] { return it; }, job, time_left,
+                [search, it, done](
+                    tl::expected<JobStateAnswer, PeerFault> answer, bool) {
+                  search->failed = search->failed || !answer;
+                  if (answer && answer->state) {
+                    search->found = Found{it, *answer->state};
+                  }
+                  if (--search->open > 0) {
+                    return;
+                  }
+                  done(search->found || !search->failed ? CallOutcome::kDone
+                                                        : CallOutcome::kNotDone,
+                       search->found);
+                });
+  }
+}
+
 void FleetNode::Pending(const QueuePolicy& queue,
                         Duration time_left,
                         std::function<void(CallOutcome, int)> done) {
@@ -243,16 +357,16 @@
   auto sum = std::make_shared<Sum>();
   sum->open = cells.size();
   for (const auto& it : cells) {
-    PendingInCell(it, queue.name, time_left,
-                  [sum, done](tl::expected<int, PeerFault> pending) {
-                    sum->failed = sum->failed || !pending;
-                    sum->pending += pending.value_or(0);
-                    if (--sum->open == 0) {
-                      done(sum->failed ? CallOutcome::kNotDone
-                                       : CallOutcome::kDone,
-                           sum->failed ? 0 : sum->pending);
-                    }
-                  });
+    PendingInCell(
+        it, queue.name, time_left,
+        [sum, done](tl::expected<int, PeerFault> pending) {
+          sum->failed = sum->failed || !pending;
+          sum->pending += pending.value_or(0);
+          if (--sum->open == 0) {
+            done(sum->failed ? CallOutcome::kNotDone : CallOutcome::kDone,
+                 sum->failed ? 0 : sum->pending);
+          }
+        });
   }
 }
 
--- a/src/libfleet/peer_calls.cc
+++ b/src/libfleet/peer_calls.cc
@@ -64,6 +64,15 @@
   };
 }
 
+Json CellToJson(const std::optional<ShardId>& cell) {
+  return cell ? Json(cell->value()) : Json();
+}
+
+std::optional<ShardId> CellFromJson(const Json& json) {
+  return json.is_null() ? std::nullopt
+                        : std::optional(ShardId(json.get<int>()));
+}
+
 void SendAnswer(const std::function<void(HttpResponse)>& respond,
                 const Json& body) {
   respond({kOk, {}, ToMessagePack(body)});
@@ -90,39 +99,51 @@
   if (job.needs_advice) {
     queue.advice = AdvicePolicy();
   }
-  owner.Submit(
-      id, queue, job.spec,
-      [respond = std::move(respond)](Result<SubmitAnswer> answer) {
-        if (!answer) {
-          respond({kOutcomeUnknown, {}, ""});
-          return;
-        }
-        SendAnswer(respond,
-                   Json::array({static_cast<int>(answer->verdict),
-                                answer->retry_after.count(), answer->reason}));
-      });
+  std::optional<Duration> delegated_ago;
+  if (body.at(3).is_number_integer()) {
+    delegated_ago = Duration(body.at(3).get<std::int64_t>());
+  }
+  owner.Submit(id, queue, job.spec, delegated_ago,
+               [respond = std::move(respond)](Result<SubmitAnswer> answer) {
+                 if (!answer) {
+                   respond({kOutcomeUnknown, {}, ""});
+                   return;
+                 }
+                 SendAnswer(respond,
+                            Json::array({static_cast<int>(answer->verdict),
+                                         answer->retry_after.count(),
+                                         answer->reason, answer->cell.value(),
+                                         answer->asked_ago.count()}));
+               });
 }
 
 void ServeCancel(ShardOwner& owner,
                  const Json& body,
                  std::function<void(HttpResponse)> respond) {
-  owner.Cancel(JobId(body.at(1).get<std::string>()),
-               [respond = std::move(respond)](Result<bool> found) {
-                 if (!found) {
-                   respond({kOutcomeUnknown, {}, ""});
-                   return;
-                 }
-                 SendAnswer(respond, Json::array({*found}));
-               });
+  owner.Cancel(JobId(body.at(1).get<std::string>()), [respond =
+                                                          std::move(respond)](
+                                                         Result<CancelAnswer>
+                                                             answer) {
+    if (!answer) {
+      respond({kOutcomeUnknown, {}, ""});
+      return;
+    }
+    SendAnswer(respond, Json::array({answer->found, CellToJson(answer->cell)}));
+  });
 }
 
 }  // namespace
 
+JobStateAnswer StateAt(const ShardOwner& owner, const JobId& job) {
+  return {owner.engine().StateOf(job), owner.engine().DelegatedTo(job)};
+}
+
 void PeerCalls::Submit(const std::string& peer,
                        ShardId shard,
                        const JobId& job,
                        const QueuePolicy& queue,
                        const JobSpec& spec,
+                       std::optional<Duration> delegated_ago,
                        Duration timeout,
                        Done<SubmitAnswer> done) {
   Job encoded_job;
@@ -137,13 +158,18 @@
   encoded_job.spec = spec;
   client_.Call(
       peer,
-      MakeRequest("/submit", Json::array({shard.value(), job.value(),
-                                          EncodeAcceptance(encoded_job)})),
+      MakeRequest(
+          "/submit",
+          Json::array({shard.value(), job.value(),
+                       EncodeAcceptance(encoded_job),
+                       delegated_ago ? Json(delegated_ago->count()) : Json()})),
       timeout,
       DecodingCallback<SubmitAnswer>(std::move(done), [](const Json& json) {
         return SubmitAnswer{static_cast<SubmitVerdict>(json.at(0).get<int>()),
                             Duration(json.at(1).get<std::int64_t>()),
-                            json.at(2).get<std::string>()};
+                            json.at(2).get<std::string>(),
+                            ShardId(json.at(3).get<int>()),
+                            Duration(json.at(4).get<std::int64_t>())};
       }));
 }
 
@@ -151,11 +177,12 @@
                        ShardId shard,
                        const JobId& job,
                        Duration timeout,
-                       Done<bool> done) {
+                       Done<CancelAnswer> done) {
   client_.Call(
       peer, MakeRequest("/cancel", Json::array({shard.value(), job.value()})),
-      timeout, DecodingCallback<bool>(std::move(done), [](const Json& json) {
-        return json.at(0).get<bool>();
+      timeout,
+      DecodingCallback<CancelAnswer>(std::move(done), [](const Json& json) {
+        return CancelAnswer{json.at(0).get<bool>(), CellFromJson(json.at(1))};
       }));
 }
 
@@ -172,6 +199,7 @@
         if (json.at(0).get<int>() >= 0) {
           answer.state = static_cast<JobState>(json.at(0).get<int>());
         }
+        answer.cell = CellFromJson(json.at(1));
         return answer;
       }));
 }
@@ -222,13 +250,15 @@
     } else if (request.target == "/cancel") {
       ServeCancel(*owner, body, respond);
     } else if (request.target == "/ask") {
-      const auto state =
-          owner->engine().StateOf(JobId(body.at(1).get<std::string>()));
-      if (!state && !membership_is_valid()) {
+      const auto answer = StateAt(*owner, JobId(body.at(1).get<std::string>()));
+      if (!answer.state && !answer.cell && !membership_is_valid()) {
         respond({kNotOwner, {}, ""});
         return;
       }
-      SendAnswer(respond, Json::array({state ? static_cast<int>(*state) : -1}));
+      SendAnswer(
+          respond,
+          Json::array({answer.state ? static_cast<int>(*answer.state) : -1,
+                       CellToJson(answer.cell)}));
     } else if (request.target == "/pending" && membership_is_valid()) {
       SendAnswer(respond, Json::array({owner->engine().Pending(
                               QueueId(body.at(1).get<std::string>()))}));
--- a/src/libfleet/peer_calls.h
+++ b/src/libfleet/peer_calls.h
@@ -24,8 +24,13 @@
 struct JobStateAnswer {
   /** Empty if there is no such job. */
   std::optional<JobState> state;
+  /** Cell that decides on the job, if it is delegated. */
+  std::optional<ShardId> cell = std::nullopt;
 };
 
+/** Returns the state of a job at the owner of one cell. */
+JobStateAnswer StateAt(const ShardOwner& owner, const JobId& job);
+
 /** Client for the peer ports of other nodes: forwards requests to the owner of
  * a shard over HTTP with MessagePack bodies. */
 class PeerCalls {
@@ -40,13 +45,14 @@
               const JobId& job,
               const QueuePolicy& queue,
               const JobSpec& spec,
+              std::optional<Duration> delegated_ago,
               Duration timeout,
               Done<SubmitAnswer> done);
   void Cancel(const std::string& peer,
               ShardId shard,
               const JobId& job,
               Duration timeout,
-              Done<bool> done);
+              Done<CancelAnswer> done);
   void GetJobState(const std::string& peer,
                    ShardId shard,
                    const JobId& job,
--- a/src/libfleet/planner_codec.cc
+++ b/src/libfleet/planner_codec.cc
@@ -17,7 +17,12 @@
     arriving.push_back(
         Json::array({it.service.value(), it.cores, it.arrives_in.count()}));
   }
-  return Json::array({reserved, arriving});
+  Json cells = Json::array();
+  for (const auto& it : plan.cells) {
+    cells.push_back(
+        Json::array({it.service.value(), it.cell.value(), it.free_cores}));
+  }
+  return Json::array({reserved, arriving, cells});
 }
 
 HostPlan HostPlanFromJson(const Json& json) {
@@ -30,6 +35,11 @@
                              it.at(1).get<double>(),
                              Duration(it.at(2).get<std::int64_t>())});
   }
+  for (const auto& it : json.at(2)) {
+    plan.cells.push_back({ServiceId(it.at(0).get<std::string>()),
+                          ShardId(it.at(1).get<int>()),
+                          it.at(2).get<double>()});
+  }
   return plan;
 }
 
--- a/src/libfleet/shard_owner.cc
+++ b/src/libfleet/shard_owner.cc
@@ -119,10 +119,13 @@
 void ShardOwner::Submit(const JobId& job,
                         const QueuePolicy& queue,
                         JobSpec spec,
+                        std::optional<Duration> delegated_ago,
                         SubmitDone done) {
   const ReplyId reply(++last_reply_id_);
   submits_.emplace(reply, std::move(done));
-  Post(SubmitRequested{reply, job, queue, std::move(spec)});
+  Post(SubmitRequested{reply, job, queue, std::move(spec),
+                       delegated_ago.has_value(),
+                       delegated_ago.value_or(Duration(0))});
 }
 
 void ShardOwner::Cancel(const JobId& job, CancelDone done) {
@@ -269,13 +272,14 @@
     }
     void operator()(AnswerSubmit& it) {
       if (auto node = self.submits_.extract(it.reply)) {
-        node.mapped()(
-            SubmitAnswer{it.verdict, it.retry_after, std::move(it.reason)});
+        node.mapped()(SubmitAnswer{it.verdict, it.retry_after,
+                                   std::move(it.reason), it.cell,
+                                   it.asked_ago});
       }
     }
     void operator()(const AnswerCancel& it) {
       if (auto node = self.cancels_.extract(it.reply)) {
-        node.mapped()(it.found);
+        node.mapped()(CancelAnswer{it.found, it.cell});
       }
     }
     void operator()(const WakeUp& it) {
--- a/src/libfleet/shard_owner.h
+++ b/src/libfleet/shard_owner.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "libfleet/decision_log.h"
@@ -18,6 +19,18 @@
   /** Time after which a new attempt may succeed. */
   Duration retry_after{0};
   std::string reason;
+  /** For kDelegated: the cell that decides, and the time since the first
+   * request for the job. */
+  ShardId cell{};
+  Duration asked_ago{0};
+};
+
+/** Answer of the owner to a cancelled job. */
+struct CancelAnswer {
+  /** False if there is no such job. */
+  bool found = false;
+  /** Cell that decides on the job, if it is delegated. */
+  std::optional<ShardId> cell = std::nullopt;
 };
 
 /** Owner of one shard: fences previous owners, loads the shard, and executes
@@ -36,7 +49,7 @@
   };
 
   using SubmitDone = std::function<void(Result<SubmitAnswer>)>;
-  using CancelDone = std::function<void(Result<bool>)>;
+  using CancelDone = std::function<void(Result<CancelAnswer>)>;
 
   ShardOwner(const Ports& ports,
              ShardId shard,
@@ -52,9 +65,12 @@
   FenceToken token() const { return token_; }
   const PoolEngine& engine() const { return engine_; }
 
+  /** `delegated_ago` is the time since the first request for a job that another
+   * cell has delegated to this one. */
   void Submit(const JobId& job,
               const QueuePolicy& queue,
               JobSpec spec,
+              std::optional<Duration> delegated_ago,
               SubmitDone done);
   void Cancel(const JobId& job, CancelDone done);
   /** Applies the host planner's plan and returns the usage of the shard's
--- a/src/libjobs/demand_tracker.h
+++ b/src/libjobs/demand_tracker.h
@@ -19,6 +19,8 @@
   void RecordRefused(const Job& job, Time now);
   /** Records that `job` was accepted at `now`. */
   void RecordAccepted(const Job& job, Time now);
+  /** Removes the refusals of a job that another cell decides on. */
+  void ForgetJob(const JobId& job) { refusals_.erase(job); }
   /** Removes arrivals and refusals that are too old to count. */
   void Forget(Time now);
 
--- a/src/libjobs/host_planner.cc
+++ b/src/libjobs/host_planner.cc
@@ -61,6 +61,12 @@
         host.purpose && shard) {
       plans[*shard].reserved.insert(id);
     }
+    if (const auto shard = division_->CellOfHost(host.former_pool, id);
+        shard && host.former_pool != host.info.pool &&
+        now - host.left_at < tuning_.former_worker_ttl) {
+      // The former pool may still list the worker, which no longer exists.
+      plans[*shard].reserved.insert(id);
+    }
     const bool moves = host.purpose == Purpose::kMove;
     if (!host.order_sent && !moves) {
       continue;
@@ -76,9 +82,29 @@
            std::max(Duration(0), host.order_at + away - now)});
     }
   }
+  AddCellLoads(plans, now);
   return plans;
 }
 
+void HostPlanner::AddCellLoads(std::map<ShardId, HostPlan>& plans,
+                               Time now) const {
+  for (const auto& [pool, cells] : cell_usage_) {
+    if (cells.size() < 2) {
+      continue;
+    }
+    std::vector<CellLoad> loads;
+    for (const auto& [shard, it] : cells) {
+      if (now - it.at <= tuning_.max_usage_age) {
+        loads.push_back({pool, shard, it.usage.FreeCores()});
+      }
+    }
+    for (const auto& [shard, it] : cells) {
+      auto& plan = plans[shard];
+      plan.cells.insert(plan.cells.end(), loads.begin(), loads.end());
+    }
+  }
+}
+
 bool HostPlanner::IsStandby(const ServiceId& pool) const {
   if (!policies_) {
     return false;
@@ -176,6 +202,10 @@
   for (const auto& it : event.hosts) {
     auto& host = hosts_[it.host];
     host.listed = true;
+    if (host.info.pool != it.pool) {
+      host.former_pool = host.info.pool;
+      host.left_at = now_;
+    }
     host.info = it;
     if (host.order_sent && host.order_confirmed &&
         hosts_read_started_at_ > host.order_at + kListDelay &&
@@ -395,18 +425,36 @@
   return balance;
 }
 
-std::map<ShardId, double> HostPlanner::CellDeficits(
-    const ServiceId& pool) const {
-  std::map<ShardId, double> deficits;
-  const auto cells = cell_usage_.find(pool);
-  if (cells == cell_usage_.end()) {
-    return deficits;
-  }
-  const auto moving_in = CoresMovingTo(pool);
-  for (const auto& [shard, it] : cells->second) {
-    const auto moving = moving_in.find(shard);
-    deficits[shard] = PoolBalance::DeficitOf(it.usage) -
-                      (moving == moving_in.end() ? 0 : moving->second);
+std::map<ServiceId, HostPlanner::Deficit> HostPlanner::ComputeDeficits(
+    const PoolBalance& balance) const {
+  std::map<ServiceId, Deficit> deficits;
+  for (const auto& [pool, cells] : cell_usage_) {
+    const auto usage = PoolUsageOf(pool);
+    if (IsStandby(pool) || !usage) {
+      continue;
+    }
+    const auto of_pool = balance.deficits().find(pool);
+    Deficit deficit;
+    deficit.cells_only = of_pool == balance.deficits().end();
+    const auto moving_in = CoresMovingTo(pool);
+    double accepted = 0;
+    for (const auto& [shard, it] : cells) {
+      if (now_ - it.at > tuning_.max_usage_age) {
+        continue;
+      }
+      const auto moving = moving_in.find(shard);
+      const double cores = moving == moving_in.end() ? 0 : moving->second;
+      const double lacking = PoolBalance::AcceptedDeficitOf(it.usage) - cores;
+      accepted += std::max(0.0, lacking);
+      deficit.cells[shard] = deficit.cells_only
+                                 ? lacking
+                                 : PoolBalance::DeficitOf(it.usage) - cores;
+    }
+    deficit.cores =
+        std::max(accepted, deficit.cells_only ? 0 : of_pool->second);
+    if (deficit.cores > 0) {
+      deficits.emplace(pool, std::move(deficit));
+    }
   }
   return deficits;
 }
@@ -451,44 +499,37 @@
 void HostPlanner::PlanMoves() {
   auto balance = ComputeBalance();
   auto donors = FindDonors();
-  auto deficits = balance.deficits();
-  std::map<ServiceId, std::map<ShardId, double>> cell_deficits;
-  for (const auto& [pool, deficit] : deficits) {
-    cell_deficits[pool] = CellDeficits(pool);
-  }
+  auto deficits = ComputeDeficits(balance);
   // Pools take turns with one host each, so that no pool takes all donors.
   while (!deficits.empty()) {
     for (auto it = deficits.begin(); it != deficits.end();) {
       auto& [target, deficit] = *it;
-      Host* donor =
-          ReserveDonor(donors, balance, target, cell_deficits[target]);
+      Host* donor = ReserveDonor(donors, balance, target, deficit);
       if (donor) {
-        deficit -= CoresOf(donor->info);
         LogDecision(
             "reserve-host",
             fmt::format("host={} pool={} target={} deficit={:.0f}",
                         donor->info.host.value(), donor->info.pool.value(),
-                        target.value(), deficit));
+                        target.value(), deficit.cores));
       }
-      it = !donor || deficit <= 0 ? deficits.erase(it) : std::next(it);
+      it = !donor || deficit.cores <= 0 ? deficits.erase(it) : std::next(it);
     }
   }
   ReturnIdleHosts(donors, balance);
 }
 
-HostPlanner::Host* HostPlanner::ReserveDonor(
-    std::vector<Host*>& donors,
-    PoolBalance& balance,
-    const ServiceId& target,
-    std::map<ShardId, double>& cell_deficits) {
-  const auto is_empty = [this](const Host& it) {
-    return IsStandby(it.info.pool) || it.usage->empty;
+HostPlanner::Host* HostPlanner::ReserveDonor(std::vector<Host*>& donors,
+                                             PoolBalance& balance,
+                                             const ServiceId& target,
+                                             Deficit& deficit) {
+  const auto kind_of = [this](const Host& it) {
+    const bool standby = IsStandby(it.info.pool);
+    return std::pair(standby, standby || it.usage->empty);
   };
   const auto deficit_of = [&](const Host& it) {
     const auto shard = division_->CellOfHost(target, it.info.host);
-    const auto found =
-        shard ? cell_deficits.find(*shard) : cell_deficits.end();
-    return found == cell_deficits.end() ? 0.0 : found->second;
+    const auto found = shard ? deficit.cells.find(*shard) : deficit.cells.end();
+    return found == deficit.cells.end() ? 0.0 : found->second;
   };
   auto best = donors.end();
   double best_deficit = 0;
@@ -498,14 +539,17 @@
         (!IsStandby(pool) && !balance.CanSpare(pool, CoresOf((*it)->info)))) {
       continue;
     }
-    if (best != donors.end() && is_empty(**it) != is_empty(**best)) {
-      // Donors are sorted; the rest would have to be vacated first.
+    if (best != donors.end() && kind_of(**it) != kind_of(**best)) {
+      // Donors are sorted by preference; the rest are of a worse kind.
       break;
     }
-    const double deficit = deficit_of(**it);
-    if (best == donors.end() || deficit > best_deficit) {
+    const double lacking = deficit_of(**it);
+    if (deficit.cells_only && lacking <= 0) {
+      continue;
+    }
+    if (best == donors.end() || lacking > best_deficit) {
       best = it;
-      best_deficit = deficit;
+      best_deficit = lacking;
     }
   }
   if (best == donors.end()) {
@@ -518,8 +562,9 @@
     balance.RemoveCores(pool, cores);
   }
   if (const auto shard = division_->CellOfHost(target, donor->info.host)) {
-    cell_deficits[*shard] -= cores;
+    deficit.cells[*shard] -= cores;
   }
+  deficit.cores -= cores;
   donors.erase(best);
   donor->purpose = Purpose::kMove;
   donor->target = target;
--- a/src/libjobs/host_planner.h
+++ b/src/libjobs/host_planner.h
@@ -61,6 +61,9 @@
   /** Maximum time from storing an intent to sending the order. After that the
    * intent is stored again, since the process may have been suspended. */
   Duration max_order_delay = std::chrono::milliseconds(500);
+  /** Time for which the platform may still list the worker of a host that has
+   * left its pool: three heartbeats of 1.5 s, and the lag of the list. */
+  Duration former_worker_ttl = std::chrono::milliseconds(6000);
   /** Minimum time that a host stays in a pool after a move. */
   Duration min_stay = std::chrono::milliseconds(3000);
   /** Time without work after which a host is returned to a standby pool. The
@@ -210,6 +213,10 @@
   std::map<ShardId, HostPlan> Plans(Time now) const;
 
  private:
+  /** Adds the free cores of the cells of each pool to the plans of their
+   * owners. */
+  void AddCellLoads(std::map<ShardId, HostPlan>& plans, Time now) const;
+
   /** Why a host is reserved. */
   enum class Purpose { kMove, kMaintenance };
 
@@ -240,6 +247,9 @@
     bool order_confirmed = false;
     /** When the last move ended or the last order was refused. */
     Time moved_at;
+    /** Pool that the host left last, and when. */
+    ServiceId former_pool;
+    Time left_at;
   };
 
   /** Progress of a maintenance wave. */
@@ -278,16 +288,26 @@
   std::map<ShardId, double> CoresMovingTo(const ServiceId& pool) const;
   /** Returns the balance of the pools with recent usage reports. */
   PoolBalance ComputeBalance() const;
-  /** Returns the cores that each cell of the pool lacks; negative for a cell
-   * with free cores. */
-  std::map<ShardId, double> CellDeficits(const ServiceId& pool) const;
+  /** Cores that a pool and each of its cells lack. */
+  struct Deficit {
+    double cores = 0;
+    /** Negative for a cell with free cores. */
+    std::map<ShardId, double> cells;
+    /** The pool as a whole lacks none: only hosts that join a cell which lacks
+     * cores are of use. */
+    bool cells_only = false;
+  };
+  /** Returns the deficits of all pools that lack cores as a whole or have a
+   * cell whose accepted work lacks some. */
+  std::map<ServiceId, Deficit> ComputeDeficits(
+      const PoolBalance& balance) const;
   /** Reserves a donor that `target` can get and removes it from `donors`: the
    * first one, or one that is as good and joins a cell that lacks more cores.
-   * Lowers that cell's deficit. Returns null if there is none. */
+   * Lowers the deficit. Returns null if there is none. */
   Host* ReserveDonor(std::vector<Host*>& donors,
                      PoolBalance& balance,
                      const ServiceId& target,
-                     std::map<ShardId, double>& cell_deficits);
+                     Deficit& deficit);
   /** Reserves hosts that no pool needs for a move to a standby pool, where they
    * cost nothing. */
   void ReturnIdleHosts(const std::vector<Host*>& donors, PoolBalance& balance);
--- a/src/libjobs/pool_balance.cc
+++ b/src/libjobs/pool_balance.cc
@@ -24,6 +24,11 @@
   return std::max(need - usage.cores, usage.missing_hosts * kTypicalHostCores);
 }
 
+double PoolBalance::AcceptedDeficitOf(const ServiceUsage& usage) {
+  return std::max(usage.long_running + usage.used + usage.waiting - usage.cores,
+                  usage.missing_hosts * kTypicalHostCores);
+}
+
 void PoolBalance::Add(const ServiceUsage& usage, double moving_in) {
   const double deficit = DeficitOf(usage) - moving_in;
   if (deficit > 0) {
--- a/src/libjobs/pool_division.cc
+++ b/src/libjobs/pool_division.cc
@@ -5,8 +5,8 @@
 #include <string_view>
 #include <utility>
 
-#include <nlohmann/json.hpp>
 #include <xxhash.h>
+#include <nlohmann/json.hpp>
 
 namespace baobab {
 
--- a/src/libjobs/pool_effect.h
+++ b/src/libjobs/pool_effect.h
@@ -83,6 +83,8 @@
   kRefused,
   /** Definitely not accepted; the job itself is invalid. */
   kInvalid,
+  /** Another cell of the pool decides on the job, now and later. */
+  kDelegated,
 };
 
 /** Answers a SubmitRequested. */
@@ -92,6 +94,10 @@
   /** Time after which a new attempt may succeed. */
   Duration retry_after{0};
   std::string reason;
+  /** For kDelegated: the cell that decides, and the time since the first
+   * request. */
+  ShardId cell{};
+  Duration asked_ago{0};
 };
 
 /** Answers a CancelRequested. */
@@ -99,6 +105,8 @@
   ReplyId reply;
   /** False if there is no such job. */
   bool found = false;
+  /** Cell that decides on the job, if it is delegated. */
+  std::optional<ShardId> cell = std::nullopt;
 };
 
 /** Requests a PoolTick after this time, in addition to the periodic ones. */
--- a/src/libjobs/pool_engine.cc
+++ b/src/libjobs/pool_engine.cc
@@ -15,10 +15,6 @@
 /** Number of commits over which their duration is averaged. */
 constexpr int kCommitSamples = 4;
 
-/** Factor by which ended jobs are kept longer than promised, since the owners'
- * clocks differ. */
-constexpr double kRetentionMargin = 1.25;
-
 Duration FromMilliseconds(std::int64_t ms) {
   return std::chrono::milliseconds(ms);
 }
@@ -110,6 +106,7 @@
     EvacuateWorkers();
     RetryStops();
     DropExpiredJobs();
+    DropExpiredDelegations();
   }
   MaybePollWorkers();
   schedule_needed_ = true;
@@ -123,6 +120,10 @@
   loaded_ = true;
   loaded_at_ = now_;
   jobs_ = std::move(loaded.jobs);
+  delegated_ = std::move(loaded.delegations);
+  for (const auto& [id, it] : delegated_) {
+    delegated_at_.emplace(it.decided_wall_ms, id);
+  }
   for (auto& [id, job] : jobs_) {
     job.submitted_at =
         now_ - FromMilliseconds(wall_ms_ - job.submitted_wall_ms);
@@ -201,6 +202,10 @@
     }
     return;
   }
+  if (delegated_.contains(event.job)) {
+    AnswerDelegated(event.reply, event.job);
+    return;
+  }
   if (const auto checked = CheckSpec(event.spec); !checked) {
     refuse(SubmitVerdict::kInvalid, {}, checked.error().message);
     return;
@@ -211,6 +216,9 @@
   }
   Job job = MakeJob(event);
   if (load_.IsBusy() && !job.IsLongRunning()) {
+    if (!event.delegated && Delegate(job, event.reply)) {
+      return;
+    }
     demand_.RecordRefused(job, now_);
     refuse(SubmitVerdict::kRefused, load_.RetryAfter(),
            fmt::format("owner-busy lag_ms={}", load_.lag().count() / 1000));
@@ -220,6 +228,11 @@
   const auto verdict = Evaluate(job);
   const auto expected_ms = verdict.expected.count() / 1000;
   const auto objective_ms = job.Objective().count() / 1000;
+  if (!event.delegated &&
+      (!verdict.accept || verdict.deferred || LacksRoomFor(job)) &&
+      Delegate(job, event.reply)) {
+    return;
+  }
   if (!verdict.accept) {
     demand_.RecordRefused(job, now_);
     refuse(SubmitVerdict::kRefused, verdict.retry_after,
@@ -246,6 +259,17 @@
 
 void PoolEngine::Handle(const CancelRequested& event) {
   const auto it = jobs_.find(event.job);
+  if (const auto delegated = delegated_.find(event.job);
+      loaded_ && it == jobs_.end() && delegated != delegated_.end()) {
+    const AnswerCancel answer{event.reply, false, delegated->second.cell};
+    if (delegated->second.stored) {
+      effects_.push_back(answer);
+    } else {
+      staged_.delegated.insert(event.job);
+      staged_.answers.push_back(answer);
+    }
+    return;
+  }
   if (!loaded_ || it == jobs_.end()) {
     if (loaded_) {
       AddTombstone(event.job);
@@ -310,7 +334,8 @@
   job.target = event.queue.target;
   job.needs_advice = event.queue.advice.has_value();
   job.spec = event.spec;
-  job.submitted_at = demand_.FirstSubmittedAt(event.job, now_);
+  job.submitted_at =
+      demand_.FirstSubmittedAt(event.job, now_ - event.asked_ago);
   job.submitted_wall_ms = wall_ms_ - (now_ - job.submitted_at).count() / 1000;
   return job;
 }
@@ -366,10 +391,8 @@
 }
 
 void PoolEngine::DropExpiredJobs() {
-  const auto kept = static_cast<std::int64_t>(
-      static_cast<double>(tuning_.status_retention.count()) / 1000 *
-      kRetentionMargin);
-  while (!ended_.empty() && ended_.begin()->first + kept < wall_ms_) {
+  while (!ended_.empty() &&
+         ended_.begin()->first + tuning_.RetentionMs() < wall_ms_) {
     const JobId id = ended_.begin()->second;
     ended_.erase(ended_.begin());
     jobs_.erase(id);
@@ -428,6 +451,11 @@
     add(ProgressKey(id), "");
     add(AcceptanceKey(id), "");
   }
+  for (const auto& id : staged_.delegated) {
+    const auto it = delegated_.find(id);
+    add(DelegationKey(id),
+        it == delegated_.end() ? "" : EncodeDelegation(it->second));
+  }
   for (const auto& id : staged_.accepted) {
     add(AcceptanceKey(id), EncodeAcceptance(jobs_.at(id)));
   }
@@ -464,6 +492,12 @@
       it->second.stored = true;
     }
   }
+  for (const auto& id : stored.delegated) {
+    const auto it = delegated_.find(id);
+    if (it != delegated_.end()) {
+      it->second.stored = true;
+    }
+  }
   for (const auto& [id, end] : stored.visible_end) {
     const auto it = jobs_.find(id);
     if (it != jobs_.end()) {
--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -53,6 +53,8 @@
   std::optional<JobState> StateOf(const JobId& job) const;
   /** Returns whether the job is known, stored or not. */
   bool Knows(const JobId& job) const { return jobs_.contains(job); }
+  /** Returns the cell that decides on the job, if that is stored. */
+  std::optional<ShardId> DelegatedTo(const JobId& job) const;
   /** Returns the number of stored jobs of the queue without a started task. */
   int Pending(const QueueId& queue) const;
   bool IsLoaded() const { return loaded_; }
@@ -72,6 +74,8 @@
     std::set<JobId> accepted;
     /** Expired jobs whose records are to be deleted. */
     std::set<JobId> dropped;
+    /** Jobs whose delegation is to be stored, or deleted if it has expired. */
+    std::set<JobId> delegated;
     /** Answers to callers that are sent once the commit is stored. */
     std::vector<PoolEffect> answers;
     /** Runs that are started once the commit is stored. */
@@ -89,7 +93,7 @@
 
     bool empty() const {
       return dirty.empty() && accepted.empty() && dropped.empty() &&
-             ends.empty();
+             delegated.empty() && ends.empty();
     }
   };
 
@@ -125,6 +129,21 @@
    * without steps that are late. */
   double UpcomingCores(const Job& job) const;
 
+  // Jobs of other cells (pool_engine_delegation.cc).
+  /** Delegates the job to a cell with free cores; returns false if there is
+   * none. */
+  bool Delegate(const Job& job, const ReplyId& reply);
+  /** Returns the cell that should get a job which needs `cores`, or null. Jobs
+   * are spread over cells in proportion to their free cores, since their load
+   * is known with a delay. */
+  CellLoad* ChooseCell(const Job& job, double cores);
+  /** Returns whether this cell lacks the cores or hosts for all tasks of a
+   * long-running job. */
+  bool LacksRoomFor(const Job& job) const;
+  /** Answers a request for a delegated job once the delegation is stored. */
+  void AnswerDelegated(const ReplyId& reply, const JobId& job);
+  void DropExpiredDelegations();
+
   // Jobs (pool_engine.cc).
   /** Stores an unknown job as cancelled, so that a submission of it that is
    * still in transit is refused. */
@@ -276,6 +295,9 @@
     double cores = 0;
   };
   std::map<ServiceId, LateWorkCores> late_work_cores_;
+  /** Jobs that other cells decide on, and their ids by time of the decision. */
+  std::map<JobId, Delegation> delegated_;
+  std::set<std::pair<std::int64_t, JobId>> delegated_at_;
   HostPlan plan_;
   /** When `plan_` was received. */
   Time planned_at_;
--- /dev/null
+++ b/src/libjobs/pool_engine_delegation.cc
@@ -0,0 +1,140 @@
+#include <algorithm>
+#include <chrono>
+#include <limits>
+#include <utility>
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+#include "libjobs/pool_engine.h"
+
+namespace baobab {
+
+namespace {
+
+/** Age of a plan up to which the loads of other cells in it are used; demand
+ * shifts within a second. */
+constexpr Duration kMaxCellLoadAge = std::chrono::milliseconds(1000);
+
+/** Spreads jobs over cells independently of the hash that gives their home. */
+constexpr std::uint64_t kCellChoiceSeed = 1;
+
+double CoresOf(const StepSpec& step) {
+  return static_cast<double>(ResourcesOf(step).cpu_milli) / 1000.0 * step.count;
+}
+
+/** Returns the cores that the job needs at the same time: those of its widest
+ * step, or of all steps if they are long-running. */
+double CoresAtOnce(const Job& job) {
+  double widest = 0;
+  double sum = 0;
+  for (const auto& it : job.spec.steps) {
+    widest = std::max(widest, CoresOf(it));
+    sum += CoresOf(it);
+  }
+  return job.IsLongRunning() ? sum : widest;
+}
+
+}  // namespace
+
+std::optional<ShardId> PoolEngine::DelegatedTo(const JobId& job) const {
+  const auto it = delegated_.find(job);
+  return it == delegated_.end() || !it->second.stored
+             ? std::nullopt
+             : std::optional(it->second.cell);
+}
+
+bool PoolEngine::LacksRoomFor(const Job& job) const {
+  if (!job.IsLongRunning()) {
+    return false;
+  }
+  double free = 0;
+  int hosts = 0;
+  for (const auto& [id, worker] : workers_) {
+    if (worker.entry.service == job.service && worker.IsUsable(now_)) {
+      free += static_cast<double>(worker.Free().cpu_milli) / 1000.0;
+      ++hosts;
+    }
+  }
+  const bool enough_hosts = std::all_of(
+      job.spec.steps.begin(), job.spec.steps.end(), [&](const auto& it) {
+        return it.max_per_worker == 0 || it.count <= it.max_per_worker * hosts;
+      });
+  return !enough_hosts || free < CoresAtOnce(job);
+}
+
+CellLoad* PoolEngine::ChooseCell(const Job& job, double cores) {
+  if (now_ - planned_at_ > kMaxCellLoadAge) {
+    return nullptr;
+  }
+  std::vector<CellLoad*> cells;
+  double sum = 0;
+  for (auto& it : plan_.cells) {
+    if (it.service == job.service && it.cell != shard_ &&
+        it.free_cores >= cores) {
+      cells.push_back(&it);
+      sum += it.free_cores;
+    }
+  }
+  if (cells.empty()) {
+    return nullptr;
+  }
+  const auto hash =
+      XXH64(job.id.value().data(), job.id.value().size(), kCellChoiceSeed);
+  double left =
+      sum * (static_cast<double>(hash) /
+             static_cast<double>(std::numeric_limits<std::uint64_t>::max()));
+  for (auto* it : cells) {
+    left -= it->free_cores;
+    if (left <= 0) {
+      return it;
+    }
+  }
+  return cells.back();
+}
+
+bool PoolEngine::Delegate(const Job& job, const ReplyId& reply) {
+  const double cores = CoresAtOnce(job);
+  CellLoad* chosen = ChooseCell(job, cores);
+  if (!chosen) {
+    return false;
+  }
+  Log("delegate-job", job.id,
+      fmt::format("queue={} service={} cell={} free_cores={:.0f} cores={:.0f}",
+                  job.queue.value(), job.service.value(), chosen->cell.value(),
+                  chosen->free_cores, cores));
+  chosen->free_cores -= cores;
+  delegated_[job.id] = {chosen->cell, wall_ms_, job.submitted_wall_ms, false};
+  delegated_at_.emplace(wall_ms_, job.id);
+  demand_.ForgetJob(job.id);
+  AnswerDelegated(reply, job.id);
+  return true;
+}
+
+void PoolEngine::AnswerDelegated(const ReplyId& reply, const JobId& job) {
+  const auto& delegation = delegated_.at(job);
+  AnswerSubmit answer;
+  answer.reply = reply;
+  answer.verdict = SubmitVerdict::kDelegated;
+  answer.cell = delegation.cell;
+  answer.asked_ago = std::chrono::milliseconds(
+      std::max<std::int64_t>(0, wall_ms_ - delegation.submitted_wall_ms));
+  if (delegation.stored) {
+    effects_.push_back(std::move(answer));
+  } else {
+    staged_.delegated.insert(job);
+    staged_.answers.push_back(std::move(answer));
+  }
+}
+
+void PoolEngine::DropExpiredDelegations() {
+  while (!delegated_at_.empty() &&
+         delegated_at_.begin()->first + tuning_.RetentionMs() < wall_ms_) {
+    const JobId id = delegated_at_.begin()->second;
+    delegated_at_.erase(delegated_at_.begin());
+    delegated_.erase(id);
+    staged_.delegated.insert(id);
+  }
+}
+
+}  // namespace baobab
--- a/src/libjobs/pool_engine_tasks.cc
+++ b/src/libjobs/pool_engine_tasks.cc
@@ -394,6 +394,13 @@
   ReturnToWaiting(job, event.task, *task);
   worker.avoid_until =
       std::max(worker.avoid_until, now_ + tuning_.refusal_backoff);
+  if (event.result == OrderResult::kNotSent) {
+    // The worker accepts no connections: its host may have left the pool. It
+    // gets no further run before it has answered a poll.
+    worker.fence_confirmed = false;
+    worker.next_poll_at = now_;
+    MaybePollWorker(worker);
+  }
   if (event.result == OrderResult::kNoTicket) {
     advice_.RejectTicket(
         {event.task.job, event.task.occurrence, event.task.step}, event.worker);
--- a/src/libjobs/pool_event.h
+++ b/src/libjobs/pool_event.h
@@ -49,6 +49,10 @@
   JobId job;
   QueuePolicy queue;
   JobSpec spec;
+  /** Set if the cell of the job's id has delegated the job to this one. */
+  bool delegated = false;
+  /** Time since the first request for a delegated job. */
+  Duration asked_ago{0};
 };
 
 /** A caller cancels a job. */
--- a/src/libjobs/pool_tuning.h
+++ b/src/libjobs/pool_tuning.h
@@ -54,6 +54,11 @@
   Duration restart_backoff = std::chrono::milliseconds(100);
   /** Minimum time for which the state of an ended job is kept. */
   Duration status_retention = std::chrono::seconds(120);
+  /** Returns the time in ms for which the state of an ended job is kept: longer
+   * than promised, since the owners' clocks differ. */
+  std::int64_t RetentionMs() const {
+    return status_retention.count() / 1000 * 5 / 4;
+  }
   /** Minimum time between two commits; limits the store calls of a shard. */
   Duration min_commit_interval = std::chrono::milliseconds(8);
   /** Age of an unanswered commit from which the store counts as unavailable, so
--- a/src/libjobs/pool_usage.h
+++ b/src/libjobs/pool_usage.h
@@ -31,6 +31,11 @@
   /** Cores that new jobs will keep busy if the current trend continues. */
   double arriving = 0;
 
+  /** Returns the cores that neither runs nor waiting tasks need; may be
+   * negative. */
+  double FreeCores() const {
+    return cores - used - late - long_running - waiting;
+  }
   /** Adds the figures of another cell of the same pool. */
   ServiceUsage& operator+=(const ServiceUsage& other);
 };
@@ -60,6 +65,13 @@
   std::vector<HostUsage> hosts;
 };
 
+/** Free cores of one cell of a pool. */
+struct CellLoad {
+  ServiceId service;
+  ShardId cell{};
+  double free_cores = 0;
+};
+
 /** Instructions of the planner to the owner of a shard, valid until the next
  * plan or until they expire. */
 struct HostPlan {
@@ -74,6 +86,8 @@
     Duration arrives_in{0};
   };
   std::vector<ArrivingHost> arriving;
+  /** Load of the cells of all pools that have a cell in the shard. */
+  std::vector<CellLoad> cells;
 };
 
 }  // namespace baobab
--- a/src/libjobs/stored_job.cc
+++ b/src/libjobs/stored_job.cc
@@ -126,6 +126,16 @@
   return "p/" + id.value();
 }
 
+std::string DelegationKey(const JobId& id) {
+  return "d/" + id.value();
+}
+
+std::string EncodeDelegation(const Delegation& delegation) {
+  return Pack(
+      Json::array({kFormatVersion, delegation.cell.value(),
+                   delegation.decided_wall_ms, delegation.submitted_wall_ms}));
+}
+
 std::string EncodeAcceptance(const Job& job) {
   Json steps = Json::array();
   for (const auto& it : job.spec.steps) {
@@ -187,6 +197,12 @@
       ApplyProgress(it->second, json);
     }
   });
+  decode('d', [&](const JobId& id, const Json& json) {
+    loaded.delegations.insert_or_assign(
+        id, Delegation{ShardId(json.at(1).get<int>()),
+                       json.at(2).get<std::int64_t>(),
+                       json.at(3).get<std::int64_t>(), true});
+  });
   return loaded;
 }
 
--- a/src/libjobs/stored_job.h
+++ b/src/libjobs/stored_job.h
@@ -1,6 +1,7 @@
 #ifndef SRC_LIBJOBS_STORED_JOB_H_
 #define SRC_LIBJOBS_STORED_JOB_H_
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -20,6 +21,21 @@
   bool operator==(const StoredRecord&) const = default;
 };
 
+/** Decision of the cell of a job's id that another cell of the pool decides on
+ * the job. It is stored before that cell sees the job, so that a repeated
+ * request cannot be accepted twice. */
+struct Delegation {
+  ShardId cell{};
+  /** Wall clock in ms since 1970. */
+  std::int64_t decided_wall_ms = 0;
+  /** Wall clock of the first request for the job. */
+  std::int64_t submitted_wall_ms = 0;
+  bool stored = false;
+};
+
+std::string DelegationKey(const JobId& id);
+std::string EncodeDelegation(const Delegation& delegation);
+
 /** Return the keys of the two records of a job: its specification as accepted,
  * and its progress. */
 std::string AcceptanceKey(const JobId& id);
@@ -32,6 +48,7 @@
 /** The jobs decoded from the records of a shard. */
 struct LoadedJobs {
   std::map<JobId, Job> jobs;
+  std::map<JobId, Delegation> delegations;
   /** Records that could not be decoded, as "key: reason". */
   std::vector<std::string> faults;
 };
--- a/tests/fleet_fakes.h
+++ b/tests/fleet_fakes.h
@@ -162,7 +162,7 @@
   void Leave(std::function<void()> done) override {
     platform_.members.erase(member_);
     platform_.AssignShards();
-    boost::asio::post(platform_.loop, done);
+    After(Duration(0), done);
   }
   Duration MemberLifetime() const override { return platform_.lifetime; }
   void ReadOwners(
@@ -207,8 +207,7 @@
                                 records.end());
       outcome = AppendOutcome::kStored;
     }
-    platform_.After(std::chrono::milliseconds(2),
-                    [done, outcome] { done(outcome); });
+    After(std::chrono::milliseconds(2), [done, outcome] { done(outcome); });
   }
   void Append(const ShardStream& stream,
               FenceToken token,
@@ -217,14 +216,13 @@
               Duration,
               std::function<void(AppendOutcome)> done) override {
     if (platform_.cut_off.contains(member_)) {
-      platform_.After(std::chrono::milliseconds(200),
-                      [done] { done(AppendOutcome::kUnknown); });
+      After(std::chrono::milliseconds(200),
+            [done] { done(AppendOutcome::kUnknown); });
       return;
     }
     auto& epoch = platform_.epochs[{stream.shard, stream.writer}];
     if (token.value() < epoch) {
-      boost::asio::post(platform_.loop,
-                        [done] { done(AppendOutcome::kFenced); });
+      After(Duration(0), [done] { done(AppendOutcome::kFenced); });
       return;
     }
     epoch = token.value();
@@ -236,13 +234,13 @@
         shard[it.key] = it.value;
       }
     }
-    platform_.After(std::chrono::milliseconds(2),
-                    [done] { done(AppendOutcome::kStored); });
+    After(std::chrono::milliseconds(2),
+          [done] { done(AppendOutcome::kStored); });
   }
 
   void AwaitPublished(FleetFeed::Callback<PublishedConfig> done) override {
-    platform_.After(std::chrono::milliseconds(50),
-                    [this, done] { done(platform_.published); });
+    After(std::chrono::milliseconds(50),
+          [this, done] { done(platform_.published); });
   }
   void ReportWave(const baobab::ReportWave&,
                   std::function<void(bool)> done) override {
@@ -251,8 +249,7 @@
   void ReadWorkers(
       FleetFeed::Callback<std::shared_ptr<const std::vector<WorkerEntry>>> done)
       override {
-    boost::asio::post(platform_.loop,
-                      [this, done] { done(platform_.workers); });
+    After(Duration(0), [this, done] { done(platform_.workers); });
   }
 
   void Poll(const PollWorker& poll,
@@ -260,8 +257,7 @@
             std::function<void(OrderResult, WorkerReport)> done) override {
     auto& sim = platform_.sim_workers[poll.worker];
     if (token.value() < sim.token) {
-      boost::asio::post(platform_.loop,
-                        [done] { done(OrderResult::kFenced, {}); });
+      After(Duration(0), [done] { done(OrderResult::kFenced, {}); });
       return;
     }
     sim.token = token.value();
@@ -269,7 +265,7 @@
     std::erase_if(sim.ended, [&](const auto& it) {
       return it.number <= poll.acknowledged_ends;
     });
-    platform_.After(std::min(poll.wait, kMaxPollWait), [this, poll, done] {
+    After(std::min(poll.wait, kMaxPollWait), [this, poll, done] {
       auto& sim = platform_.sim_workers[poll.worker];
       Expire(sim);
       WorkerReport report;
@@ -293,12 +289,12 @@
       sim.running.push_back(
           {start.task, start.run, SteadyNow() + std::chrono::milliseconds(80)});
     }
-    boost::asio::post(platform_.loop, [done, result] { done(result); });
+    After(Duration(0), [done, result] { done(result); });
   }
   void Stop(const StopRun& stop, FenceToken, WorkerCalls::Done done) override {
     std::erase_if(platform_.sim_workers[stop.worker].running,
                   [&](const auto& it) { return it.task == stop.task; });
-    boost::asio::post(platform_.loop, [done] { done(OrderResult::kDone); });
+    After(Duration(0), [done] { done(OrderResult::kDone); });
   }
   void Throttle(const ThrottleRun&, FenceToken, WorkerCalls::Done) override {}
   void RequestAdvice(const RequestAdviceEffect& request,
@@ -307,8 +303,7 @@
   }
 
   void List(std::function<void(Result<std::vector<HostInfo>>)> done) override {
-    boost::asio::post(platform_.loop,
-                      [done] { done(std::vector<HostInfo>()); });
+    After(Duration(0), [done] { done(std::vector<HostInfo>()); });
   }
   void Move(const MoveHost&,
             FenceToken,
@@ -318,19 +313,30 @@
                 std::function<void(HostOrderResult)>) override {}
 
  private:
+  /** Runs `action` later, unless the node of these interfaces has been
+   * destroyed by then. */
+  void After(Duration delay, std::function<void()> action) {
+    platform_.After(delay, [weak = std::weak_ptr<bool>(alive_),
+                            action = std::move(action)] {
+      if (weak.lock()) {
+        action();
+      }
+    });
+  }
+
   static constexpr Duration kMaxPollWait = std::chrono::milliseconds(20);
 
   template <typename D, typename F>
   void Call(D done, F work) {
     if (platform_.cut_off.contains(member_)) {
-      platform_.After(std::chrono::milliseconds(200), [done] {
+      After(std::chrono::milliseconds(200), [done] {
         done(tl::unexpected(Error{"call", "store", "no answer"}));
       });
       return;
     }
     auto result = work();
-    platform_.After(std::chrono::milliseconds(2),
-                    [done, result = std::move(result)] { done(result); });
+    After(std::chrono::milliseconds(2),
+          [done, result = std::move(result)] { done(result); });
   }
 
   void Expire(FakePlatform::SimWorker& sim) {
@@ -346,6 +352,7 @@
 
   FakePlatform& platform_;
   const std::string member_;
+  const std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace baobab
--- a/tests/fleet_node_test.cc
+++ b/tests/fleet_node_test.cc
@@ -242,8 +242,8 @@
   testing::internal::GetCapturedStdout();
 }
 
-// A pool in two cells with an owner each. Guards against jobs that only the node
-// of their cell knows, a count of pending jobs that leaves out a cell, and
+// A pool in two cells with an owner each. Guards against jobs that only the
+// node of their cell knows, a count of pending jobs that leaves out a cell, and
 // workers that two owners or none use.
 TEST(DividedPoolTest, ServesJobsOfAllCellsThroughAnyNode) {
   testing::internal::CaptureStdout();
@@ -271,10 +271,10 @@
   loop.run_for(milliseconds(600));
   for (const auto& node : nodes) {
     for (int i = 0; i < 8; ++i) {
-      EXPECT_EQ(CallNode(loop, *node, "GET",
-                         "/jobs/queue/j" + std::to_string(i))
-                    .body,
-                R"({"state":"completed"})");
+      EXPECT_EQ(
+          CallNode(loop, *node, "GET", "/jobs/queue/j" + std::to_string(i))
+              .body,
+          R"({"state":"completed"})");
     }
     EXPECT_EQ(CallNode(loop, *node, "GET", "/jobs/queue").body,
               R"({"pending":0})");
@@ -312,14 +312,12 @@
             503);
   loop.run_for(milliseconds(2500));
   ASSERT_EQ(platform.division.size(), 1u);
-  EXPECT_EQ(DecodeDivision(platform.division)
-                .CellsOf(ServiceId("service"))
-                .size(),
-            2u);
+  EXPECT_EQ(
+      DecodeDivision(platform.division).CellsOf(ServiceId("service")).size(),
+      2u);
   for (int i = 0; i < 4; ++i) {
     EXPECT_EQ(CallNode(loop, *nodes[0], "POST",
-                       "/jobs/queue/j" + std::to_string(i),
-                       FleetNodeTest::kJob)
+                       "/jobs/queue/j" + std::to_string(i), FleetNodeTest::kJob)
                   .status,
               200);
   }
@@ -327,10 +325,10 @@
   loop.run_for(milliseconds(2500));
   EXPECT_EQ(platform.division.size(), 1u);
   for (int i = 0; i < 4; ++i) {
-    EXPECT_EQ(CallNode(loop, *nodes[1], "GET",
-                       "/jobs/queue/j" + std::to_string(i))
-                  .status,
-              200);
+    EXPECT_EQ(
+        CallNode(loop, *nodes[1], "GET", "/jobs/queue/j" + std::to_string(i))
+            .status,
+        200);
   }
   testing::internal::GetCapturedStdout();
 }
--- a/tests/host_planner_test.cc
+++ b/tests/host_planner_test.cc
@@ -350,6 +350,27 @@
   EXPECT_GE(world.Cores("hot"), 64);
 }
 
+// Guards against runs that are placed on the worker of a host that has left the
+// pool: the platform lists it until three heartbeats are missing.
+TEST(HostPlannerTest, KeepsHostsReservedInThePoolThatTheyLeft) {
+  PlannerWorld world;
+  for (int i = 0; i < 9; ++i) {
+    world.AddHost("hot" + std::to_string(i), "hot");
+  }
+  world.AddHost("off0", "off");
+  world.Start();
+  while (world.moves.empty()) {
+    world.Round();
+  }
+  const HostId host = world.moves[0].first;
+  for (int i = 0; i < 55; ++i) {
+    world.Round();
+    EXPECT_TRUE(world.IsReserved(host)) << i;
+  }
+  world.Rounds(30);
+  EXPECT_FALSE(world.IsReserved(host));
+}
+
 // Guards against hosts that leave a pool while its tasks wait for capacity.
 TEST(HostPlannerTest, ReturnsNoHostOfAPoolInDemand) {
   PlannerWorld world;
--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -119,6 +119,24 @@
     Post(engine, token, SubmitRequested{reply, JobId(id), Queue(), spec});
   }
 
+  /** Submits a job that the cell of its id has delegated to this one. */
+  void SubmitDelegated(const std::string& id,
+                       JobSpec spec,
+                       Duration asked_ago) {
+    submitted[JobId(id)] = spec;
+    const ReplyId reply(++replies_);
+    submit_replies_[reply] = JobId(id);
+    Post(engine, token,
+         SubmitRequested{reply, JobId(id), Queue(), spec, true, asked_ago});
+  }
+
+  /** Reports the free cores of another cell of the pool to the owner. */
+  void PlanCell(ShardId cell, double free_cores) {
+    HostPlan plan;
+    plan.cells = {{service, cell, free_cores}};
+    Post(engine, token, HostsPlanned{plan});
+  }
+
   void Cancel(const std::string& id) {
     const ReplyId reply(++replies_);
     cancel_replies_[reply] = JobId(id);
@@ -194,6 +212,8 @@
   std::set<TaskId> acknowledged_done;
   std::vector<std::string> violations;
   std::map<JobId, SubmitVerdict> verdicts;
+  /** Cells in the answers for delegated jobs. */
+  std::map<JobId, ShardId> delegated_to;
   std::map<JobId, JobSpec> submitted;
   std::map<JobId, Time> cancelled_at;
   std::set<JobId> cancel_not_found;
@@ -561,13 +581,19 @@
   }
 
   void Execute(const Engine&, std::int64_t, AnswerSubmit& answer) {
-    verdicts[submit_replies_.at(answer.reply)] = answer.verdict;
+    const auto& job = submit_replies_.at(answer.reply);
+    verdicts[job] = answer.verdict;
+    if (answer.verdict == SubmitVerdict::kDelegated) {
+      delegated_to[job] = answer.cell;
+    }
   }
 
   void Execute(const Engine&, std::int64_t, AnswerCancel& answer) {
     const auto& job = cancel_replies_.at(answer.reply);
     cancelled_at[job] = now;
-    if (!answer.found) {
+    if (answer.cell) {
+      delegated_to[job] = *answer.cell;
+    } else if (!answer.found) {
       cancel_not_found.insert(job);
     }
   }
--- a/tests/pool_division_test.cc
+++ b/tests/pool_division_test.cc
@@ -102,9 +102,9 @@
     for (int pool = 0; pool <= i; ++pool) {
       pools.insert(ServiceId("pool" + std::to_string(pool)));
     }
-    for (auto& it : DividePools(
-             current, InputOf(pools, *rc::gen::inRange(0, 900),
-                              *rc::gen::inRange(0, 1000), shards))) {
+    for (auto& it :
+         DividePools(current, InputOf(pools, *rc::gen::inRange(0, 900),
+                                      *rc::gen::inRange(0, 1000), shards))) {
       records.push_back(std::move(it));
     }
     if (*rc::gen::arbitrary<bool>()) {
--- /dev/null
+++ b/tests/pool_engine_delegation_test.cc
@@ -0,0 +1,178 @@
+#include <gtest/gtest.h>
+
+#include <chrono>
+
+#include "job_world.h"
+
+namespace baobab {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const ShardId kOtherCell{2};
+
+/** A cell with one host of 64 cores whose pool has another cell. */
+class DelegationTest : public testing::Test {
+ protected:
+  void SetUp() override {
+    world.AddWorker("w1");
+    world.TakeOver();
+    world.Advance(milliseconds(300));
+  }
+
+  void TearDown() override {
+    for (const auto& it : world.violations) {
+      ADD_FAILURE() << it;
+    }
+  }
+
+  static JobSpec Work(int count, std::int64_t cores, int duration_ms) {
+    JobSpec spec;
+    spec.payload = "work";
+    spec.steps = {JobWorld::Step(count, cores, duration_ms)};
+    return spec;
+  }
+
+  /** Keeps all cores of the cell busy for 8 s. */
+  void FillCell() {
+    world.Submit("filler", Work(8, 8, 8000));
+    world.Advance(milliseconds(200));
+    ASSERT_EQ(world.verdicts.at(JobId("filler")), SubmitVerdict::kAccepted);
+  }
+
+  JobWorld world;
+};
+
+struct DelegationCase {
+  const char* name;
+  double free_cores_elsewhere;
+  int plan_age_ms;
+  bool delegated_before;
+  SubmitVerdict verdict;
+};
+
+class FullCellTest : public DelegationTest,
+                     public testing::WithParamInterface<DelegationCase> {};
+
+// Demand of a peak that one cell cannot serve. Guards against jobs that are
+// refused while another cell has free cores, that are sent to a cell without
+// room, or that cells pass on to each other.
+TEST_P(FullCellTest, DelegatesToACellWithFreeCores) {
+  FillCell();
+  world.PlanCell(kOtherCell, GetParam().free_cores_elsewhere);
+  world.Advance(milliseconds(GetParam().plan_age_ms));
+  if (GetParam().delegated_before) {
+    world.SubmitDelegated("j1", Work(4, 8, 600), milliseconds(10));
+  } else {
+    world.Submit("j1", Work(4, 8, 600));
+  }
+  world.Advance(milliseconds(50));
+  EXPECT_EQ(world.verdicts.at(JobId("j1")), GetParam().verdict);
+  EXPECT_EQ(world.delegated_to.contains(JobId("j1")),
+            GetParam().verdict == SubmitVerdict::kDelegated);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Loads,
+    FullCellTest,
+    testing::Values(
+        DelegationCase{"FreeElsewhere", 64, 0, false,
+                       SubmitVerdict::kDelegated},
+        DelegationCase{"FullElsewhere", 16, 0, false, SubmitVerdict::kRefused},
+        DelegationCase{"OldLoads", 64, 1500, false, SubmitVerdict::kRefused},
+        DelegationCase{"DelegatedBefore", 64, 0, true,
+                       SubmitVerdict::kRefused}),
+    [](const auto& it) { return it.param.name; });
+
+// Guards against a cell that gives work away which it can do itself.
+TEST_F(DelegationTest, KeepsWhatItCanDoInTime) {
+  world.PlanCell(kOtherCell, 640);
+  world.Submit("j1", Work(4, 8, 600));
+  world.Advance(milliseconds(50));
+  EXPECT_EQ(world.verdicts.at(JobId("j1")), SubmitVerdict::kAccepted);
+}
+
+// Guards against free cores that are promised to more jobs than they suffice
+// for between two reports of the load.
+TEST_F(DelegationTest, CountsTheCoresOfDelegatedJobs) {
+  FillCell();
+  world.PlanCell(kOtherCell, 70);
+  for (const char* it : {"j1", "j2", "j3"}) {
+    world.Submit(it, Work(4, 8, 600));
+  }
+  world.Advance(milliseconds(50));
+  EXPECT_EQ(world.delegated_to.size(), 2u);
+  EXPECT_EQ(world.verdicts.at(JobId("j3")), SubmitVerdict::kRefused);
+}
+
+// Guards against a job that two cells accept: a repeated request must find the
+// first decision, also after the cell has room again and its owner was
+// replaced.
+TEST_F(DelegationTest, RepeatsGetTheFirstDecision) {
+  FillCell();
+  world.PlanCell(kOtherCell, 64);
+  world.Submit("j1", Work(4, 8, 600));
+  world.Advance(milliseconds(50));
+  ASSERT_TRUE(world.delegated_to.contains(JobId("j1")));
+  for (const bool taken_over : {false, true}) {
+    if (taken_over) {
+      world.TakeOver();
+    }
+    world.Advance(seconds(9));
+    world.delegated_to.clear();
+    world.Submit("j1", Work(4, 8, 600));
+    world.Advance(milliseconds(50));
+    EXPECT_EQ(world.delegated_to[JobId("j1")], kOtherCell) << taken_over;
+    EXPECT_EQ(world.engine->DelegatedTo(JobId("j1")), kOtherCell) << taken_over;
+  }
+  EXPECT_EQ(world.starts, 8);
+}
+
+// Guards against a decision that is lost with its owner after the other cell
+// has accepted the job.
+TEST_F(DelegationTest, AnswersOnlyOnceTheDecisionIsStored) {
+  FillCell();
+  world.PlanCell(kOtherCell, 64);
+  world.store_up = false;
+  world.Submit("j1", Work(4, 8, 600));
+  world.Submit("j1", Work(4, 8, 600));
+  world.Cancel("j1");
+  world.Advance(milliseconds(500));
+  EXPECT_FALSE(world.verdicts.contains(JobId("j1")));
+  EXPECT_FALSE(world.cancelled_at.contains(JobId("j1")));
+  EXPECT_EQ(world.engine->DelegatedTo(JobId("j1")), std::nullopt);
+  world.store_up = true;
+  world.Advance(milliseconds(500));
+  EXPECT_EQ(world.delegated_to[JobId("j1")], kOtherCell);
+  EXPECT_TRUE(world.cancelled_at.contains(JobId("j1")));
+}
+
+// Guards against decisions that are kept for ever.
+TEST_F(DelegationTest, DropsOldDecisions) {
+  world.tuning.status_retention = seconds(8);
+  world.TakeOver();
+  world.Advance(milliseconds(300));
+  FillCell();
+  world.PlanCell(kOtherCell, 64);
+  world.Submit("j1", Work(4, 8, 600));
+  world.Advance(seconds(9));
+  EXPECT_TRUE(world.store.contains(DelegationKey(JobId("j1"))));
+  world.Advance(seconds(2));
+  EXPECT_FALSE(world.store.contains(DelegationKey(JobId("j1"))));
+}
+
+// Guards against long-running tasks that wait for ever in a cell with too few
+// hosts while another cell has enough.
+TEST_F(DelegationTest, DelegatesLongRunningJobsThatLackHosts) {
+  auto spec = Work(3, 8, 1000);
+  spec.steps[0].long_running = true;
+  spec.steps[0].max_per_worker = 1;
+  world.PlanCell(kOtherCell, 200);
+  world.Submit("j1", spec);
+  world.Advance(milliseconds(50));
+  EXPECT_EQ(world.verdicts.at(JobId("j1")), SubmitVerdict::kDelegated);
+}
+
+}  // namespace
+}  // namespace baobab
