--- a/src/libfleet/fleet_node.cc
+++ b/src/libfleet/fleet_node.cc
@@ -13,6 +13,9 @@
 /** Membership renewals per lifetime, so that two may be lost. */
 constexpr int kRenewalsPerLifetime = 3;
 constexpr Duration kRetryDelay = std::chrono::milliseconds(200);
+/** Delay before a node joins the owners again after it failed with a shard. It
+ * lets the others take over the shard. */
+constexpr Duration kRejoinDelay = std::chrono::milliseconds(1000);
 /** Interval between reads of the worker list. A worker that starts to drain is
  * noticed after this time plus the list's own lag. */
 constexpr Duration kWorkerListInterval = std::chrono::milliseconds(300);
@@ -51,6 +54,11 @@
       peer_server_(
           ports.loop,
           [this](HttpRequest request, AsyncHttpServer::Responder respond) {
+            if (request.target == kRebalancedTarget) {
+              RenewMembershipNow();
+              respond({200, {}, ""});
+              return;
+            }
             ServePeer(
                 request, [this](ShardId it) { return FindLoadedShard(it); },
                 MakeMembershipCheck(), std::move(respond));
@@ -186,7 +194,8 @@
                                   return SteadyNow() - renewal_sent_at_ <
                                          kMaxRenewalAgeForOrders;
                                 },
-                                [this](ShardId it) { OnFenced(it); }};
+                                [this](ShardId it) { OnFenced(it); },
+                                [this](ShardId it) { OnFailed(it); }};
   SetPlannerOwned(held.contains(kPlannerShard));
   for (const auto& it : held) {
     if (shards_.contains(it)) {
@@ -224,6 +233,19 @@
   });
 }
 
+void FleetNode::OnFailed(ShardId shard) {
+  // Posted, because the caller is a shard that is destroyed here.
+  boost::asio::post(ports_.loop, [this, shard] {
+    if (leaving_ || !participating_ || !shards_.contains(shard)) {
+      return;
+    }
+    // Joining again raises the generation, so that the next owner, perhaps this
+    // node, fences the current one.
+    ReleaseShards();
+    join_timer_.Set(kRejoinDelay, [this] { MembershipLoop(); });
+  });
+}
+
 std::function<bool()> FleetNode::MakeMembershipCheck() const {
   return [this] {
     return SteadyNow() - renewal_sent_at_ < ports_.store.MemberLifetime();
--- a/src/libfleet/fleet_node.h
+++ b/src/libfleet/fleet_node.h
@@ -133,6 +133,9 @@
   void TickLoop();
   /** Stops a shard that a later owner has fenced. */
   void OnFenced(ShardId shard);
+  /** Gives up all shards after an unexpected error of one, and joins the owners
+   * again later. */
+  void OnFailed(ShardId shard);
   /** Returns a predicate that is true while no other node can own the shards of
    * this one. */
   std::function<bool()> MakeMembershipCheck() const;
--- a/src/libfleet/loop_timer.h
+++ b/src/libfleet/loop_timer.h
@@ -1,6 +1,9 @@
 #ifndef SRC_LIBFLEET_LOOP_TIMER_H_
 #define SRC_LIBFLEET_LOOP_TIMER_H_
 
+#include <time.h>
+
+#include <chrono>
 #include <functional>
 #include <utility>
 
@@ -32,10 +35,15 @@
   boost::asio::steady_timer timer_;
 };
 
-/** Returns the time of the system's steady clock. */
+/** Returns the time since the machine started, which includes the time while it
+ * was suspended. Leases and memberships expire during that time, but the
+ * monotonic clock does not count it. */
 inline Time SteadyNow() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
   return Time(std::chrono::duration_cast<Duration>(
-      std::chrono::steady_clock::now().time_since_epoch()));
+      std::chrono::seconds(now.tv_sec) +
+      std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 /** Returns the wall clock time in milliseconds since 1970. */
--- a/src/libfleet/shard_owner.cc
+++ b/src/libfleet/shard_owner.cc
@@ -129,6 +129,11 @@
 }
 
 void ShardOwner::Cancel(const JobId& job, CancelDone done) {
+  if (!IsLoaded()) {
+    done(tl::unexpected(
+        Error{"cancel job", job.value(), "the shard is not loaded"}));
+    return;
+  }
   const ReplyId reply(++last_reply_id_);
   cancels_.emplace(reply, std::move(done));
   Post(CancelRequested{reply, job});
@@ -168,10 +173,18 @@
   if (stopped_) {
     return;
   }
-  auto effects =
-      engine_.Apply({SteadyNow(), WallMilliseconds(), std::move(body)});
-  for (auto& it : effects) {
-    Execute(it);
+  try {
+    auto effects =
+        engine_.Apply({SteadyNow(), WallMilliseconds(), std::move(body)});
+    for (auto& it : effects) {
+      Execute(it);
+    }
+  } catch (const std::exception& error) {
+    // The state may be incomplete; the next owner loads it from the store.
+    ports_.log.Write(
+        "shard-failed", "",
+        fmt::format("shard={} fault=\"{}\"", shard_.value(), error.what()));
+    ports_.on_failed(shard_);
   }
 }
 
@@ -253,6 +266,11 @@
           });
     }
     void operator()(const StopRun& it) {
+      if (!self.ports_.may_send_orders()) {
+        PostLater(
+            StopFinished{it.worker, it.task, it.run, OrderResult::kNotSent});
+        return;
+      }
       self.ports_.workers.Stop(it, self.token_,
                                [post = post, worker = it.worker, task = it.task,
                                 run = it.run](OrderResult result) {
@@ -260,6 +278,10 @@
                                });
     }
     void operator()(const ThrottleRun& it) {
+      if (!self.ports_.may_send_orders()) {
+        PostLater(ThrottleFinished{it.task, it.run, OrderResult::kNotSent});
+        return;
+      }
       self.ports_.workers.Throttle(
           it, self.token_,
           [post = post, task = it.task, run = it.run](OrderResult result) {
--- a/src/libfleet/shard_owner.h
+++ b/src/libfleet/shard_owner.h
@@ -46,6 +46,9 @@
     std::function<bool()> may_send_orders;
     /** Called when a later owner has fenced the shard. */
     std::function<void(ShardId)> on_fenced;
+    /** Called after an unexpected error, when the state in memory may be
+     * incomplete. */
+    std::function<void(ShardId)> on_failed;
   };
 
   using SubmitDone = std::function<void(Result<SubmitAnswer>)>;
--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -192,6 +192,8 @@
   void MaybePollWorker(Worker& worker);
   /** Loses the runs of unreachable workers whose leases have expired. */
   void ExpireLeases();
+  /** Returns whether all runs on the worker have ended, even if it is alive. */
+  bool LeaseHasExpired(const Worker& worker) const;
   /** Stops long-running tasks on draining workers, and on reserved ones if
    * another worker can take them. */
   void EvacuateWorkers();
--- a/src/libjobs/pool_engine_workers.cc
+++ b/src/libjobs/pool_engine_workers.cc
@@ -92,7 +92,10 @@
         Log("worker-unlisted", JobId(),
             fmt::format("worker={} runs={}", id.value(), worker.runs.size()));
       }
-      if (loaded_ && now_ - worker.unlisted_at > tuning_.unlisted_timeout) {
+      // A worker that is cut off from the platform's store only goes on with
+      // its runs, which end with their lease at the earliest.
+      if (loaded_ && now_ - worker.unlisted_at > tuning_.unlisted_timeout &&
+          (!worker.fence_confirmed || LeaseHasExpired(worker))) {
         LoseRuns(worker, "no-longer-listed");
       }
       if (worker.runs.empty()) {
@@ -430,17 +433,19 @@
         (worker.fence_confirmed && worker.missed_polls == 0)) {
       continue;
     }
-    const bool expired =
-        worker.fence_confirmed || worker.lease_sent_ms != 0
-            ? worker.MinClockAt(now_ - kLeaseMargin, tuning_.clock_drift) >
-                  worker.lease_sent_ms
-            : now_ > worker.inherited_until;
-    if (expired) {
+    if (LeaseHasExpired(worker)) {
       LoseRuns(worker, "lease-expired");
     }
   }
 }
 
+bool PoolEngine::LeaseHasExpired(const Worker& worker) const {
+  return worker.fence_confirmed || worker.lease_sent_ms != 0
+             ? worker.MinClockAt(now_ - kLeaseMargin, tuning_.clock_drift) >
+                   worker.lease_sent_ms
+             : now_ > worker.inherited_until;
+}
+
 bool PoolEngine::MayStopLongRunning(Job& job, const TaskId& id) const {
   const auto& spec = job.Step(id.step);
   const auto& tasks = job.occurrences.at(id.occurrence)
--- a/src/libnet/async_http_server.cc
+++ b/src/libnet/async_http_server.cc
@@ -1,6 +1,7 @@
 #include "libnet/async_http_server.h"
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
 #include <set>
 #include <utility>
@@ -159,8 +160,10 @@
     server_->handler_(
         std::move(request),
         // Owns the session, which keeps the connection open until the response.
-        [self = shared_from_this()](HttpResponse answer) {
-          if (self->request_pending_ && !self->responding_) {
+        [self = shared_from_this(),
+         number = ++request_number_](HttpResponse answer) {
+          if (number == self->request_number_ && self->request_pending_ &&
+              !self->responding_) {
             self->Respond(std::move(answer));
           }
         });
@@ -236,6 +239,9 @@
   bool body_started_ = false;
   /** A request was received whose response is not fully sent. */
   bool request_pending_ = false;
+  /** Number of the newest request on this connection; a second response to an
+   * earlier one is dropped. */
+  std::uint64_t request_number_ = 0;
   /** The response is being sent. */
   bool responding_ = false;
   bool close_after_answer_ = false;
--- a/tests/async_http_test.cc
+++ b/tests/async_http_test.cc
@@ -76,6 +76,27 @@
   EXPECT_EQ(client.counters().connections, 1u);
 }
 
+// Guards against a second answer to an earlier request that is taken as the
+// answer to the next one on the same connection.
+TEST_F(AsyncHttpTest, LateSecondAnswerIsDropped) {
+  AsyncHttpServer::Responder first;
+  Serve([&](const HttpRequest& request,
+            const AsyncHttpServer::Responder& respond) {
+    if (!first) {
+      first = respond;
+    } else {
+      first({200, {}, "second answer"});
+    }
+    respond({200, {}, request.body});
+  });
+  for (const char* it : {"one", "two"}) {
+    const auto answer = Call({"POST", "/", {}, it});
+    ASSERT_TRUE(answer.has_value()) << answer.error().message;
+    EXPECT_EQ(answer->body, it);
+  }
+  EXPECT_EQ(client.counters().connections, 1u);
+}
+
 // Guards against callers that stall within a request head and delay others: 400
 // of them held all threads of the former thread-per-connection server for 10 s.
 TEST_F(AsyncHttpTest, IncompleteHeadsDelayNoOtherCall) {
--- a/tests/fleet_fakes.h
+++ b/tests/fleet_fakes.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <stdexcept>
 #include <string>
 #include <utility>
 #include <vector>
@@ -60,6 +61,15 @@
     workers = list;
   }
 
+  /** Marks all workers as draining. */
+  void DrainWorkers() {
+    auto list = std::make_shared<std::vector<WorkerEntry>>(*workers);
+    for (auto& it : *list) {
+      it.draining = true;
+    }
+    workers = list;
+  }
+
   /** Stores a division of the pool, as if an earlier planner had made it. */
   void Divide(const std::string& pool, const std::vector<ShardId>& cells) {
     auto json = nlohmann::json::array();
@@ -134,6 +144,12 @@
   std::shared_ptr<const std::vector<WorkerEntry>> workers;
   std::map<WorkerId, SimWorker> sim_workers;
   std::map<TaskId, int> starts;
+  /** Time after which each run ends. */
+  Duration run_time = std::chrono::milliseconds(80);
+  /** Number of stop orders. */
+  int stops = 0;
+  /** Number of start orders, from the first, whose call throws. */
+  int throwing_starts = 0;
   /** Members whose calls get no answer. */
   std::set<std::string> cut_off;
 };
@@ -281,17 +297,22 @@
   void Start(const StartRun& start,
              FenceToken token,
              WorkerCalls::Done done) override {
+    if (platform_.throwing_starts > 0) {
+      --platform_.throwing_starts;
+      throw std::runtime_error("start failed");
+    }
     auto& sim = platform_.sim_workers[start.worker];
     auto result = OrderResult::kFenced;
     if (token.value() >= sim.token) {
       result = OrderResult::kDone;
       ++platform_.starts[start.task];
       sim.running.push_back(
-          {start.task, start.run, SteadyNow() + std::chrono::milliseconds(80)});
+          {start.task, start.run, SteadyNow() + platform_.run_time});
     }
     After(Duration(0), [done, result] { done(result); });
   }
   void Stop(const StopRun& stop, FenceToken, WorkerCalls::Done done) override {
+    ++platform_.stops;
     std::erase_if(platform_.sim_workers[stop.worker].running,
                   [&](const auto& it) { return it.task == stop.task; });
     After(Duration(0), [done] { done(OrderResult::kDone); });
--- a/tests/fleet_node_test.cc
+++ b/tests/fleet_node_test.cc
@@ -9,6 +9,7 @@
 
 #include "fleet_fakes.h"
 #include "free_port.h"
+#include "libfleet/loop_runner.h"
 
 namespace baobab {
 namespace {
@@ -136,6 +137,29 @@
   }
 }
 
+// Guards against shards that stay without an owner until the next renewal when
+// a node leaves as planned.
+TEST_F(FleetNodeTest, OthersTakeOverAtOnceFromALeavingNode) {
+  auto& owner = Owner();
+  auto& other = Other();
+  platform.lifetime = std::chrono::seconds(9);
+  // The nodes read the list of owners each 2 s.
+  loop.run_for(milliseconds(1700));
+  owner.node.Leave();
+  loop.run_for(milliseconds(400));
+  EXPECT_EQ(Call(other, "POST", "/jobs/queue/j1", kJob).status, 200);
+}
+
+// Guards against an unexpected error in one handler that ends the process, or
+// leaves a shard without an owner.
+TEST_F(FleetNodeTest, SurvivesAnErrorOfAHandler) {
+  platform.throwing_starts = 1;
+  EXPECT_EQ(Call(Other(), "POST", "/jobs/queue/j1", kJob).status, 200);
+  EXPECT_NO_THROW(loop.run_for(milliseconds(2500)));
+  EXPECT_EQ(Call(Other(), "GET", "/jobs/queue/j1").body,
+            R"({"state":"completed"})");
+}
+
 // Guards against an owner that lost its connection to the store, was replaced,
 // and still accepts jobs or answers that a job does not exist.
 TEST_F(FleetNodeTest, DisconnectedNodeGivesNoDefiniteAnswer) {
@@ -164,6 +188,18 @@
   EXPECT_LT(SteadyNow() - begin, milliseconds(1000));
 }
 
+// Guards against an exception that ends the process, or the handlers after it.
+TEST(RunLoopTest, ExceptionEndsOnlyItsHandler) {
+  boost::asio::io_context loop;
+  bool handled = false;
+  boost::asio::post(loop, [] { throw std::runtime_error("malformed"); });
+  boost::asio::post(loop, [&] { handled = true; });
+  std::vector<std::string> faults;
+  RunLoop(loop, [&](const char* what) { faults.emplace_back(what); });
+  EXPECT_TRUE(handled);
+  EXPECT_EQ(faults, std::vector<std::string>{"malformed"});
+}
+
 struct BadCall {
   const char* name;
   const char* method;
--- a/tests/platform_decode_test.cc
+++ b/tests/platform_decode_test.cc
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "platform/decode.h"
+#include "platform/followed_topic.h"
 #include "platform/log_records.h"
 
 namespace baobab::platform {
@@ -25,6 +26,20 @@
   EXPECT_FALSE(worker->draining);
 }
 
+// Guards against a slow reader that decodes each configuration of a quick
+// succession: it reports a key once, with its newest value.
+TEST(FollowedTopicTest, ReportsAChangedKeyOnce) {
+  FollowedTopic topic{"keyed.op"};
+  topic.Reset({{"config", "v1"}, {"wave/1", "w"}}, 7);
+  topic.changed.clear();
+  topic.Append(
+      {{"config", "v2"}, {"config", "v3"}, {"wave/1", ""}, {"config", "v4"}});
+  EXPECT_EQ(topic.changed, (std::set<std::string>{"config", "wave/1"}));
+  EXPECT_EQ(topic.values,
+            (std::map<std::string, std::string>{{"config", "v4"}}));
+  EXPECT_EQ(topic.next, 11u);
+}
+
 class BadWorkerTest : public testing::TestWithParam<const char*> {};
 
 // Guards against invalid entries, such as those of other writers, that are used
--- a/tests/pool_engine_test.cc
+++ b/tests/pool_engine_test.cc
@@ -86,6 +86,66 @@
   EXPECT_EQ(world.State("j1"), JobState::kCompleted);
 }
 
+struct UnlistedCase {
+  const char* name;
+  bool answers;
+  /** Expected starts of the only task within 8 s. */
+  int starts;
+};
+
+class UnlistedWorkerTest : public PoolEngineTest,
+                           public testing::WithParamInterface<UnlistedCase> {};
+
+// Guards against runs that are started again elsewhere because the platform's
+// list lacks their worker, although it answers and still runs them; and against
+// runs that wait for ever for a worker that is gone.
+TEST_P(UnlistedWorkerTest, LosesRunsOnlyWithTheirLease) {
+  JobSpec spec;
+  spec.payload = "work";
+  spec.steps = {JobWorld::Step(1, 4, 7000)};
+  world.Submit("j1", spec);
+  world.Advance(milliseconds(500));
+  const TaskId task{JobId("j1"), 0, 0, 0};
+  WorkerId runs_on;
+  for (const auto& [id, worker] : world.workers) {
+    if (worker.runs.contains(task)) {
+      runs_on = id;
+    } else {
+      world.listed.insert(id);
+    }
+  }
+  ASSERT_EQ(world.listed.size(), 2u);
+  if (!GetParam().answers) {
+    world.Crash(runs_on);
+  }
+  world.Advance(milliseconds(7500));
+  EXPECT_EQ(world.starts, GetParam().starts);
+}
+
+INSTANTIATE_TEST_SUITE_P(Workers,
+                         UnlistedWorkerTest,
+                         testing::Values(UnlistedCase{"Answers", true, 1},
+                                         UnlistedCase{"Crashed", false, 2}),
+                         [](const auto& it) { return it.param.name; });
+
+// Guards against runs that are placed on a worker which left before the owner
+// of its shard was replaced.
+TEST_F(PoolEngineTest, NewOwnerUsesNoWorkerThatLeft) {
+  world.Submit("j1", TwoSteps());
+  world.Advance(seconds(3));
+  world.listed = {WorkerId("w2"), WorkerId("w3")};
+  world.Advance(milliseconds(600));
+  world.TakeOver();
+  world.Advance(milliseconds(300));
+  JobSpec spec;
+  spec.payload = "work";
+  spec.steps = {JobWorld::Step(48, 4, 500)};
+  world.Submit("j2", spec);
+  world.Advance(milliseconds(200));
+  EXPECT_TRUE(world.workers.at(WorkerId("w1")).runs.empty());
+  EXPECT_FALSE(world.workers.at(WorkerId("w2")).runs.empty());
+}
+
 struct TakeoverCase {
   const char* name;
   int after_ms;
