libfleet: a node without the store learns the owners from other nodes

Another node owned the pool after 1.7 s, yet callers of the cut-off nodes were refused until the end, 107 times store-away and 111 times owner-unreachable, since their list of owners came from the store only. Change: when the store gives no list of owners, the node asks the other nodes in turn (/owners), and it forwards to a new owner once its own membership may have expired. Refusals for certain still need a valid membership at the owner. Checks: DisconnectedNodeGivesNoDefiniteAnswer expected that a cut-off node accepts nothing. It may accept now, through the new owner; two tests take the place of that line: the job must be done once and be known on all nodes, and a cut-off node without others still accepts and denies nothing.

--- a/src/libfleet/fleet_node.cc
+++ b/src/libfleet/fleet_node.cc
@@ -23,6 +23,10 @@
  * calls to an owner. */
 constexpr Duration kOwnerListInterval = std::chrono::milliseconds(2000);
 constexpr Duration kMinOwnerRefreshInterval = std::chrono::milliseconds(150);
+/** Age of a list of owners up to which it is passed on to other nodes. */
+constexpr Duration kMaxOwnersAge = std::chrono::milliseconds(2500);
+/** Timeout of asking another node for the list of owners. */
+constexpr Duration kPeerOwnersTimeout = std::chrono::milliseconds(300);
 /** Tick interval of the engines; their timers are multiples of it. */
 constexpr Duration kTickInterval = std::chrono::milliseconds(50);
 /** Tick interval without shards, when only the log is flushed. */
@@ -59,6 +63,12 @@
               respond({200, {}, ""});
               return;
             }
+            if (request.target == kOwnersTarget) {
+              respond(SteadyNow() - owners_current_at_ < kMaxOwnersAge
+                          ? OwnersAnswer(owners_)
+                          : HttpResponse{503, {}, ""});
+              return;
+            }
             ServePeer(
                 request, [this](ShardId it) { return FindLoadedShard(it); },
                 MakeMembershipCheck(), std::move(respond));
@@ -154,9 +164,13 @@
       renewal_sent_at_ = sent_at;
       store_answered_at_ = SteadyNow();
       OnMembership(*joined);
-    } else if (!std::exchange(store_unreachable_, true)) {
-      ports_.log.Write("store-lost", "",
-                       fmt::format("fault=\"{}\"", ToString(joined.error())));
+    } else {
+      if (!std::exchange(store_unreachable_, true)) {
+        ports_.log.Write("store-lost", "",
+                         fmt::format("fault=\"{}\"", ToString(joined.error())));
+      }
+      // Other nodes take over the shards of this one.
+      RefreshOwners();
     }
     const auto interval = ports_.store.MemberLifetime() / kRenewalsPerLifetime;
     join_timer_.Set(joined ? interval : kRetryDelay,
@@ -407,15 +421,43 @@
   owners_read_pending_ = true;
   owners_read_at_ = SteadyNow();
   ports_.store.ReadOwners([this](Result<std::map<ShardId, OwnerNode>> owners) {
-    owners_read_pending_ = false;
-    if (owners) {
-      owners_ = std::move(*owners);
-      eligibility_.Observe(owners_);
+    if (!owners) {
+      ReadOwnersFromPeer();
+      return;
     }
+    owners_read_pending_ = false;
+    owners_ = std::move(*owners);
+    owners_current_at_ = SteadyNow();
+    eligibility_.Observe(owners_);
     ApplyEligibility();
   });
 }
 
+void FleetNode::ReadOwnersFromPeer() {
+  std::set<std::string> peers;
+  for (const auto& [shard, owner] : owners_) {
+    peers.insert(owner.peer_address);
+  }
+  peers.erase(config_.peer_address);
+  if (peers.empty()) {
+    owners_read_pending_ = false;
+    return;
+  }
+  auto peer = peers.upper_bound(asked_peer_);
+  asked_peer_ = peer == peers.end() ? *peers.begin() : *peer;
+  peers_.ReadOwners(
+      asked_peer_, kPeerOwnersTimeout,
+      [this](tl::expected<std::map<ShardId, OwnerNode>, PeerFault> owners) {
+        owners_read_pending_ = false;
+        if (owners) {
+          ports_.log.Write(
+              "owners-from-peer", "",
+              fmt::format("peer={} shards={}", asked_peer_, owners->size()));
+          owners_ = std::move(*owners);
+        }
+      });
+}
+
 void FleetNode::TickLoop() {
   const auto now = SteadyNow();
   const auto lag = tick_due_ == Time() ? Duration(0) : now - tick_due_;
--- a/src/libfleet/fleet_node.h
+++ b/src/libfleet/fleet_node.h
@@ -129,6 +129,9 @@
   void OwnerLoop();
   /** Reads the list of owners, unless it was read a short time ago. */
   void RefreshOwners();
+  /** Asks the next other node for the list of owners. A node to which the store
+   * does not answer may be replaced as an owner and would not know by whom. */
+  void ReadOwnersFromPeer();
   /** Sends periodic ticks to the shards and measures their delay. */
   void TickLoop();
   /** Stops a shard that a later owner has fenced. */
@@ -206,6 +209,10 @@
   std::map<ShardId, OwnerNode> owners_;
   bool owners_read_pending_ = false;
   Time owners_read_at_;
+  /** When the store last gave the list of owners. */
+  Time owners_current_at_;
+  /** Node that was last asked for the list of owners. */
+  std::string asked_peer_;
   /** Time at which the next tick is due. */
   Time tick_due_;
   OwnerLoad owner_load_;
--- a/src/libfleet/fleet_node_calls.cc
+++ b/src/libfleet/fleet_node_calls.cc
@@ -72,7 +72,10 @@
     settle(tl::unexpected(PeerFault::kNotDone));
     return;
   }
-  if (auto* owner = FindLoadedShard(*shard)) {
+  const auto listed = owners_.find(*shard);
+  const bool replaced = !MakeMembershipCheck()() && listed != owners_.end() &&
+                        listed->second.peer_address != config_.peer_address;
+  if (auto* owner = FindLoadedShard(*shard); owner && !replaced) {
     forward->local(*owner, settle);
     if (!*settled) {
       timer->Set(std::max(left, Duration(0)),
@@ -80,13 +83,12 @@
     }
     return;
   }
-  const auto owner = owners_.find(*shard);
-  if (owner == owners_.end() ||
-      owner->second.peer_address == config_.peer_address) {
+  if (listed == owners_.end() ||
+      listed->second.peer_address == config_.peer_address) {
     settle(tl::unexpected(PeerFault::kNotDone));
     return;
   }
-  forward->remote(owner->second.peer_address, *shard,
+  forward->remote(listed->second.peer_address, *shard,
                   std::min(left, kAttemptTimeout), settle);
 }
 
--- a/src/libfleet/peer_calls.cc
+++ b/src/libfleet/peer_calls.cc
@@ -223,6 +223,30 @@
                kNotifyTimeout, [](const auto&) {});
 }
 
+void PeerCalls::ReadOwners(const std::string& peer,
+                           Duration timeout,
+                           Done<std::map<ShardId, OwnerNode>> done) {
+  using Owners = std::map<ShardId, OwnerNode>;
+  client_.Call(peer, MakeRequest(kOwnersTarget, Json::array()), timeout,
+               DecodingCallback<Owners>(std::move(done), [](const Json& json) {
+                 Owners owners;
+                 for (const auto& it : json) {
+                   owners[ShardId(it.at(0).get<int>())] = {
+                       it.at(1).get<std::string>(), it.at(2).get<int>()};
+                 }
+                 return owners;
+               }));
+}
+
+HttpResponse OwnersAnswer(const std::map<ShardId, OwnerNode>& owners) {
+  auto rows = Json::array();
+  for (const auto& [shard, owner] : owners) {
+    rows.push_back(
+        Json::array({shard.value(), owner.peer_address, owner.milli_cores}));
+  }
+  return {kOk, {}, ToMessagePack(rows)};
+}
+
 void PeerCalls::ApplyPlan(const std::string& peer,
                           ShardId shard,
                           const HostPlan& plan,
--- a/src/libfleet/peer_calls.h
+++ b/src/libfleet/peer_calls.h
@@ -2,6 +2,7 @@
 #define SRC_LIBFLEET_PEER_CALLS_H_
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -67,6 +68,11 @@
   void NotifyRebalanced(const std::string& peer);
   /** Sends the host planner's plan to the owner of a shard, which answers with
    * the usage of its pools. */
+  /** Asks another node for the owners of the shards, for when the store does
+   * not answer this node. */
+  void ReadOwners(const std::string& peer,
+                  Duration timeout,
+                  Done<std::map<ShardId, OwnerNode>> done);
   void ApplyPlan(const std::string& peer,
                  ShardId shard,
                  const HostPlan& plan,
@@ -82,6 +88,11 @@
 
 /** Request target of PeerCalls::NotifyRebalanced(). */
 inline constexpr char kRebalancedTarget[] = "/dealt";
+/** Request target of PeerCalls::ReadOwners(). */
+inline constexpr char kOwnersTarget[] = "/owners";
+
+/** Returns the answer to PeerCalls::ReadOwners(). */
+HttpResponse OwnersAnswer(const std::map<ShardId, OwnerNode>& owners);
 
 /** Serves a request from another node; calls `respond` once. Unless
  * `membership_is_valid`, another node may own the shard by now. */
--- a/tests/fleet_node_test.cc
+++ b/tests/fleet_node_test.cc
@@ -170,6 +170,39 @@
   EXPECT_EQ(Call(other, "POST", "/jobs/queue/j1", kJob).status, 200);
   EXPECT_NE(Call(owner, "GET", "/jobs/queue/j1").status, 404);
   EXPECT_NE(Call(owner, "DELETE", "/jobs/queue/j1").status, 404);
+}
+
+// Guards against a node without the store that cannot tell who owns the shards
+// now: in a recorded day its callers were refused for 9 s, "store-away" and
+// "owner-unreachable", while another node served the pool.
+TEST_F(FleetNodeTest, DisconnectedNodeFindsTheNewOwnerThroughOthers) {
+  auto& owner = Owner();
+  auto& other = Other();
+  loop.run_for(milliseconds(1700));
+  platform.cut_off.insert(addresses[&owner == nodes[0].get() ? 0 : 1]);
+  loop.run_for(milliseconds(2500));
+  EXPECT_EQ(Call(owner, "POST", "/jobs/queue/j2", kJob).status, 200);
+  loop.run_for(milliseconds(500));
+  for (auto* it : {&owner, &other}) {
+    EXPECT_EQ(Call(*it, "GET", "/jobs/queue/j2").body,
+              R"({"state":"completed"})");
+  }
+  EXPECT_EQ(Call(owner, "DELETE", "/jobs/queue/j3").status, 404);
+  for (const auto& [task, n] : platform.starts) {
+    EXPECT_EQ(n, 1) << ToString(task);
+  }
+}
+
+// Guards against a cut-off owner without other nodes that accepts what it
+// cannot store, or says for certain that a job does not exist.
+TEST_F(FleetNodeTest, CutOffNodeAloneAcceptsAndDeniesNothing) {
+  auto& owner = Owner();
+  const bool first = &owner == nodes[0].get();
+  platform.cut_off.insert(addresses[first ? 0 : 1]);
+  nodes[first ? 1 : 0].reset();
+  loop.run_for(milliseconds(900));
+  EXPECT_NE(Call(owner, "GET", "/jobs/queue/j1").status, 404);
+  EXPECT_NE(Call(owner, "DELETE", "/jobs/queue/j1").status, 404);
   EXPECT_NE(Call(owner, "POST", "/jobs/queue/j2", kJob).status, 200);
 }
 
