libjobs: count stops of a former owner against the availability budget

Stops are not stored, so an owner that takes over while its predecessor vacates hosts still sees the stopped tasks at work and stops others. Change: for the time that a worker takes to stop a run, an inherited run does not count as available. Test: StopsOfAFormerOwnerCountAgainstTheBudget, two tasks stopped at a time without the change.

--- a/src/libjobs/job.h
+++ b/src/libjobs/job.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -55,6 +56,9 @@
   /** When the newest start or stop was answered. */
   Time answered_at;
   Time started_at;
+  /** When this owner first saw the run, if a former owner has started it. The
+   * run may have a stop of the former owner that is not stored. */
+  std::optional<Time> inherited_at;
   /** Progress reported by the worker, in percent. */
   int percent = 0;
   /** When `percent` last changed. */
--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -200,6 +200,9 @@
   /** Returns whether the availability budget of the step allows stopping the
    * task now. */
   bool MayStopLongRunning(Job& job, const TaskId& id) const;
+  /** Returns whether the worker may be about to stop the run on an order of a
+   * former owner. */
+  bool MayBeStoppedByFormerOwner(const Task& task) const;
   /** Returns whether a worker could take the task now. */
   bool CanPlace(const Job& job, const TaskId& id) const;
   /** Returns the number of hosts that long-running tasks lack, by service. */
--- a/src/libjobs/pool_engine_tasks.cc
+++ b/src/libjobs/pool_engine_tasks.cc
@@ -305,6 +305,7 @@
   task.worker = worker;
   task.confirmed = false;
   task.stop_answered = false;
+  task.inherited_at.reset();
   task.speed_percent = 100;
   const auto resources = ResourcesOf(job.Step(id.step));
   Worker& chosen = workers_.at(worker);
--- a/src/libjobs/pool_engine_workers.cc
+++ b/src/libjobs/pool_engine_workers.cc
@@ -16,6 +16,9 @@
 /** A poll that takes longer than this has waited for a run to end. */
 constexpr Duration kMaxImmediateReply = std::chrono::milliseconds(25);
 
+/** Time from the end of a stopped run until its worker's report arrives. */
+constexpr Duration kStopReportDelay = std::chrono::milliseconds(150);
+
 constexpr int kFullSpeedPercent = 100;
 constexpr int kUnknownSpeedPercent = -1;
 
@@ -230,6 +233,7 @@
   if (!task->confirmed) {
     task->confirmed = true;
     if (task->phase == TaskPhase::kInherited) {
+      task->inherited_at = now_;
       task->started_at = now_;
       task->progress_at = now_;
     }
@@ -455,13 +459,19 @@
     const auto worker = workers_.find(tasks[i].worker);
     const bool serving =
         tasks[i].phase == TaskPhase::kRunning &&
-        tasks[i].percent == kServingPercent && worker != workers_.end() &&
+        tasks[i].percent == kServingPercent &&
+        !MayBeStoppedByFormerOwner(tasks[i]) && worker != workers_.end() &&
         worker->second.missed_polls == 0 && worker->second.listed;
     unavailable += static_cast<int>(i) != id.index && !serving ? 1 : 0;
   }
   return unavailable < std::max(1, spec.max_unavailable);
 }
 
+bool PoolEngine::MayBeStoppedByFormerOwner(const Task& task) const {
+  return task.inherited_at &&
+         now_ - *task.inherited_at < tuning_.stop_duration + kStopReportDelay;
+}
+
 bool PoolEngine::CanPlace(const Job& job, const TaskId& id) const {
   const Placement placement(workers_, job.service, now_);
   Placement::Filter filter;
--- a/src/libjobs/pool_tuning.h
+++ b/src/libjobs/pool_tuning.h
@@ -42,6 +42,8 @@
   Duration poll_retry_delay = std::chrono::milliseconds(300);
   /** Delay before an unanswered stop is sent again. */
   Duration stop_retry_delay = std::chrono::milliseconds(600);
+  /** Maximum time that a worker takes to stop a run. */
+  Duration stop_duration = std::chrono::milliseconds(900);
   /** Time for which a worker is avoided after it refused or did not answer a
    * start. */
   Duration refusal_backoff = std::chrono::milliseconds(500);
--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -130,11 +130,13 @@
          SubmitRequested{reply, JobId(id), Queue(), spec, true, asked_ago});
   }
 
+  void Plan(const HostPlan& plan) { Post(engine, token, HostsPlanned{plan}); }
+
   /** Reports the free cores of another cell of the pool to the owner. */
   void PlanCell(ShardId cell, double free_cores) {
     HostPlan plan;
     plan.cells = {{service, cell, free_cores}};
-    Post(engine, token, HostsPlanned{plan});
+    Plan(plan);
   }
 
   void Cancel(const std::string& id) {
@@ -186,6 +188,17 @@
     worker.started_at = now;
   }
 
+  /** Returns the number of runs that workers are stopping. */
+  int StoppingRuns() const {
+    int n = 0;
+    for (const auto& [worker_id, worker] : workers) {
+      n += static_cast<int>(
+          std::count_if(worker.runs.begin(), worker.runs.end(),
+                        [](const auto& it) { return it.second.stopping; }));
+    }
+    return n;
+  }
+
   int RunsOf(const TaskId& id) const {
     int n = 0;
     for (const auto& [worker_id, worker] : workers) {
@@ -201,6 +214,8 @@
   int advice_requests = 0;
   /** Tail response time that serving tasks report. */
   std::int64_t serving_tail_ms = 0;
+  /** Time that workers take to stop a run. */
+  Duration stop_time = std::chrono::milliseconds(200);
   /** Speed last ordered for each throttled run. */
   std::map<TaskId, int> speed_percents;
   int throttle_orders = 0;
@@ -536,7 +551,7 @@
     const auto run = worker.runs.find(stop.task);
     if (run != worker.runs.end() && run->second.run <= stop.run) {
       run->second.stopping = true;
-      run->second.ends_at = now + std::chrono::milliseconds(200);
+      run->second.ends_at = now + stop_time;
     }
     answer(
         Chance(faults.lost_answer) ? OrderResult::kUnknown : OrderResult::kDone,
--- a/tests/pool_engine_test.cc
+++ b/tests/pool_engine_test.cc
@@ -354,6 +354,42 @@
   }
 }
 
+// The former owner has just ordered the one stop that the budget allows when
+// another owner takes over; the stopped task is still listed as running.
+// Guards against a second stop by the new owner.
+TEST_F(PoolEngineTest, StopsOfAFormerOwnerCountAgainstTheBudget) {
+  for (const char* it : {"w4", "w5", "w6"}) {
+    world.AddWorker(it);
+  }
+  world.List();
+  world.Advance(milliseconds(300));
+  world.Submit("j1", LongRunningJob(3));
+  world.Advance(seconds(2));
+  std::vector<WorkerId> used;
+  for (const auto& [id, worker] : world.workers) {
+    if (!worker.runs.empty()) {
+      used.push_back(id);
+    }
+  }
+  ASSERT_EQ(used.size(), 3u);
+  const auto reserve = [&](const WorkerId& worker) {
+    HostPlan plan;
+    plan.reserved = {world.workers.at(worker).entry.host};
+    world.Plan(plan);
+  };
+  world.stop_time = milliseconds(800);
+  reserve(used[2]);
+  world.Advance(milliseconds(30));
+  ASSERT_EQ(world.StoppingRuns(), 1);
+  world.TakeOver();
+  for (int i = 0; i < 120; ++i) {
+    reserve(used[0]);
+    world.Advance(milliseconds(50));
+    EXPECT_LE(world.StoppingRuns(), 1) << i;
+  }
+  EXPECT_TRUE(world.workers.at(used[0]).runs.empty());
+}
+
 // Guards against a planned stop while another task of the step is on a worker
 // that has stopped answering. Two other tasks were unavailable on a crashed
 // worker whose lease had not expired yet.
