libjobs: give idle hosts to the late work of a cell

Change: owners report what late tasks need; the planner serves it after all other deficits, with idle hosts only. Tests: MovesIdleHostsToWaitingLateWork failed before; LateWorkGetsOnlyHostsThatNobodyElseNeeds bounds it.

--- a/src/libfleet/planner_codec.cc
+++ b/src/libfleet/planner_codec.cc
@@ -46,9 +46,10 @@
 Json PoolUsageToJson(const PoolUsage& usage) {
   Json services = Json::array();
   for (const auto& it : usage.services) {
-    services.push_back(Json::array(
-        {it.service.value(), it.cores, it.used, it.late, it.long_running,
-         it.waiting, it.refused, it.missing_hosts, it.arriving}));
+    services.push_back(
+        Json::array({it.service.value(), it.cores, it.used, it.late,
+                     it.long_running, it.waiting, it.refused, it.missing_hosts,
+                     it.arriving, it.waiting_late}));
   }
   Json hosts = Json::array();
   for (const auto& it : usage.hosts) {
@@ -63,11 +64,19 @@
 PoolUsage PoolUsageFromJson(const Json& json) {
   PoolUsage usage;
   for (const auto& it : json.at(0)) {
-    usage.services.push_back({ServiceId(it.at(0).get<std::string>()),
-                              it.at(1).get<double>(), it.at(2).get<double>(),
-                              it.at(3).get<double>(), it.at(4).get<double>(),
-                              it.at(5).get<double>(), it.at(6).get<double>(),
-                              it.at(7).get<int>(), it.at(8).get<double>()});
+    ServiceUsage service;
+    service.service = ServiceId(it.at(0).get<std::string>());
+    service.cores = it.at(1).get<double>();
+    service.used = it.at(2).get<double>();
+    service.late = it.at(3).get<double>();
+    service.long_running = it.at(4).get<double>();
+    service.waiting = it.at(5).get<double>();
+    service.refused = it.at(6).get<double>();
+    service.missing_hosts = it.at(7).get<int>();
+    service.arriving = it.at(8).get<double>();
+    // Owners of the previous version do not report it.
+    service.waiting_late = it.size() > 9 ? it.at(9).get<double>() : 0;
+    usage.services.push_back(std::move(service));
   }
   for (const auto& it : json.at(1)) {
     usage.hosts.push_back(
--- a/src/libjobs/host_planner.cc
+++ b/src/libjobs/host_planner.cc
@@ -459,6 +459,36 @@
   return deficits;
 }
 
+std::map<ServiceId, HostPlanner::Deficit> HostPlanner::ComputeLateDeficits()
+    const {
+  std::map<ServiceId, Deficit> deficits;
+  for (const auto& [pool, cells] : cell_usage_) {
+    if (IsStandby(pool)) {
+      continue;
+    }
+    Deficit deficit;
+    deficit.cells_only = true;
+    deficit.of_late_work = true;
+    const auto moving_in = CoresMovingTo(pool);
+    for (const auto& [shard, it] : cells) {
+      if (it.usage.waiting_late <= 0 || now_ - it.at > tuning_.max_usage_age) {
+        continue;
+      }
+      const auto moving = moving_in.find(shard);
+      const double lacking = PoolBalance::LateDeficitOf(it.usage) -
+                             (moving == moving_in.end() ? 0 : moving->second);
+      if (lacking > 0) {
+        deficit.cells[shard] = lacking;
+        deficit.cores += lacking;
+      }
+    }
+    if (deficit.cores > 0) {
+      deficits.emplace(pool, std::move(deficit));
+    }
+  }
+  return deficits;
+}
+
 std::vector<HostPlanner::Host*> HostPlanner::FindDonors() {
   std::set<HostId> due;
   for (const auto& [number, wave] : waves_) {
@@ -499,7 +529,14 @@
 void HostPlanner::PlanMoves() {
   auto balance = ComputeBalance();
   auto donors = FindDonors();
-  auto deficits = ComputeDeficits(balance);
+  ReserveDonors(donors, balance, ComputeDeficits(balance));
+  ReserveDonors(donors, balance, ComputeLateDeficits());
+  ReturnIdleHosts(donors, balance);
+}
+
+void HostPlanner::ReserveDonors(std::vector<Host*>& donors,
+                                PoolBalance& balance,
+                                std::map<ServiceId, Deficit> deficits) {
   // Pools take turns with one host each, so that no pool takes all donors.
   while (!deficits.empty()) {
     for (auto it = deficits.begin(); it != deficits.end();) {
@@ -508,14 +545,13 @@
       if (donor) {
         LogDecision(
             "reserve-host",
-            fmt::format("host={} pool={} target={} deficit={:.0f}",
+            fmt::format("host={} pool={} target={} deficit={:.0f} late={}",
                         donor->info.host.value(), donor->info.pool.value(),
-                        target.value(), deficit.cores));
+                        target.value(), deficit.cores, deficit.of_late_work));
       }
       it = !donor || deficit.cores <= 0 ? deficits.erase(it) : std::next(it);
     }
   }
-  ReturnIdleHosts(donors, balance);
 }
 
 HostPlanner::Host* HostPlanner::ReserveDonor(std::vector<Host*>& donors,
@@ -543,6 +579,9 @@
       // Donors are sorted by preference; the rest are of a worse kind.
       break;
     }
+    if (deficit.of_late_work && !kind_of(**it).second) {
+      continue;
+    }
     const double lacking = deficit_of(**it);
     if (deficit.cells_only && lacking <= 0) {
       continue;
--- a/src/libjobs/host_planner.h
+++ b/src/libjobs/host_planner.h
@@ -296,11 +296,20 @@
     /** The pool as a whole lacks none: only hosts that join a cell which lacks
      * cores are of use. */
     bool cells_only = false;
+    /** The cores are for late work, which gets only idle hosts. */
+    bool of_late_work = false;
   };
   /** Returns the deficits of all pools that lack cores as a whole or have a
    * cell whose accepted work lacks some. */
   std::map<ServiceId, Deficit> ComputeDeficits(
       const PoolBalance& balance) const;
+  /** Returns the deficits of the late work of all cells. It runs behind all
+   * other work, so the hosts of its cell may leave before it is done. */
+  std::map<ServiceId, Deficit> ComputeLateDeficits() const;
+  /** Reserves donors for the pools in turn until no deficit can be lowered. */
+  void ReserveDonors(std::vector<Host*>& donors,
+                     PoolBalance& balance,
+                     std::map<ServiceId, Deficit> deficits);
   /** Reserves a donor that `target` can get and removes it from `donors`: the
    * first one, or one that is as good and joins a cell that lacks more cores.
    * Lowers the deficit. Returns null if there is none. */
--- a/src/libjobs/pool_balance.cc
+++ b/src/libjobs/pool_balance.cc
@@ -29,6 +29,10 @@
                   usage.missing_hosts * kTypicalHostCores);
 }
 
+double PoolBalance::LateDeficitOf(const ServiceUsage& usage) {
+  return usage.waiting_late - std::max(0.0, usage.FreeCores());
+}
+
 void PoolBalance::Add(const ServiceUsage& usage, double moving_in) {
   const double deficit = DeficitOf(usage) - moving_in;
   if (deficit > 0) {
--- a/src/libjobs/pool_balance.h
+++ b/src/libjobs/pool_balance.h
@@ -22,6 +22,9 @@
    * has free cores. Unlike a request, it cannot go to another cell. */
   static double AcceptedDeficitOf(const ServiceUsage& usage);
 
+  /** Returns the cores that waiting tasks of late jobs lack in a cell. */
+  static double LateDeficitOf(const ServiceUsage& usage);
+
   /** Adds a pool. `moving_in` are the cores of hosts on their way to it. */
   void Add(const ServiceUsage& usage, double moving_in);
 
--- a/src/libjobs/pool_engine_demand.cc
+++ b/src/libjobs/pool_engine_demand.cc
@@ -48,13 +48,11 @@
   }
   for (const auto& [id, steps] : ready_.by_service()) {
     for (const auto& it : steps) {
-      if (LatenessOf(it, now) > 0) {
-        continue;
-      }
       const Job& job = jobs_.at(it.job);
       const auto& tasks = job.occurrences.at(it.occurrence)
                               .steps[static_cast<std::size_t>(it.step)];
-      usage_of(id).waiting +=
+      auto& service = usage_of(id);
+      (LatenessOf(it, now) > 0 ? service.waiting_late : service.waiting) +=
           static_cast<double>(ResourcesOf(job.Step(it.step)).cpu_milli) /
           1000.0 *
           static_cast<double>(
--- a/src/libjobs/pool_usage.cc
+++ b/src/libjobs/pool_usage.cc
@@ -8,6 +8,7 @@
   late += other.late;
   long_running += other.long_running;
   waiting += other.waiting;
+  waiting_late += other.waiting_late;
   refused += other.refused;
   missing_hosts += other.missing_hosts;
   arriving += other.arriving;
--- a/src/libjobs/pool_usage.h
+++ b/src/libjobs/pool_usage.h
@@ -23,6 +23,8 @@
   double long_running = 0;
   /** Needed by waiting tasks that can be in time but found no free capacity. */
   double waiting = 0;
+  /** Needed by waiting tasks of late jobs. */
+  double waiting_late = 0;
   /** Needed by recently refused jobs, each counted with its widest step. */
   double refused = 0;
   /** Number of hosts needed for long-running tasks that wait or must leave a
--- a/tests/demand_book_test.cc
+++ b/tests/demand_book_test.cc
@@ -129,8 +129,8 @@
                   double long_running,
                   double waiting,
                   double arriving) {
-  return {ServiceId("pool"), cores, used, late,    long_running,
-          waiting,           0,     0,    arriving};
+  return {ServiceId("pool"), cores, used, late, long_running,
+          waiting,           0,     0,    0,    arriving};
 }
 
 INSTANTIATE_TEST_SUITE_P(
--- a/tests/host_planner_test.cc
+++ b/tests/host_planner_test.cc
@@ -78,6 +78,8 @@
       service.cores = Cores(pool);
       service.used = demand > 0 ? service.cores : 0;
       service.late = late.contains(pool) ? late.at(pool) : 0;
+      service.waiting_late =
+          waiting_late.contains(pool) ? waiting_late.at(pool) : 0;
       usage.services.push_back(service);
     }
     for (const auto& [id, info] : hosts) {
@@ -180,6 +182,8 @@
   std::map<std::string, double> demands = {{"hot", 0}, {"cold", 0}};
   /** Cores taken by late jobs, by pool. */
   std::map<std::string, double> late;
+  /** Cores that waiting tasks of late jobs need, by pool. */
+  std::map<std::string, double> waiting_late;
   std::map<std::string, std::string> records;
   std::vector<std::pair<HostId, ServiceId>> moves;
   std::vector<HostId> maintained;
@@ -405,5 +409,41 @@
   EXPECT_GE(world.moves.size(), 4u);
 }
 
+// After a demand peak: the hosts of a cell have moved to another pool while
+// tasks of its late jobs still wait. Guards against accepted jobs that never
+// end because their cell has no host left, as on three days of the large site.
+TEST(HostPlannerTest, MovesIdleHostsToWaitingLateWork) {
+  PlannerWorld world;
+  for (int i = 0; i < 4; ++i) {
+    world.AddHost("off" + std::to_string(i), "off");
+  }
+  world.Start();
+  world.waiting_late["hot"] = 100;
+  world.Rounds(10);
+  EXPECT_EQ(world.moves.size(), 2u);
+  for (const auto& [host, pool] : world.moves) {
+    EXPECT_EQ(pool, ServiceId("hot"));
+  }
+}
+
+// Guards against late work that takes hosts from work that can be in time.
+TEST(HostPlannerTest, LateWorkGetsOnlyHostsThatNobodyElseNeeds) {
+  PlannerWorld world;
+  for (int i = 0; i < 3; ++i) {
+    const HostId id("cold" + std::to_string(i));
+    world.AddHost(id.value(), "cold");
+    world.busy.insert(id);
+  }
+  world.AddHost("off0", "off");
+  world.AddHost("off1", "off");
+  world.Start();
+  world.demands["cold"] = 128;
+  world.waiting_late["hot"] = 1000;
+  world.Rounds(10);
+  ASSERT_EQ(world.moves.size(), 2u);
+  EXPECT_EQ(world.moves[0].second, ServiceId("cold"));
+  EXPECT_EQ(world.moves[1].second, ServiceId("cold"));
+}
+
 }  // namespace
 }  // namespace baobab
