libjobs: take the trend of new jobs from the sum over the cells of a pool

Cause: each cell subtracted one standard deviation from its own count of new jobs before the planner added the counts. The more cells a pool has, the lower its forecast: at the start of a demand peak hosts were moved too late. Change: cells report counts and work of the last two periods (ArrivingWork); the planner adds them and takes the trend from the sum. The planner logs the demand of each pool once a second (pool-demand). Test: DividedDemandTest, the forecast is the same for 1, 2 and 16 cells.

--- a/src/libfleet/planner_codec.cc
+++ b/src/libfleet/planner_codec.cc
@@ -7,6 +7,20 @@
 
 using Json = nlohmann::json;
 
+namespace {
+
+Json ArrivingToJson(const ArrivingWork& work) {
+  return Json::array({work.newest.jobs, work.newest.core_seconds,
+                      work.previous.jobs, work.previous.core_seconds});
+}
+
+ArrivingWork ArrivingFromJson(const Json& json) {
+  return {{json.at(0).get<int>(), json.at(1).get<double>()},
+          {json.at(2).get<int>(), json.at(3).get<double>()}};
+}
+
+}  // namespace
+
 Json HostPlanToJson(const HostPlan& plan) {
   Json reserved = Json::array();
   for (const auto& it : plan.reserved) {
@@ -46,10 +60,10 @@
 Json PoolUsageToJson(const PoolUsage& usage) {
   Json services = Json::array();
   for (const auto& it : usage.services) {
-    services.push_back(
-        Json::array({it.service.value(), it.cores, it.used, it.late,
-                     it.long_running, it.waiting, it.refused, it.missing_hosts,
-                     it.arriving, it.waiting_late}));
+    services.push_back(Json::array(
+        {it.service.value(), it.cores, it.used, it.late, it.long_running,
+         it.waiting, it.refused, it.missing_hosts, it.arriving.ExpectedCores(),
+         it.waiting_late, ArrivingToJson(it.arriving)}));
   }
   Json hosts = Json::array();
   for (const auto& it : usage.hosts) {
@@ -73,9 +87,12 @@
     service.waiting = it.at(5).get<double>();
     service.refused = it.at(6).get<double>();
     service.missing_hosts = it.at(7).get<int>();
-    service.arriving = it.at(8).get<double>();
-    // Owners of the previous version do not report it.
-    service.waiting_late = it.size() > 9 ? it.at(9).get<double>() : 0;
+    // Element 8 is for planners of earlier versions; owners of these versions
+    // do not report the rest.
+    if (it.size() > 10) {
+      service.waiting_late = it.at(9).get<double>();
+      service.arriving = ArrivingFromJson(it.at(10));
+    }
     usage.services.push_back(std::move(service));
   }
   for (const auto& it : json.at(1)) {
--- a/src/libjobs/demand_tracker.cc
+++ b/src/libjobs/demand_tracker.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cmath>
 
 namespace baobab {
 
@@ -15,14 +14,6 @@
 /** A caller that has not retried within this time has given up. */
 constexpr Duration kRefusalRetention = std::chrono::seconds(20);
 
-/** Period over which arriving work is averaged: half the time in which a demand
- * peak rises, and several arrivals even in the queues with the largest jobs. */
-constexpr Duration kArrivalWindow = std::chrono::milliseconds(1000);
-
-/** How far ahead rising demand is extrapolated: the time until a host that is
- * moved now accepts work, plus half an averaging window. */
-constexpr Duration kExtrapolationTime = std::chrono::milliseconds(2700);
-
 /** Maximum number of refused jobs that are kept; bounds memory under a flood of
  * requests. */
 constexpr std::size_t kMaxRefusals = 4000;
@@ -64,7 +55,7 @@
 
 void DemandTracker::Forget(Time now) {
   while (!arrivals_.empty() &&
-         now - arrivals_.front().at >= 2 * kArrivalWindow) {
+         now - arrivals_.front().at >= 2 * ArrivingWork::kPeriod) {
     arrivals_.pop_front();
   }
   std::erase_if(refusals_, [&](const auto& it) {
@@ -99,43 +90,22 @@
 }
 
 double DemandTracker::NewWorkRate(const ServiceId& service, Time now) const {
-  double work = 0;
-  for (const auto& it : arrivals_) {
-    if (it.service == service && now - it.at < kArrivalWindow) {
-      work += it.core_seconds;
-    }
-  }
-  return work / std::chrono::duration<double>(kArrivalWindow).count();
+  return Arriving(service, now).newest.core_seconds /
+         std::chrono::duration<double>(ArrivingWork::kPeriod).count();
 }
 
-double DemandTracker::ArrivingCores(const ServiceId& service, Time now) const {
-  // Work in core-seconds and number of jobs in the newest window (0) and in the
-  // one before (1).
-  double work[2] = {0, 0};
-  int jobs[2] = {0, 0};
+ArrivingWork DemandTracker::Arriving(const ServiceId& service, Time now) const {
+  ArrivingWork arriving;
   for (const auto& it : arrivals_) {
     const auto age = now - it.at;
-    if (it.service == service && age < 2 * kArrivalWindow) {
-      const int window = age < kArrivalWindow ? 0 : 1;
-      work[window] += it.core_seconds;
-      ++jobs[window];
+    if (it.service == service && age < 2 * ArrivingWork::kPeriod) {
+      auto& period =
+          age < ArrivingWork::kPeriod ? arriving.newest : arriving.previous;
+      ++period.jobs;
+      period.core_seconds += it.core_seconds;
     }
   }
-  if (jobs[0] == 0) {
-    return 0;
-  }
-  const double mean = (work[0] + work[1]) / (jobs[0] + jobs[1]);
-  // Lower bounds at one standard deviation of a Poisson count, so that a single
-  // large job is not taken for a trend.
-  const double min_jobs = jobs[0] - std::sqrt(static_cast<double>(jobs[0]));
-  const double rise =
-      std::max(0.0, jobs[0] - jobs[1] -
-                        std::sqrt(static_cast<double>(jobs[0] + jobs[1])));
-  const double windows_ahead =
-      std::chrono::duration<double>(kExtrapolationTime) /
-      std::chrono::duration<double>(kArrivalWindow);
-  return mean * (min_jobs + rise * windows_ahead) /
-         std::chrono::duration<double>(kArrivalWindow).count();
+  return arriving;
 }
 
 }  // namespace baobab
--- a/src/libjobs/demand_tracker.h
+++ b/src/libjobs/demand_tracker.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 
+#include "libjobs/arriving_work.h"
 #include "libjobs/job.h"
 
 namespace baobab {
@@ -35,11 +36,8 @@
   /** Returns the work that new jobs of the service bring, in core-seconds per
    * second. */
   double NewWorkRate(const ServiceId& service, Time now) const;
-  /** Returns the work that new jobs of the service are expected to bring when a
-   * host that is moved now has arrived, in core-seconds per second.
-   * Extrapolates only a significant rise in their number; retries are not
-   * counted. */
-  double ArrivingCores(const ServiceId& service, Time now) const;
+  /** Returns the new jobs of the service; retries are not counted. */
+  ArrivingWork Arriving(const ServiceId& service, Time now) const;
 
  private:
   struct Refusal {
--- a/src/libjobs/host_planner.cc
+++ b/src/libjobs/host_planner.cc
@@ -26,6 +26,9 @@
  * after the confirmation of its order shows it as up. */
 constexpr Duration kListDelay = std::chrono::milliseconds(100);
 
+/** Interval of the log lines on the demand of each pool. */
+constexpr Duration kDemandLogInterval = std::chrono::milliseconds(1000);
+
 /** Maximum remaining busy time of a host that is reserved for a move. */
 constexpr Duration kMaxVacateTime = std::chrono::milliseconds(1500);
 
@@ -526,9 +529,40 @@
   return donors;
 }
 
+void HostPlanner::LogDemand(std::size_t donors) {
+  if (now_ - demand_logged_at_ < kDemandLogInterval) {
+    return;
+  }
+  demand_logged_at_ = now_;
+  std::map<ServiceId, int> hosts;
+  for (const auto& [id, host] : hosts_) {
+    ++hosts[host.info.pool];
+  }
+  for (const auto& [pool, cells] : cell_usage_) {
+    const auto usage = PoolUsageOf(pool);
+    if (!usage) {
+      continue;
+    }
+    double moving_in = 0;
+    for (const auto& [shard, cores] : CoresMovingTo(pool)) {
+      moving_in += cores;
+    }
+    LogDecision(
+        "pool-demand",
+        fmt::format("pool={} hosts={} cores={:.0f} used={:.0f} late={:.0f} "
+                    "long_running={:.0f} waiting={:.0f} waiting_late={:.0f} "
+                    "refused={:.0f} expected={:.0f} moving_in={:.0f} donors={}",
+                    pool.value(), hosts[pool], usage->cores, usage->used,
+                    usage->late, usage->long_running, usage->waiting,
+                    usage->waiting_late, usage->refused,
+                    usage->arriving.ExpectedCores(), moving_in, donors));
+  }
+}
+
 void HostPlanner::PlanMoves() {
   auto balance = ComputeBalance();
   auto donors = FindDonors();
+  LogDemand(donors.size());
   ReserveDonors(donors, balance, ComputeDeficits(balance));
   ReserveDonors(donors, balance, ComputeLateDeficits());
   ReturnIdleHosts(donors, balance);
--- a/src/libjobs/host_planner.h
+++ b/src/libjobs/host_planner.h
@@ -329,6 +329,8 @@
   void PlanWave(Wave& wave);
   /** Reserves hosts for moves to the pools that lack cores. */
   void PlanMoves();
+  /** Logs the demand of each pool, at most once a second. */
+  void LogDemand(std::size_t donors);
   /** Stores intents for the reserved hosts that are vacated. */
   void StoreIntents();
   /** Emits a line for the decision log. */
@@ -351,6 +353,7 @@
   };
   /** By pool and shard. */
   std::map<ServiceId, std::map<ShardId, CellUsage>> cell_usage_;
+  Time demand_logged_at_;
   bool reading_hosts_ = false;
   /** When the last read of the host list was started. */
   Time hosts_read_started_at_;
--- a/src/libjobs/pool_balance.cc
+++ b/src/libjobs/pool_balance.cc
@@ -19,8 +19,8 @@
 
 double PoolBalance::DeficitOf(const ServiceUsage& usage) {
   const double current_demand = usage.used + usage.waiting + usage.refused;
-  const double need =
-      usage.long_running + std::max(current_demand, usage.arriving);
+  const double need = usage.long_running +
+                      std::max(current_demand, usage.arriving.ExpectedCores());
   return std::max(need - usage.cores, usage.missing_hosts * kTypicalHostCores);
 }
 
@@ -38,7 +38,7 @@
   if (deficit > 0) {
     deficits_[usage.service] = deficit;
   }
-  const double busy = std::max(usage.used, usage.arriving);
+  const double busy = std::max(usage.used, usage.arriving.ExpectedCores());
   spare_[usage.service] =
       usage.waiting + usage.refused + usage.missing_hosts > 0
           ? 0
--- a/src/libjobs/pool_engine_demand.cc
+++ b/src/libjobs/pool_engine_demand.cc
@@ -70,7 +70,7 @@
   }
   for (auto& [id, service] : services) {
     service.refused = demand_.RefusedCores(id, now);
-    service.arriving = demand_.ArrivingCores(id, now);
+    service.arriving = demand_.Arriving(id, now);
     usage.services.push_back(std::move(service));
   }
   return usage;
--- a/src/libjobs/pool_usage.h
+++ b/src/libjobs/pool_usage.h
@@ -4,6 +4,7 @@
 #include <set>
 #include <vector>
 
+#include "libjobs/arriving_work.h"
 #include "libjobs/forecast.h"
 #include "libjobs/worker_report.h"
 
@@ -30,8 +31,8 @@
   /** Number of hosts needed for long-running tasks that wait or must leave a
    * reserved host, and that no worker of the pool can take. */
   int missing_hosts = 0;
-  /** Cores that new jobs will keep busy if the current trend continues. */
-  double arriving = 0;
+  /** New jobs. */
+  ArrivingWork arriving;
 
   /** Returns the cores that neither runs nor waiting tasks need; may be
    * negative. */
--- a/tests/demand_book_test.cc
+++ b/tests/demand_book_test.cc
@@ -53,7 +53,8 @@
   submit(it.before, kStart);
   submit(it.newest, kStart + milliseconds(1000));
   const double cores =
-      tracker.ArrivingCores(ServiceId("pool"), kStart + milliseconds(1999));
+      tracker.Arriving(ServiceId("pool"), kStart + milliseconds(1999))
+          .ExpectedCores();
   EXPECT_GE(cores, it.min_cores);
   EXPECT_LE(cores, it.max_cores);
 }
@@ -77,11 +78,12 @@
     tracker.RecordRefused(MakeJob("j" + std::to_string(i)), kStart);
   }
   const auto later = kStart + milliseconds(500);
-  const double once = tracker.ArrivingCores(ServiceId("pool"), later);
+  const double once =
+      tracker.Arriving(ServiceId("pool"), later).ExpectedCores();
   for (int i = 0; i < 9; ++i) {
     tracker.RecordRefused(MakeJob("j" + std::to_string(i)), later);
   }
-  EXPECT_EQ(tracker.ArrivingCores(ServiceId("pool"), later), once);
+  EXPECT_EQ(tracker.Arriving(ServiceId("pool"), later).ExpectedCores(), once);
   EXPECT_EQ(tracker.RefusedCores(ServiceId("pool"), later), 9 * 20);
   EXPECT_EQ(tracker.FirstSubmittedAt(JobId("j3"), later), kStart);
   EXPECT_EQ(tracker.FirstSubmittedAt(JobId("other"), later), later);
@@ -96,6 +98,37 @@
   EXPECT_EQ(tracker.FirstSubmittedAt(JobId("j0"), later), later);
 }
 
+/** Returns the forecast for a pool of `cells` whose demand rises from 40 to 160
+ * jobs per second. */
+double ForecastOfRise(int cells) {
+  std::vector<DemandTracker> trackers(static_cast<std::size_t>(cells));
+  for (const auto& [jobs, at] :
+       {std::pair(40, kStart), std::pair(160, kStart + milliseconds(1000))}) {
+    for (int i = 0; i < jobs; ++i) {
+      trackers[static_cast<std::size_t>(i % cells)].RecordAccepted(MakeJob("j"),
+                                                                   at);
+    }
+  }
+  ServiceUsage sum;
+  for (const auto& it : trackers) {
+    ServiceUsage usage;
+    usage.arriving =
+        it.Arriving(ServiceId("pool"), kStart + milliseconds(1500));
+    sum += usage;
+  }
+  return sum.arriving.ExpectedCores();
+}
+
+class DividedDemandTest : public testing::TestWithParam<int> {};
+
+// Start of a demand peak in a pool of several cells. Guards against a forecast
+// that gets lower the more cells a pool has, so that hosts are moved too late.
+TEST_P(DividedDemandTest, ForecastDoesNotDependOnTheNumberOfCells) {
+  EXPECT_NEAR(ForecastOfRise(GetParam()), ForecastOfRise(1), 1e-6);
+}
+
+INSTANTIATE_TEST_SUITE_P(Cells, DividedDemandTest, testing::Values(2, 16));
+
 struct BalanceCase {
   const char* name;
   ServiceUsage usage;
@@ -129,8 +162,18 @@
                   double long_running,
                   double waiting,
                   double arriving) {
-  return {ServiceId("pool"), cores, used, late, long_running,
-          waiting,           0,     0,    0,    arriving};
+  ServiceUsage usage;
+  usage.service = ServiceId("pool");
+  usage.cores = cores;
+  usage.used = used;
+  usage.late = late;
+  usage.long_running = long_running;
+  usage.waiting = waiting;
+  // Steady demand, of which one standard deviation, a tenth of 100 jobs, is not
+  // counted.
+  usage.arriving.newest = {100, arriving / 0.9};
+  usage.arriving.previous = usage.arriving.newest;
+  return usage;
 }
 
 INSTANTIATE_TEST_SUITE_P(
