libfleet: hand shards over within a renewal interval, and stay out after a lapse

Change: after a change of the generation members renew each 150 ms for 1 s, and at once when they have released shards. The in-memory store of the tests hands shards over as the platform does.

--- a/src/libfleet/fleet_node.cc
+++ b/src/libfleet/fleet_node.cc
@@ -13,6 +13,12 @@
 /** Membership renewals per lifetime, so that two may be lost. */
 constexpr int kRenewalsPerLifetime = 3;
 constexpr Duration kRetryDelay = std::chrono::milliseconds(200);
+/** Renewal interval while shards change hands, and how long that is assumed
+ * after a change of the generation. A shard has no owner from the renewal at
+ * which its former owner learns of the change to the next one of the new
+ * owner. */
+constexpr Duration kRebalanceRenewalInterval = std::chrono::milliseconds(150);
+constexpr Duration kRebalanceDuration = std::chrono::milliseconds(1000);
 /** Delay before a node joins the owners again after it failed with a shard. It
  * lets the others take over the shard. */
 constexpr Duration kRejoinDelay = std::chrono::milliseconds(1000);
@@ -109,14 +115,10 @@
 
 void FleetNode::ReleaseShards() {
   join_timer_.Cancel();
-  SetPlannerOwned(false);
-  for (auto& [id, shard] : std::exchange(shards_, {})) {
-    shard->Stop();
-  }
-  std::set<std::string> peers;
-  for (const auto& [shard, owner_node] : owners_) {
-    peers.insert(owner_node.peer_address);
-  }
+  is_member_ = false;
+  rejoin_.Join();
+  StopShards();
+  auto peers = OwnerNodes();
   peers.erase(config_.peer_address);
   ports_.store.Leave([this, peers] {
     for (const auto& it : peers) {
@@ -125,6 +127,13 @@
   });
 }
 
+void FleetNode::StopShards() {
+  SetPlannerOwned(false);
+  for (auto& [id, shard] : std::exchange(shards_, {})) {
+    shard->Stop();
+  }
+}
+
 void FleetNode::ApplyEligibility() {
   if (leaving_ || !started_ || eligibility_.IsEligible() == participating_) {
     return;
@@ -150,6 +159,10 @@
   if (leaving_ || !participating_) {
     return;
   }
+  if (StaysOutAfterExpiry()) {
+    join_timer_.Set(kRetryDelay, [this] { MembershipLoop(); });
+    return;
+  }
   const auto sent_at = SteadyNow();
   renewal_pending_ = true;
   ports_.store.Join(generation_, [this, sent_at](Result<Membership> joined) {
@@ -163,7 +176,10 @@
       }
       renewal_sent_at_ = sent_at;
       store_answered_at_ = SteadyNow();
+      is_member_ = true;
+      rejoin_.Join();
       OnMembership(*joined);
+      owners_at_renewal_ = OwnerNodes().size();
     } else {
       if (!std::exchange(store_unreachable_, true)) {
         ports_.log.Write("store-lost", "",
@@ -172,12 +188,55 @@
       // Other nodes take over the shards of this one.
       RefreshOwners();
     }
-    const auto interval = ports_.store.MemberLifetime() / kRenewalsPerLifetime;
-    join_timer_.Set(joined ? interval : kRetryDelay,
+    join_timer_.Set(joined ? RenewalInterval() : kRetryDelay,
                     [this] { MembershipLoop(); });
   });
 }
 
+std::set<std::string> FleetNode::OwnerNodes() const {
+  std::set<std::string> nodes;
+  for (const auto& [shard, owner] : owners_) {
+    nodes.insert(owner.peer_address);
+  }
+  return nodes;
+}
+
+bool FleetNode::StaysOutAfterExpiry() {
+  const Time now = SteadyNow();
+  const Time expiry = renewal_sent_at_ + ports_.store.MemberLifetime();
+  if (!is_member_ || now < expiry) {
+    return false;
+  }
+  rejoin_.Expire(owners_at_renewal_);
+  RefreshOwners();
+  if (owners_current_at_ < expiry) {
+    // The list may be from before the expiry.
+    return now - expiry < RejoinPolicy::kDelay;
+  }
+  const auto nodes = OwnerNodes();
+  if (nodes.contains(config_.peer_address) ||
+      rejoin_.MayJoin(nodes.size(), now)) {
+    return false;
+  }
+  if (std::exchange(store_unreachable_, false)) {
+    ports_.log.Write("store-regained", "",
+                     fmt::format("owners={} rejoins=later", nodes.size()));
+  }
+  StopShards();
+  return true;
+}
+
+Duration FleetNode::RenewalInterval() {
+  if (std::exchange(unconfirmed_release_, false)) {
+    // Only the next renewal lets the store give the shards to other nodes.
+    return Duration(0);
+  }
+  const auto interval = ports_.store.MemberLifetime() / kRenewalsPerLifetime;
+  return SteadyNow() - rebalanced_at_ < kRebalanceDuration
+             ? std::min(interval, kRebalanceRenewalInterval)
+             : interval;
+}
+
 void FleetNode::RenewMembershipNow() {
   if (!renewal_pending_ && !leaving_ && participating_) {
     join_timer_.Cancel();
@@ -189,6 +248,10 @@
   if (membership.generation < generation_) {
     return;
   }
+  if (generation_ != membership.generation) {
+    rebalanced_at_ = SteadyNow();
+    RefreshOwners();
+  }
   generation_ = membership.generation;
   const std::set<ShardId> held(membership.shards.begin(),
                                membership.shards.end());
@@ -199,6 +262,7 @@
     }
     it->second->Stop();
     it = shards_.erase(it);
+    unconfirmed_release_ = true;
   }
   const ShardOwner::Ports ports{ports_.loop,
                                 ports_.store,
@@ -428,16 +492,14 @@
     owners_read_pending_ = false;
     owners_ = std::move(*owners);
     owners_current_at_ = SteadyNow();
+    store_answered_at_ = owners_current_at_;
     eligibility_.Observe(owners_);
     ApplyEligibility();
   });
 }
 
 void FleetNode::ReadOwnersFromPeer() {
-  std::set<std::string> peers;
-  for (const auto& [shard, owner] : owners_) {
-    peers.insert(owner.peer_address);
-  }
+  auto peers = OwnerNodes();
   peers.erase(config_.peer_address);
   if (peers.empty()) {
     owners_read_pending_ = false;
--- a/src/libfleet/fleet_node.h
+++ b/src/libfleet/fleet_node.h
@@ -12,6 +12,7 @@
 #include "libfleet/ownership_eligibility.h"
 #include "libfleet/peer_calls.h"
 #include "libfleet/planner_owner.h"
+#include "libfleet/rejoin_policy.h"
 #include "libnet/async_http_server.h"
 
 namespace baobab {
@@ -108,6 +109,15 @@
   void MembershipLoop();
   /** Renews the membership now, to learn of rebalanced shards. */
   void RenewMembershipNow();
+  /** Returns the time until the next renewal after a successful one. */
+  Duration RenewalInterval();
+  /** Returns whether the membership has expired, or may have, and the node does
+   * not join again yet; stops its shards once other nodes own them. */
+  bool StaysOutAfterExpiry();
+  /** Returns the peer addresses of the listed owners. */
+  std::set<std::string> OwnerNodes() const;
+  /** Stops owning shards, without telling the store. */
+  void StopShards();
   /** Starts the owners of gained shards and stops those of lost ones. */
   void OnMembership(const Membership& membership);
   /** Joins the group of owners, or yields ownership to larger nodes. */
@@ -220,6 +230,15 @@
   Time last_busy_at_;
   /** Generation of the current membership. */
   std::int64_t generation_ = 0;
+  /** Set from the first answer to a join until the node leaves. */
+  bool is_member_ = false;
+  RejoinPolicy rejoin_;
+  /** Number of owners at the last successful renewal. */
+  std::size_t owners_at_renewal_ = 0;
+  /** When the generation last changed, which moves shards between nodes. */
+  Time rebalanced_at_;
+  /** Shards were released since the last renewal. */
+  bool unconfirmed_release_ = false;
   /** Time at which the last successful membership renewal was sent. */
   Time renewal_sent_at_;
   /** Time of the last answer of the store. */
--- a/tests/fleet_fakes.h
+++ b/tests/fleet_fakes.h
@@ -107,31 +107,61 @@
     timer->Set(delay, [timer, action = std::move(action)] { action(); });
   }
 
-  /** Removes members whose lifetime has passed and assigns the shards
-   * evenly. */
+  /** Removes members whose lifetime has passed and assigns the shards evenly. A
+   * shard of a live member goes to its next owner only once that member has
+   * joined with a generation in which it no longer has the shard. */
   void AssignShards() {
     const auto now = SteadyNow();
     const auto before = members.size();
     std::erase_if(members, [&](const auto& it) {
       return now - it.second.seen_at > lifetime;
     });
-    if (members.size() != before || assigned_members != members.size()) {
-      assigned_members = members.size();
-      ++generation;
-      int next = 0;
-      for (auto& [name, member] : members) {
-        member.shards.clear();
-      }
-      for (int shard = 0; shard < kShards && !members.empty(); ++shard) {
-        std::next(members.begin(), next++ % static_cast<int>(members.size()))
-            ->second.shards.insert(shard);
+    if (members.size() == before && assigned_members == members.size()) {
+      return;
+    }
+    assigned_members = members.size();
+    ++generation;
+    releasing.clear();
+    for (int shard = 0; shard < kShards && !members.empty(); ++shard) {
+      const auto next =
+          std::next(members.begin(), shard % static_cast<int>(members.size()));
+      const auto holder = std::find_if(
+          members.begin(), members.end(),
+          [&](const auto& it) { return it.second.shards.contains(shard); });
+      if (holder == members.end()) {
+        next->second.shards.insert(shard);
+      } else if (holder != next) {
+        holder->second.shards.erase(shard);
+        releasing[shard] = {holder->first, next->first, generation};
       }
     }
   }
 
+  /** Gives the shards that `member` has released to their next owners, now that
+   * it joins with `seen_generation`. */
+  void ConfirmReleases(const std::string& member,
+                       std::int64_t seen_generation) {
+    std::erase_if(releasing, [&](const auto& it) {
+      const auto& [shard, release] = it;
+      if (release.from != member || seen_generation < release.generation) {
+        return false;
+      }
+      members[release.to].shards.insert(shard);
+      ++generation;
+      return true;
+    });
+  }
+
   boost::asio::io_context& loop;
   Duration lifetime = std::chrono::milliseconds(400);
   std::map<std::string, Member> members;
+  /** A shard on its way between two live members. */
+  struct Release {
+    std::string from;
+    std::string to;
+    std::int64_t generation = 0;
+  };
+  std::map<int, Release> releasing;
   /** Number of members at the last assignment of shards. */
   std::size_t assigned_members = 0;
   std::int64_t generation = 0;
@@ -163,10 +193,12 @@
   FakePorts(FakePlatform& platform, std::string member)
       : platform_(platform), member_(std::move(member)) {}
 
-  void Join(std::int64_t, JobStore::Callback<Membership> done) override {
-    Call(done, [this]() -> Result<Membership> {
+  void Join(std::int64_t generation,
+            JobStore::Callback<Membership> done) override {
+    Call(done, [this, generation]() -> Result<Membership> {
       platform_.members[member_].seen_at = SteadyNow();
       platform_.AssignShards();
+      platform_.ConfirmReleases(member_, generation);
       Membership membership;
       membership.generation = platform_.generation;
       for (const int it : platform_.members[member_].shards) {
--- a/tests/fleet_node_test.cc
+++ b/tests/fleet_node_test.cc
@@ -7,7 +7,7 @@
 #include <thread>
 #include <vector>
 
-#include "fleet_fakes.h"
+#include "fleet_test_node.h"
 #include "free_port.h"
 #include "libfleet/loop_runner.h"
 
@@ -16,55 +16,6 @@
 
 using std::chrono::milliseconds;
 
-/** A node with its interfaces to the platform, on the event loop of the
- * test. */
-struct TestNode {
-  TestNode(FakePlatform& platform,
-           const std::string& address,
-           int milli_cores = 0)
-      : ports(platform, address),
-        client(platform.loop),
-        log("test", metrics),
-        node({platform.loop, client, ports, ports, ports, ports, log},
-             Config(address, milli_cores)),
-        jobs(node, metrics) {
-    platform.milli_cores[address] = milli_cores;
-    node.Start();
-  }
-
-  static FleetNodeConfig Config(const std::string& address, int milli_cores) {
-    FleetNodeConfig config;
-    config.milli_cores = milli_cores;
-    config.node = NodeId(address);
-    config.peer_address = address;
-    config.tuning.shards = FakePlatform::kShards;
-    return config;
-  }
-
-  FakePorts ports;
-  AsyncHttpClient client;
-  Metrics metrics;
-  DecisionLog log;
-  FleetNode node;
-  JobInterface jobs;
-};
-
-/** Calls the interface to jobs of a node and runs the loop until it answers. */
-HttpResponse CallNode(boost::asio::io_context& loop,
-                      TestNode& node,
-                      const std::string& method,
-                      const std::string& target,
-                      const std::string& body = "") {
-  std::optional<HttpResponse> got;
-  node.jobs.Serve({method, target, {}, body},
-                  [&](HttpResponse answer) { got = std::move(answer); });
-  const auto limit = SteadyNow() + milliseconds(4000);
-  while (!got && SteadyNow() < limit) {
-    loop.run_one_for(milliseconds(50));
-  }
-  return got.value_or(HttpResponse{0, {}, "no answer"});
-}
-
 /** Shard of the only cell of the pool. */
 const ShardId kCell{1};
 
