libjobs, libfleet: move hosts on one second after they have arrived; stay out for a minute

Change: minimum stay of 1 s; a lapsed node stays out for 60 s, or until a third of the owners have failed. Where one shard has cells of two pools, a moved host is usable in its new one at once. Test: MovesHostsOnWhenThePeakHasPassed failed with the former stay.

--- a/src/libfleet/rejoin_policy.cc
+++ b/src/libfleet/rejoin_policy.cc
@@ -5,9 +5,9 @@
 namespace {
 
 /** Share of the former owners that must own shards for a node to stay out; the
- * load of the others then rises by a third at most. */
-constexpr std::size_t kMinOwnersNumerator = 3;
-constexpr std::size_t kMinOwnersDenominator = 4;
+ * load of the others then rises by half at most. */
+constexpr std::size_t kMinOwnersNumerator = 2;
+constexpr std::size_t kMinOwnersDenominator = 3;
 
 }  // namespace
 
--- a/src/libfleet/rejoin_policy.h
+++ b/src/libfleet/rejoin_policy.h
@@ -16,7 +16,7 @@
 class RejoinPolicy {
  public:
   /** Time for which a node stays out once the store answers again. */
-  static constexpr Duration kDelay = std::chrono::seconds(15);
+  static constexpr Duration kDelay = std::chrono::seconds(60);
 
   /** Records that the membership has expired, when `owners` nodes, including
    * this one, owned shards. */
--- a/src/libjobs/host_planner.cc
+++ b/src/libjobs/host_planner.cc
@@ -66,8 +66,11 @@
     }
     if (const auto shard = division_->CellOfHost(host.former_pool, id);
         shard && host.former_pool != host.info.pool &&
+        (IsStandby(host.info.pool) ||
+         shard != division_->CellOfHost(host.info.pool, id)) &&
         now - host.left_at < tuning_.former_worker_ttl) {
-      // The former pool may still list the worker, which no longer exists.
+      // The former pool may still list the worker, which no longer exists. An
+      // owner of both cells may use the new worker of the host.
       plans[*shard].reserved.insert(id);
     }
     const bool moves = host.purpose == Purpose::kMove;
--- a/src/libjobs/host_planner.h
+++ b/src/libjobs/host_planner.h
@@ -65,7 +65,7 @@
    * left its pool: three heartbeats of 1.5 s, and the lag of the list. */
   Duration former_worker_ttl = std::chrono::milliseconds(6000);
   /** Minimum time that a host stays in a pool after a move. */
-  Duration min_stay = std::chrono::milliseconds(3000);
+  Duration min_stay = std::chrono::milliseconds(1000);
   /** Time without work after which a host is returned to a standby pool. The
    * two moves, there and back, cost as much as 2.3 s of a host in a pool. */
   Duration idle_timeout = std::chrono::milliseconds(2500);
--- a/tests/host_planner_test.cc
+++ b/tests/host_planner_test.cc
@@ -484,5 +484,28 @@
             milliseconds(1000) + tuning.move_time + tuning.arrival_lag);
 }
 
+// A demand peak ends while hosts are on their way to its pool, and the peak of
+// another pool begins. Guards against hosts that stand idle for 3 s where they
+// have arrived while work waits elsewhere, as on the large site, where one pool
+// had 775 hosts and the next peak got 87.
+TEST(HostPlannerTest, MovesHostsOnWhenThePeakHasPassed) {
+  PlannerWorld world;
+  for (int i = 0; i < 12; ++i) {
+    world.AddHost("off" + std::to_string(i), "off");
+  }
+  world.AddHost("cold0", "cold");
+  world.AddHost("hot0", "hot");
+  world.Start();
+  world.demands["cold"] = 12 * 64;
+  world.Rounds(10);
+  ASSERT_EQ(world.moves.size(), 12u);
+  world.demands["cold"] = 0;
+  world.demands["hot"] = 6 * 64;
+  // The moves take 2 s; the next orders follow within another 2 s.
+  world.Rounds(40);
+  ASSERT_GE(world.moves.size(), 18u);
+  EXPECT_EQ(world.moves[12].second, ServiceId("hot"));
+}
+
 }  // namespace
 }  // namespace baobab
