--- a/src/libfleet/fleet_node.cc
+++ b/src/libfleet/fleet_node.cc
@@ -116,7 +116,7 @@
 void FleetNode::ReleaseShards() {
   join_timer_.Cancel();
   is_member_ = false;
-  rejoin_.Join();
+  rejoin_.Reset();
   StopShards();
   auto peers = OwnerNodes();
   peers.erase(config_.peer_address);
@@ -177,7 +177,7 @@
       renewal_sent_at_ = sent_at;
       store_answered_at_ = SteadyNow();
       is_member_ = true;
-      rejoin_.Join();
+      rejoin_.Reset();
       OnMembership(*joined);
       owners_at_renewal_ = OwnerNodes().size();
     } else {
--- a/src/libfleet/rejoin_policy.cc
+++ b/src/libfleet/rejoin_policy.cc
@@ -24,7 +24,8 @@
   if (!expired_->asked_at) {
     expired_->asked_at = now;
   }
-  return owners * kMinOwnersDenominator <
+  return owners == 0 ||
+         owners * kMinOwnersDenominator <
              expired_->owners * kMinOwnersNumerator ||
          now - *expired_->asked_at >= kDelay;
 }
--- a/src/libfleet/rejoin_policy.h
+++ b/src/libfleet/rejoin_policy.h
@@ -23,8 +23,8 @@
   void Expire(std::size_t owners);
   /** Returns whether to join, now that `owners` other nodes own shards. */
   bool MayJoin(std::size_t owners, Time now);
-  /** Records that the node is a member again. */
-  void Join() { expired_.reset(); }
+  /** Forgets the expiry, as the node is a member again or has left. */
+  void Reset() { expired_.reset(); }
 
  private:
   struct Expired {
@@ -32,6 +32,7 @@
     /** First question after the expiry. */
     std::optional<Time> asked_at;
   };
+  /** Set while the node stays out. */
   std::optional<Expired> expired_;
 };
 
--- a/tests/rebalance_test.cc
+++ b/tests/rebalance_test.cc
@@ -131,7 +131,7 @@
   EXPECT_EQ(
       policy.MayJoin(it.owners_left, now + std::chrono::seconds(it.waited_s)),
       it.may_join);
-  policy.Join();
+  policy.Reset();
   EXPECT_TRUE(policy.MayJoin(it.owners_left, now));
 }
 
@@ -145,6 +145,7 @@
                     RejoinCase{"FourOfFifteen", 15, 11, 0, false},
                     RejoinCase{"SixOfFifteen", 15, 9, 0, true},
                     RejoinCase{"AllOfFifteen", 15, 0, 0, true},
+                    RejoinCase{"NoOwnerKnown", 0, 0, 0, true},
                     RejoinCase{"Waited", 15, 12, 60, true}),
     [](const auto& info) { return info.param.name; });
 
