--- a/src/libjobs/pool_division.cc
+++ b/src/libjobs/pool_division.cc
@@ -48,9 +48,9 @@
 }
 
 const std::vector<ShardId>& PoolDivision::CellsOf(const ServiceId& pool) const {
-  static const std::vector<ShardId> kNone;
+  static const std::vector<ShardId> none;
   const auto it = pools_.find(pool);
-  return it == pools_.end() ? kNone : it->second;
+  return it == pools_.end() ? none : it->second;
 }
 
 std::optional<ShardId> PoolDivision::CellOfJob(const ServiceId& pool,
