--- a/src/libjobs/host_planner.h
+++ b/src/libjobs/host_planner.h
@@ -273,6 +273,8 @@
   void Handle(const IntentStored& event);
   void Handle(const HostOrderFinished& event);
 
+  /** Returns the cores of a host, or an assumed number if it is unknown. */
+  static double CoresOf(const HostInfo& info);
   bool IsStandby(const ServiceId& pool) const;
   /** Returns whether nothing runs on the host, so an order would end no run. */
   bool IsVacated(const Host& host) const;
@@ -280,6 +282,20 @@
   Duration VacateTime(const Host& host) const;
   /** Returns whether an order of a previous planner may still take effect. */
   bool IsBlocked(const HostId& host) const;
+  /** Returns whether the store does not answer, so that no order can be given.
+   */
+  bool IsStoreAway() const;
+  /** Ends all reservations without an order, so that the hosts get work. */
+  void ReleaseReservations();
+  /** Returns whether the host is or may be in a move or in maintenance. */
+  bool IsAway(const Host& host) const;
+  /** Ends the reservation of the host. */
+  void Release(Host& host);
+  void PlanWaves();
+  /** Reserves hosts of the wave and reports its progress. */
+  void PlanWave(Wave& wave);
+
+  // Moves between pools (host_planner_moves.cc).
   /** Returns the hosts that may be moved to another pool, in order of
    * preference. */
   std::vector<Host*> FindDonors();
@@ -308,11 +324,6 @@
   /** Returns the deficits of the late work of all cells. It runs behind all
    * other work, so the hosts of its cell may leave before it is done. */
   std::map<ServiceId, Deficit> ComputeLateDeficits() const;
-  /** Returns whether the store does not answer, so that no order can be given.
-   */
-  bool IsStoreAway() const;
-  /** Ends all reservations without an order, so that the hosts get work. */
-  void ReleaseReservations();
   /** Reserves donors for the pools in turn until no deficit can be lowered. */
   void ReserveDonors(std::vector<Host*>& donors,
                      PoolBalance& balance,
@@ -327,13 +338,6 @@
   /** Reserves hosts that no pool needs for a move to a standby pool, where they
    * cost nothing. */
   void ReturnIdleHosts(const std::vector<Host*>& donors, PoolBalance& balance);
-  /** Returns whether the host is or may be in a move or in maintenance. */
-  bool IsAway(const Host& host) const;
-  /** Ends the reservation of the host. */
-  void Release(Host& host);
-  void PlanWaves();
-  /** Reserves hosts of the wave and reports its progress. */
-  void PlanWave(Wave& wave);
   /** Reserves hosts for moves to the pools that lack cores. */
   void PlanMoves();
   /** Logs the demand of each pool, at most once a second. */
