--- a/tests/pool_engine_test.cc
+++ b/tests/pool_engine_test.cc
@@ -519,7 +519,7 @@
 
 // A planner that cannot reach the store is replaced and does not know it yet.
 // Guards against plans of both in turns: in a load test, the former planner
-// kept half of the hosts reserved for 6 s at the start of a demand peak.
+// kept hundreds of hosts reserved for 6 s at the start of a demand peak.
 TEST_F(PoolEngineTest, FollowsOnlyTheNewestPlanner) {
   const auto plan = [&](std::int64_t planner, const char* host) {
     HostPlan it;
