libfleet: log why the store refused an owner's records

Cause: 'shard-fenced' did not say whether a later owner has a higher token or another process has used the same one, which are different faults. Change: the line has cause=fenced or cause=out-of-sequence. Measured: none; no decision changes.

--- a/src/libfleet/fleet_node.cc
+++ b/src/libfleet/fleet_node.cc
@@ -264,16 +264,16 @@
     it = shards_.erase(it);
     unconfirmed_release_ = true;
   }
-  const ShardOwner::Ports ports{ports_.loop,
-                                ports_.store,
-                                ports_.workers,
-                                ports_.log,
-                                [this] {
-                                  return SteadyNow() - renewal_sent_at_ <
-                                         kMaxRenewalAgeForOrders;
-                                },
-                                [this](ShardId it) { OnFenced(it); },
-                                [this](ShardId it) { OnFailed(it); }};
+  const ShardOwner::Ports ports{
+      ports_.loop,
+      ports_.store,
+      ports_.workers,
+      ports_.log,
+      [this] {
+        return SteadyNow() - renewal_sent_at_ < kMaxRenewalAgeForOrders;
+      },
+      [this](ShardId it, AppendOutcome cause) { OnFenced(it, cause); },
+      [this](ShardId it) { OnFailed(it); }};
   SetPlannerOwned(held.contains(kPlannerShard));
   for (const auto& it : held) {
     if (shards_.contains(it)) {
@@ -294,8 +294,10 @@
   }
 }
 
-void FleetNode::OnFenced(ShardId shard) {
-  ports_.log.Write("shard-fenced", "", fmt::format("shard={}", shard.value()));
+void FleetNode::OnFenced(ShardId shard, AppendOutcome cause) {
+  ports_.log.Write(
+      "shard-fenced", "",
+      fmt::format("shard={} cause={}", shard.value(), ToString(cause)));
   // Posted, because the caller may be the shard that is destroyed here.
   boost::asio::post(ports_.loop, [this, shard] {
     const auto it = shards_.find(shard);
--- a/src/libfleet/fleet_node.h
+++ b/src/libfleet/fleet_node.h
@@ -144,8 +144,8 @@
   void ReadOwnersFromPeer();
   /** Sends periodic ticks to the shards and measures their delay. */
   void TickLoop();
-  /** Stops a shard that a later owner has fenced. */
-  void OnFenced(ShardId shard);
+  /** Stops a shard whose records the store refuses. */
+  void OnFenced(ShardId shard, AppendOutcome cause);
   /** Gives up all shards after an unexpected error of one, and joins the owners
    * again later. */
   void OnFailed(ShardId shard);
--- a/src/libfleet/ports.h
+++ b/src/libfleet/ports.h
@@ -42,6 +42,13 @@
   kUnknown,
 };
 
+/** Returns the name for logs. */
+constexpr const char* ToString(AppendOutcome outcome) {
+  constexpr const char* kNames[] = {"stored", "fenced", "out-of-sequence",
+                                    "refused", "unknown"};
+  return kNames[static_cast<int>(outcome)];
+}
+
 /** Writer of records within a shard. The writers of a shard have separate
  * fencing tokens and sequence numbers. */
 enum class ShardWriter { kJobs, kPlanner };
--- a/src/libfleet/shard_owner.cc
+++ b/src/libfleet/shard_owner.cc
@@ -80,7 +80,7 @@
                        if (outcome == AppendOutcome::kStored) {
                          self->Load();
                        } else if (outcome == AppendOutcome::kFenced) {
-                         self->ports_.on_fenced(self->shard_);
+                         self->ports_.on_fenced(self->shard_, outcome);
                        } else {
                          self->Retry(&ShardOwner::FenceFormerOwners,
                                      kRetryDelay);
@@ -213,7 +213,7 @@
             break;
           case AppendOutcome::kFenced:
           case AppendOutcome::kOutOfSequence:
-            self->ports_.on_fenced(self->shard_);
+            self->ports_.on_fenced(self->shard_, outcome);
             break;
           case AppendOutcome::kRefused:
             self->Retry(&ShardOwner::Append, kRetryDelay);
--- a/src/libfleet/shard_owner.h
+++ b/src/libfleet/shard_owner.h
@@ -44,8 +44,9 @@
     DecisionLog& log;
     /** Returns false once the membership may have expired. */
     std::function<bool()> may_send_orders;
-    /** Called when a later owner has fenced the shard. */
-    std::function<void(ShardId)> on_fenced;
+    /** Called when the store refuses the records of this owner: a later one has
+     * fenced the shard, or another one has used the same token. */
+    std::function<void(ShardId, AppendOutcome)> on_fenced;
     /** Called after an unexpected error, when the state in memory may be
      * incomplete. */
     std::function<void(ShardId)> on_failed;
