tests: restart of an owner while the store is away

Its successor joined under the same member name, got the generation of the membership that had not expired, and wrote with the token of the former process. No other node owned the shard then. Change: the store of the tests keeps the sequence numbers of a writer, and the last five appends as repeatable, as the platform does. It did not check them, which is why no test could show this. Leave() has no effect on a node that is cut off. A test restarts an owner in an outage.

--- a/tests/fleet_fakes.h
+++ b/tests/fleet_fakes.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <stdexcept>
 #include <string>
@@ -152,6 +153,41 @@
     });
   }
 
+  /** Ends an outage for all nodes. Memberships did not expire during it. */
+  void EndOutage() {
+    cut_off.clear();
+    for (auto& [name, member] : members) {
+      member.seen_at = SteadyNow();
+    }
+  }
+
+  /** Checks a write against the token and the sequence number of its stream;
+   * returns its outcome, and whether the records are new. */
+  std::pair<AppendOutcome, bool> Sequence(const ShardStream& stream,
+                                          std::int64_t token,
+                                          std::uint64_t sequence,
+                                          bool empty) {
+    auto& producer = producers[{stream.shard, stream.writer}];
+    if (token < producer.token) {
+      return {AppendOutcome::kFenced, false};
+    }
+    if (token > producer.token) {
+      producer = {token, std::nullopt};
+    }
+    if (empty) {
+      return {AppendOutcome::kStored, false};
+    }
+    if (producer.last && sequence <= *producer.last &&
+        *producer.last - sequence < kRepeatsKnown) {
+      return {AppendOutcome::kStored, false};
+    }
+    if (producer.last && sequence != *producer.last + 1) {
+      return {AppendOutcome::kOutOfSequence, false};
+    }
+    producer.last = sequence;
+    return {AppendOutcome::kStored, true};
+  }
+
   boost::asio::io_context& loop;
   Duration lifetime = std::chrono::milliseconds(400);
   std::map<std::string, Member> members;
@@ -166,7 +202,15 @@
   std::size_t assigned_members = 0;
   std::int64_t generation = 0;
   std::map<ShardId, std::map<std::string, std::string>> records;
-  std::map<std::pair<ShardId, ShardWriter>, std::int64_t> epochs;
+  /** Number of a writer's last appends whose repetition is recognized. */
+  static constexpr std::uint64_t kRepeatsKnown = 5;
+  /** Writer of a stream with the highest token so far. */
+  struct Producer {
+    std::int64_t token = 0;
+    /** Sequence number of its last append. */
+    std::optional<std::uint64_t> last;
+  };
+  std::map<std::pair<ShardId, ShardWriter>, Producer> producers;
   /** Records of the division of pools, in the order in which they were
    * stored. */
   std::vector<StoredRecord> division;
@@ -208,6 +252,10 @@
     });
   }
   void Leave(std::function<void()> done) override {
+    if (platform_.cut_off.contains(member_)) {
+      After(std::chrono::milliseconds(200), done);
+      return;
+    }
     platform_.members.erase(member_);
     platform_.AssignShards();
     After(Duration(0), done);
@@ -259,7 +307,7 @@
   }
   void Append(const ShardStream& stream,
               FenceToken token,
-              std::uint64_t,
+              std::uint64_t sequence,
               const std::vector<StoredRecord>& records,
               Duration,
               std::function<void(AppendOutcome)> done) override {
@@ -268,12 +316,13 @@
             [done] { done(AppendOutcome::kUnknown); });
       return;
     }
-    auto& epoch = platform_.epochs[{stream.shard, stream.writer}];
-    if (token.value() < epoch) {
-      After(Duration(0), [done] { done(AppendOutcome::kFenced); });
+    const auto [outcome, is_new] =
+        platform_.Sequence(stream, token.value(), sequence, records.empty());
+    if (!is_new) {
+      After(std::chrono::milliseconds(2),
+            [done, result = outcome] { done(result); });
       return;
     }
-    epoch = token.value();
     for (const auto& it : records) {
       auto& shard = platform_.records[stream.shard];
       if (it.value.empty()) {
--- a/tests/fleet_node_test.cc
+++ b/tests/fleet_node_test.cc
@@ -157,6 +157,51 @@
   EXPECT_NE(Call(owner, "POST", "/jobs/queue/j2", kJob).status, 200);
 }
 
+struct RestartCase {
+  const char* name;
+  /** Jobs that are done before the outage; each takes several records. */
+  int jobs;
+};
+
+class RestartInOutageTest : public FleetNodeTest,
+                            public testing::WithParamInterface<RestartCase> {};
+
+// Guards against a process that starts while the store is away, takes its
+// former process's membership for its own, and writes with the token of that
+// process: the store then refuses its records, or takes them for repeated ones
+// and drops them, so that accepted jobs are lost.
+TEST_P(RestartInOutageTest, KeepsWhatIsAcceptedAfterwards) {
+  for (int i = 0; i < GetParam().jobs; ++i) {
+    const auto target = "/jobs/queue/early" + std::to_string(i);
+    ASSERT_EQ(Call(Owner(), "POST", target, kJob).status, 200);
+    loop.run_for(milliseconds(250));
+  }
+  const int first = &Owner() == nodes[0].get() ? 0 : 1;
+  platform.cut_off.insert(addresses.begin(), addresses.end());
+  platform.run_time = std::chrono::seconds(60);
+  platform.lifetime = std::chrono::seconds(9);
+  nodes[first].reset();
+  nodes[first] = std::make_unique<TestNode>(platform, addresses[first]);
+  loop.run_for(milliseconds(600));
+  platform.EndOutage();
+  loop.run_for(milliseconds(3000));
+
+  ASSERT_EQ(Call(*nodes[0], "POST", "/jobs/queue/late", kJob).status, 200);
+  loop.run_for(milliseconds(200));
+  nodes[&Owner() == nodes[0].get() ? 0 : 1]->node.Leave();
+  loop.run_for(milliseconds(1500));
+  for (const auto& it : nodes) {
+    EXPECT_EQ(Call(*it, "GET", "/jobs/queue/late").status, 200);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Records,
+    RestartInOutageTest,
+    testing::Values(RestartCase{"FewerThanTheStoreRecognizes", 1},
+                    RestartCase{"Many", 4}),
+    [](const auto& it) { return it.param.name; });
+
 // Guards against callers that wait although their job reached no owner; in a
 // recorded day they waited 2.2 s and then got 504.
 TEST_F(FleetNodeTest, RefusesQuicklyIfNoOwnerIsReached) {
