libfleet: use each fencing token for one owner only

Callers saw: long-running tasks that stayed away for 24 s although there was capacity, 504 for all jobs of a pool, and 404 for a job that had been accepted. Cause: a process that starts while the store is away could not end the membership of its former process, and joined all the same. As memberships do not expire during an outage, the store answered with the old generation, which is the fencing token. The new process so wrote with the token of its predecessor, and with sequence numbers from 0 again. The store refuses these (the shard is 'fenced' and owned again with the same token, without end), or, if they are among the last five, takes them for repeated appends: it confirms them and stores nothing. Change: a node joins only after the store has confirmed that it is no member. A node that is assigned a shard again with a generation that an earlier owner of it has used leaves and joins again, which raises the generation. Answers to renewals that were sent before leaving are ignored.

--- a/src/libfleet/fleet_node.cc
+++ b/src/libfleet/fleet_node.cc
@@ -94,19 +94,31 @@
                                endpoint && listening ? "yes" : "no"));
   store_answered_at_ = SteadyNow();
   renewal_sent_at_ = SteadyNow();
-  // A previous process of this node may still be a member; leaving rebalances
-  // its shards with a higher generation.
-  ports_.store.Leave([this] {
-    join_timer_.Set(eligibility_.JoinDelay(), [this] {
-      started_ = true;
-      OwnerLoop();
-    });
-  });
+  LeaveFormerMembership();
   PublishedLoop();
   WorkerLoop();
   TickLoop();
 }
 
+void FleetNode::LeaveFormerMembership() {
+  // Joining a membership of a former process would return its generation, and
+  // so a token with which that process has stored records.
+  ports_.store.Leave([this](bool left) {
+    if (leaving_) {
+      return;
+    }
+    if (left) {
+      join_timer_.Set(eligibility_.JoinDelay(), [this] {
+        started_ = true;
+        OwnerLoop();
+      });
+      return;
+    }
+    RefreshOwners();
+    join_timer_.Set(kRetryDelay, [this] { LeaveFormerMembership(); });
+  });
+}
+
 void FleetNode::Leave() {
   leaving_ = true;
   ReleaseShards();
@@ -114,13 +126,14 @@
 }
 
 void FleetNode::ReleaseShards() {
+  ++releases_;
   join_timer_.Cancel();
   is_member_ = false;
   rejoin_.Reset();
   StopShards();
   auto peers = OwnerNodes();
   peers.erase(config_.peer_address);
-  ports_.store.Leave([this, peers] {
+  ports_.store.Leave([this, peers](bool) {
     for (const auto& it : peers) {
       peers_.NotifyRebalanced(it);
     }
@@ -129,11 +142,26 @@
 
 void FleetNode::StopShards() {
   SetPlannerOwned(false);
-  for (auto& [id, shard] : std::exchange(shards_, {})) {
-    shard->Stop();
+  for (auto it = shards_.begin(); it != shards_.end();) {
+    it = StopShard(it);
   }
 }
 
+std::map<ShardId, std::shared_ptr<ShardOwner>>::iterator FleetNode::StopShard(
+    std::map<ShardId, std::shared_ptr<ShardOwner>>::iterator shard) {
+  const auto owner = shard->second;
+  stopped_owners_[shard->first] = {owner->token(), SteadyNow()};
+  const auto next = shards_.erase(shard);
+  owner->Stop();
+  return next;
+}
+
+bool FleetNode::WouldReuseToken(ShardId shard) const {
+  const auto it = stopped_owners_.find(shard);
+  return !shards_.contains(shard) && it != stopped_owners_.end() &&
+         FenceToken(generation_) <= it->second.token;
+}
+
 void FleetNode::ApplyEligibility() {
   if (leaving_ || !started_ || eligibility_.IsEligible() == participating_) {
     return;
@@ -165,9 +193,10 @@
   }
   const auto sent_at = SteadyNow();
   renewal_pending_ = true;
-  ports_.store.Join(generation_, [this, sent_at](Result<Membership> joined) {
+  ports_.store.Join(generation_, [this, sent_at, releases = releases_](
+                                     Result<Membership> joined) {
     renewal_pending_ = false;
-    if (leaving_ || !participating_) {
+    if (leaving_ || !participating_ || releases != releases_) {
       return;
     }
     if (joined) {
@@ -178,7 +207,10 @@
       store_answered_at_ = SteadyNow();
       is_member_ = true;
       rejoin_.Reset();
-      OnMembership(*joined);
+      OnMembership(*joined, sent_at);
+      if (releases != releases_) {
+        return;
+      }
       owners_at_renewal_ = OwnerNodes().size();
     } else {
       if (!std::exchange(store_unreachable_, true)) {
@@ -244,7 +276,7 @@
   }
 }
 
-void FleetNode::OnMembership(const Membership& membership) {
+void FleetNode::OnMembership(const Membership& membership, Time sent_at) {
   if (membership.generation < generation_) {
     return;
   }
@@ -260,8 +292,7 @@
       ++it;
       continue;
     }
-    it->second->Stop();
-    it = shards_.erase(it);
+    it = StopShard(it);
     unconfirmed_release_ = true;
   }
   const ShardOwner::Ports ports{
@@ -274,11 +305,19 @@
       },
       [this](ShardId it, AppendOutcome cause) { OnFenced(it, cause); },
       [this](ShardId it) { OnFailed(it); }};
-  SetPlannerOwned(held.contains(kPlannerShard));
+  SetPlannerOwned(held.contains(kPlannerShard) &&
+                  !WouldReuseToken(kPlannerShard));
+  bool reused = false;
   for (const auto& it : held) {
     if (shards_.contains(it)) {
       continue;
     }
+    if (WouldReuseToken(it)) {
+      // An answer to an earlier renewal may be from before another node got the
+      // shard.
+      reused = reused || sent_at > stopped_owners_.at(it).at;
+      continue;
+    }
     auto shard = std::make_shared<ShardOwner>(
         ports, it, FenceToken(generation_), config_.tuning);
     shards_.emplace(it, shard);
@@ -292,6 +331,9 @@
       shard->SetWorkers(worker_list_);
     }
   }
+  if (reused) {
+    Rejoin();
+  }
 }
 
 void FleetNode::OnFenced(ShardId shard, AppendOutcome cause) {
@@ -302,8 +344,7 @@
   boost::asio::post(ports_.loop, [this, shard] {
     const auto it = shards_.find(shard);
     if (it != shards_.end()) {
-      it->second->Stop();
-      shards_.erase(it);
+      StopShard(it);
     }
     if (shard == kPlannerShard) {
       SetPlannerOwned(false);
@@ -319,13 +360,17 @@
     if (leaving_ || !participating_ || !shards_.contains(shard)) {
       return;
     }
-    // Joining again raises the generation, so that the next owner, perhaps this
-    // node, fences the current one.
-    ReleaseShards();
-    join_timer_.Set(kRejoinDelay, [this] { MembershipLoop(); });
+    Rejoin();
   });
 }
 
+void FleetNode::Rejoin() {
+  ports_.log.Write("rejoin-group", "",
+                   fmt::format("generation={}", generation_));
+  ReleaseShards();
+  join_timer_.Set(kRejoinDelay, [this] { MembershipLoop(); });
+}
+
 std::function<bool()> FleetNode::MakeMembershipCheck() const {
   return [this] {
     return SteadyNow() - renewal_sent_at_ < ports_.store.MemberLifetime();
--- a/src/libfleet/fleet_node.h
+++ b/src/libfleet/fleet_node.h
@@ -1,6 +1,7 @@
 #ifndef SRC_LIBFLEET_FLEET_NODE_H_
 #define SRC_LIBFLEET_FLEET_NODE_H_
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -105,6 +106,9 @@
   template <typename T>
   struct Forward;
 
+  /** Ends the membership of a former process of this node, and then joins the
+   * group of owners. */
+  void LeaveFormerMembership();
   /** Renews the membership periodically. */
   void MembershipLoop();
   /** Renews the membership now, to learn of rebalanced shards. */
@@ -118,8 +122,15 @@
   std::set<std::string> OwnerNodes() const;
   /** Stops owning shards, without telling the store. */
   void StopShards();
-  /** Starts the owners of gained shards and stops those of lost ones. */
-  void OnMembership(const Membership& membership);
+  /** Starts the owners of gained shards and stops those of lost ones.
+   * `sent_at` is when the renewal was sent. */
+  void OnMembership(const Membership& membership, Time sent_at);
+  /** Stops the owner of a shard and returns the iterator after it. */
+  std::map<ShardId, std::shared_ptr<ShardOwner>>::iterator StopShard(
+      std::map<ShardId, std::shared_ptr<ShardOwner>>::iterator shard);
+  /** Returns whether an owner of the shard would now get the token of an
+   * earlier one. */
+  bool WouldReuseToken(ShardId shard) const;
   /** Joins the group of owners, or yields ownership to larger nodes. */
   void ApplyEligibility();
   /** Stops all shards, leaves the group of owners and notifies the others. */
@@ -146,9 +157,12 @@
   void TickLoop();
   /** Stops a shard whose records the store refuses. */
   void OnFenced(ShardId shard, AppendOutcome cause);
-  /** Gives up all shards after an unexpected error of one, and joins the owners
-   * again later. */
+  /** Gives up all shards after an unexpected error of one. */
   void OnFailed(ShardId shard);
+  /** Gives up all shards and joins the owners again later. That raises the
+   * generation, so that the next owners, perhaps of this node, fence the
+   * current ones. */
+  void Rejoin();
   /** Returns a predicate that is true while no other node can own the shards of
    * this one. */
   std::function<bool()> MakeMembershipCheck() const;
@@ -212,6 +226,12 @@
   std::shared_ptr<const PolicySet> policies_;
   std::shared_ptr<const std::vector<WorkerEntry>> worker_list_;
   std::map<ShardId, std::shared_ptr<ShardOwner>> shards_;
+  /** Last owner that this node stopped, by shard. */
+  struct StoppedOwner {
+    FenceToken token;
+    Time at;
+  };
+  std::map<ShardId, StoppedOwner> stopped_owners_;
   std::shared_ptr<PlannerOwner> planner_;
   /** Configuration as of the last read. */
   FleetFeed::PublishedConfig published_;
@@ -244,6 +264,9 @@
   /** Time of the last answer of the store. */
   Time store_answered_at_;
   bool renewal_pending_ = false;
+  /** How often this node has left the group, to ignore answers to renewals that
+   * were sent before. */
+  std::uint64_t releases_ = 0;
   /** Set while this node takes part in owning shards. */
   bool participating_ = false;
   /** Set once the shards of a previous process are released and larger nodes
--- a/src/libfleet/ports.h
+++ b/src/libfleet/ports.h
@@ -71,8 +71,9 @@
   /** Joins the group of shard owners, or renews the membership. Members that do
    * not renew within MemberLifetime() lose their shards. */
   virtual void Join(std::int64_t generation, Callback<Membership> done) = 0;
-  /** Leaves the group; the shards of this node are assigned to others. */
-  virtual void Leave(std::function<void()> done) = 0;
+  /** Leaves the group; the shards of this node are assigned to others. `done`
+   * gets false if the store has not confirmed that the node is no member. */
+  virtual void Leave(std::function<void(bool left)> done) = 0;
   /** Returns the time for which a membership lasts without a renewal. */
   virtual Duration MemberLifetime() const = 0;
   /** Reads the owners of all shards. */
--- a/tests/fleet_fakes.h
+++ b/tests/fleet_fakes.h
@@ -251,14 +251,14 @@
       return membership;
     });
   }
-  void Leave(std::function<void()> done) override {
+  void Leave(std::function<void(bool left)> done) override {
     if (platform_.cut_off.contains(member_)) {
-      After(std::chrono::milliseconds(200), done);
+      After(std::chrono::milliseconds(200), [done] { done(false); });
       return;
     }
     platform_.members.erase(member_);
     platform_.AssignShards();
-    After(Duration(0), done);
+    After(Duration(0), [done] { done(true); });
   }
   Duration MemberLifetime() const override { return platform_.lifetime; }
   void ReadOwners(
--- a/tests/fleet_node_test.cc
+++ b/tests/fleet_node_test.cc
@@ -202,6 +202,19 @@
                     RestartCase{"Many", 4}),
     [](const auto& it) { return it.param.name; });
 
+// Guards against an owner that starts again with the token of which the store
+// has refused the records, and then is refused for ever.
+TEST_F(FleetNodeTest, OwnerWhoseRecordsAreRefusedGetsANewToken) {
+  platform.lifetime = std::chrono::seconds(9);
+  const auto token = platform.generation;
+  platform.producers[{kCell, ShardWriter::kJobs}] = {token, 100};
+  Call(Other(), "POST", "/jobs/queue/j1", kJob);
+  loop.run_for(milliseconds(3000));
+  EXPECT_EQ(Call(Other(), "POST", "/jobs/queue/j2", kJob).status, 200);
+  const auto& producer = platform.producers[{kCell, ShardWriter::kJobs}];
+  EXPECT_GT(producer.token, token);
+}
+
 // Guards against callers that wait although their job reached no owner; in a
 // recorded day they waited 2.2 s and then got 504.
 TEST_F(FleetNodeTest, RefusesQuicklyIfNoOwnerIsReached) {
