libjobs: add and remove the runs of a worker in one place

Cause: the sum of occupied resources and the list of runs were kept in step at seven places. Change: Worker::AddRun and RemoveRun. Measured: pool_engine_test and pool_engine_property_test pass; no behaviour changes. Conclusion: more facts about a run can be kept without visiting each place.

--- a/src/libjobs/pool_engine.cc
+++ b/src/libjobs/pool_engine.cc
@@ -143,10 +143,9 @@
           if (tasks[i].phase == TaskPhase::kInherited) {
             Worker& worker = WorkerFor(tasks[i].worker);
             const auto resources = ResourcesOf(job.spec.steps[step]);
-            worker.runs.emplace(
+            worker.AddRun(
                 TaskId{id, number, static_cast<int>(step), static_cast<int>(i)},
                 resources);
-            worker.used += resources;
           }
         }
       }
--- a/src/libjobs/pool_engine_tasks.cc
+++ b/src/libjobs/pool_engine_tasks.cc
@@ -26,13 +26,7 @@
 
 void PoolEngine::ReleaseResources(const TaskId& id, const Task& task) {
   const auto worker = workers_.find(task.worker);
-  if (worker == workers_.end()) {
-    return;
-  }
-  const auto run = worker->second.runs.find(id);
-  if (run != worker->second.runs.end()) {
-    worker->second.used -= run->second;
-    worker->second.runs.erase(run);
+  if (worker != workers_.end() && worker->second.RemoveRun(id)) {
     schedule_needed_ = true;
   }
 }
@@ -273,17 +267,14 @@
     }
     rack = worker->Rack();
     chosen.push_back(worker->entry.id);
-    Worker& reserved = workers_.at(chosen.back());
-    reserved.used += resources;
-    reserved.runs.emplace(TaskId{job.id, ready.occurrence, ready.step,
-                                 static_cast<int>(chosen.size()) - 1},
-                          resources);
+    workers_.at(chosen.back())
+        .AddRun({job.id, ready.occurrence, ready.step,
+                 static_cast<int>(chosen.size()) - 1},
+                resources);
   }
   for (std::size_t i = 0; i < chosen.size(); ++i) {
     const TaskId id{job.id, ready.occurrence, ready.step, static_cast<int>(i)};
-    Worker& reserved = workers_.at(chosen[i]);
-    reserved.used -= resources;
-    reserved.runs.erase(id);
+    workers_.at(chosen[i]).RemoveRun(id);
   }
   if (chosen.size() < tasks.size()) {
     return false;
@@ -307,10 +298,7 @@
   task.stop_answered = false;
   task.inherited_at.reset();
   task.speed_percent = 100;
-  const auto resources = ResourcesOf(job.Step(id.step));
-  Worker& chosen = workers_.at(worker);
-  chosen.runs.emplace(id, resources);
-  chosen.used += resources;
+  workers_.at(worker).AddRun(id, ResourcesOf(job.Step(id.step)));
   staged_.dirty.insert(job.id);
   staged_.placed.emplace_back(id, task.run);
 }
--- a/src/libjobs/pool_engine_workers.cc
+++ b/src/libjobs/pool_engine_workers.cc
@@ -318,8 +318,7 @@
     Task* task = found == jobs_.end() ? nullptr : found->second.Find(id);
     if (!task || task->worker != worker.entry.id) {
       // The job was dropped, or the task was placed on another worker.
-      worker.used -= worker.runs.at(id);
-      worker.runs.erase(id);
+      worker.RemoveRun(id);
       continue;
     }
     const bool answered = task->answered_at < worker.poll_sent_at;
@@ -375,8 +374,7 @@
     const auto found = jobs_.find(id.job);
     Task* task = found == jobs_.end() ? nullptr : found->second.Find(id);
     if (!task || task->worker != worker.entry.id) {
-      worker.used -= worker.runs.at(id);
-      worker.runs.erase(id);
+      worker.RemoveRun(id);
       continue;
     }
     if (task->phase == TaskPhase::kPlaced) {
--- a/src/libjobs/worker.cc
+++ b/src/libjobs/worker.cc
@@ -54,6 +54,21 @@
   return free;
 }
 
+void Worker::AddRun(const TaskId& task, const Resources& resources) {
+  runs.emplace(task, resources);
+  used += resources;
+}
+
+bool Worker::RemoveRun(const TaskId& task) {
+  const auto it = runs.find(task);
+  if (it == runs.end()) {
+    return false;
+  }
+  used -= it->second;
+  runs.erase(it);
+  return true;
+}
+
 bool Worker::RecordRunEnd(bool failed, Time now, const PoolTuning& tuning) {
   if (!failed) {
     failures_in_row = 0;
--- a/src/libjobs/worker.h
+++ b/src/libjobs/worker.h
@@ -34,6 +34,11 @@
   /** Returns the free capacity. */
   Resources Free() const;
 
+  /** Occupies the resources of a run. */
+  void AddRun(const TaskId& task, const Resources& resources);
+  /** Frees the resources of a run; returns false if it is not in `runs`. */
+  bool RemoveRun(const TaskId& task);
+
   /** Counts the end of a run; returns true if it puts the worker into
    * quarantine. */
   bool RecordRunEnd(bool failed, Time now, const PoolTuning& tuning);
