tests: simulate crashing tasks and shrinking capacity in the job world

A task may crash each worker that starts it, before or after the start is answered; the worker is back after a delay under its id or a new one on its host. The world counts crashes under each task and reports a crashing task that is started three times more after three crashes. Members of a gang end when one of them crashes. The capacity of a worker may change while it runs; a shrunk one counts after the age of a list entry and one list interval (3.3 s).

--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -27,6 +27,37 @@
   double failing_run = 0;
 };
 
+/** How a task crashes each worker that starts it. */
+struct CrashingTask {
+  /** Time from the start until the crash. */
+  Duration crashes_after{0};
+  /** The worker answers the start before it crashes. */
+  bool answers_start = true;
+  /** Time until the worker, or another one on its host, is up. */
+  Duration down_for = std::chrono::seconds(1);
+  /** The host then starts a worker under a new id. */
+  bool new_id = false;
+};
+
+/** Time after which a new owner must have noticed that a capacity has shrunk:
+ * the age of an entry of the list, and one interval at which it is read. */
+inline constexpr Duration kCapacityGrace = std::chrono::milliseconds(3300);
+
+/** Time after which the list drops a worker that has crashed. */
+inline constexpr Duration kListTimeout = std::chrono::milliseconds(3000);
+
+/** Time until the other members of a gang end when one has crashed. */
+inline constexpr Duration kGangEndDelay = std::chrono::milliseconds(200);
+
+/** Crashes under a task after which it may be shown as failed. */
+inline constexpr int kCrashesToGiveUp = 2;
+
+/** Crashes under a crashing task from which its starts are limited. */
+inline constexpr int kCrashesToLimitStarts = 3;
+
+/** Starts of a crashing task after those crashes that break the limit. */
+inline constexpr int kForbiddenFurtherStarts = 3;
+
 /** Shard of the simulated jobs and workers. */
 inline const ShardId kShard{1};
 
@@ -105,6 +136,10 @@
   void List() {
     auto list = std::make_shared<std::vector<WorkerEntry>>();
     for (const auto& [id, worker] : workers) {
+      if (drops_crashed && !worker.up &&
+          now - worker.crashed_at >= kListTimeout) {
+        continue;
+      }
       if (listed.empty() || listed.contains(id)) {
         list->push_back(worker.entry);
       }
@@ -174,20 +209,105 @@
   /** Kills a worker's process; its runs end without a report. */
   void Crash(const WorkerId& id) {
     auto& worker = workers.at(id);
+    if (!worker.up) {
+      return;
+    }
+    ++crashes;
     worker.up = false;
+    worker.crashed_at = now;
+    const auto lost = std::move(worker.runs);
     worker.runs.clear();
+    for (const auto& [task, run] : lost) {
+      ++crashes_under[task];
+      if (StepOf(task).gang) {
+        broken_gangs_.emplace(GangOf(task), run.run);
+        EndGang(task, run.run);
+      }
+    }
+  }
+
+  /** Crashes a worker that is back after `down_for`. */
+  void CrashFor(const WorkerId& id, Duration down_for, bool new_id = false) {
+    Crash(id);
+    After(down_for,
+          [this, id, new_id, incarnation = workers.at(id).entry.incarnation] {
+            const auto& worker = workers.at(id);
+            if (worker.up || worker.replaced ||
+                worker.entry.incarnation != incarnation) {
+              return;
+            }
+            if (new_id) {
+              Replace(id);
+            } else {
+              Restart(id);
+            }
+          });
   }
 
   /** Restarts a crashed worker under its id. */
   void Restart(const WorkerId& id) {
     auto& worker = workers.at(id);
     auto entry = worker.entry;
+    auto former_capacities = std::move(worker.former_capacities);
     worker = SimWorker();
     entry.incarnation = ++incarnations_;
     worker.entry = entry;
+    worker.former_capacities = std::move(former_capacities);
     worker.started_at = now;
   }
 
+  /** Starts a worker under a new id on the host of a crashed one. */
+  WorkerId Replace(const WorkerId& id) {
+    SimWorker replacement;
+    replacement.entry = workers.at(id).entry;
+    replacement.entry.id =
+        WorkerId(id.value() + "-" + std::to_string(++incarnations_));
+    replacement.entry.address = "10.0.0.1:" + replacement.entry.id.value();
+    replacement.entry.incarnation = incarnations_;
+    replacement.former_capacities = workers.at(id).former_capacities;
+    replacement.clock_rate = workers.at(id).clock_rate;
+    replacement.started_at = now;
+    workers.at(id).replaced = true;
+    const WorkerId new_id = replacement.entry.id;
+    successors_[id] = new_id;
+    workers.emplace(new_id, std::move(replacement));
+    return new_id;
+  }
+
+  /** Returns the newest worker on the host of the worker. */
+  WorkerId NewestOf(WorkerId id) const {
+    for (auto it = successors_.find(id); it != successors_.end();
+         it = successors_.find(id)) {
+      id = it->second;
+    }
+    return id;
+  }
+
+  void SetCapacity(const WorkerId& id, std::int64_t cores) {
+    auto& worker = workers.at(id);
+    worker.former_capacities.emplace_back(now + kCapacityGrace,
+                                          worker.entry.capacity);
+    worker.entry.capacity.cpu_milli = cores * 1000;
+  }
+
+  /** Returns the most workers that have crashed under one task of the job. */
+  int CrashesUnder(const JobId& id) const {
+    int most = 0;
+    for (const auto& [task, n] : crashes_under) {
+      most = task.job == id ? std::max(most, n) : most;
+    }
+    return most;
+  }
+
+  /** Returns the starts of all tasks of the job. */
+  int StartsOf(const JobId& id) const {
+    int n = 0;
+    for (const auto& [task, task_starts] : starts_of) {
+      n += task.job == id ? task_starts : 0;
+    }
+    return n;
+  }
+
   /** Returns the number of runs that workers are stopping. */
   int StoppingRuns() const {
     int n = 0;
@@ -225,6 +345,14 @@
   /** Starts of each task, and tasks whose success was acknowledged. */
   std::map<TaskId, int> starts_of;
   std::set<TaskId> acknowledged_done;
+  /** Tasks that crash each worker that starts them. */
+  std::map<TaskId, CrashingTask> crashing;
+  /** Crashes of workers, for whatever reason, and those with a run of the
+   * task. */
+  int crashes = 0;
+  std::map<TaskId, int> crashes_under;
+  /** Starts of crashing tasks under which too many workers have crashed. */
+  std::map<TaskId, int> further_starts_of;
   std::vector<std::string> violations;
   std::map<JobId, SubmitVerdict> verdicts;
   /** Cells in the answers for delegated jobs. */
@@ -236,6 +364,8 @@
   /** Workers in the list; empty for all. */
   std::set<WorkerId> listed;
   bool listing = true;
+  /** The list drops crashed workers after kListTimeout. */
+  bool drops_crashed = false;
   SimFaults faults;
   PoolTuning tuning;
   ServiceId service{"service"};
@@ -427,7 +557,10 @@
       return;
     }
     const auto result = DoStart(fence_token, order);
-    if (Chance(faults.lost_answer)) {
+    if (!worker.up) {
+      // It crashed on the start, which closed the connection.
+      answer(OrderResult::kUnknown, std::chrono::milliseconds(2));
+    } else if (Chance(faults.lost_answer)) {
       answer(OrderResult::kUnknown, std::chrono::milliseconds(600));
     } else {
       answer(result, std::chrono::milliseconds(2));
@@ -468,16 +601,63 @@
     run.fails = worker.fails_all || Chance(faults.failing_run);
     run.need = ResourcesOf(spec);
     worker.runs[start.task] = run;
-    if (!worker.Used().FitsIn(worker.entry.capacity)) {
+    if (!worker.Used().FitsIn(worker.CountedCapacity(now))) {
       AddViolation("over capacity: " + worker.entry.id.value());
     }
+    if (spec.gang && broken_gangs_.contains({GangOf(start.task), start.run})) {
+      EndGang(start.task, start.run);
+    }
+    if (const auto it = crashing.find(start.task); it != crashing.end()) {
+      CrashUnder(start, it->second);
+    }
     return OrderResult::kDone;
   }
 
+  /** Crashes the worker of a crashing task that has just started. */
+  void CrashUnder(const StartRun& start, const CrashingTask& task) {
+    if (!task.answers_start) {
+      CrashFor(start.worker, task.down_for, task.new_id);
+      return;
+    }
+    After(task.crashes_after, [this, id = start.worker, task_id = start.task,
+                               number = start.run, task] {
+      const auto& runs = workers.at(id).runs;
+      const auto run = runs.find(task_id);
+      if (run != runs.end() && run->second.run == number) {
+        CrashFor(id, task.down_for, task.new_id);
+      }
+    });
+  }
+
+  const StepSpec& StepOf(const TaskId& id) const {
+    return submitted.at(id.job).steps[static_cast<std::size_t>(id.step)];
+  }
+
+  /** Returns the id of the first member of the task's gang. */
+  static TaskId GangOf(const TaskId& id) {
+    return {id.job, id.occurrence, id.step, 0};
+  }
+
+  /** Makes the present members of the gang end because one has crashed. */
+  void EndGang(const TaskId& id, RunNumber number) {
+    for (auto& [worker_id, worker] : workers) {
+      for (auto& [task, run] : worker.runs) {
+        if (GangOf(task) == GangOf(id) && run.run == number) {
+          run.gang_ends_at = std::min(run.gang_ends_at, now + kGangEndDelay);
+        }
+      }
+    }
+  }
+
   void CheckStart(const SimWorker& worker, const StartRun& start) {
     const auto name = ToString(start.task);
     ++starts;
     ++starts_of[start.task];
+    if (crashing.contains(start.task) &&
+        crashes_under[start.task] >= kCrashesToLimitStarts &&
+        ++further_starts_of[start.task] == kForbiddenFurtherStarts) {
+      AddViolation("started three times more after three crashes: " + name);
+    }
     if (RunsOf(start.task) > 0) {
       AddViolation("concurrent runs: " + name);
     }
@@ -631,6 +811,8 @@
           ends.emplace_back(task, EndKind::kLeaseExpired);
         } else if (run.stopping && now >= run.ends_at) {
           ends.emplace_back(task, EndKind::kStopped);
+        } else if (now >= run.gang_ends_at) {
+          ends.emplace_back(task, EndKind::kGangMemberEnded);
         } else if (!run.long_running && !worker.hangs && now >= run.ends_at) {
           ends.emplace_back(task,
                             run.fails ? EndKind::kFailed : EndKind::kDone);
@@ -659,6 +841,10 @@
   std::mt19937 random_;
   std::multimap<Time, std::function<void()>> pending_;
   std::set<TaskId> done_;
+  /** Gangs of which a member has crashed, with the number of the run. */
+  std::set<std::pair<TaskId, RunNumber>> broken_gangs_;
+  /** Workers started under a new id on the host of a crashed one. */
+  std::map<WorkerId, WorkerId> successors_;
   std::int64_t incarnations_ = 1'700'000'000'000;
   std::uint64_t replies_ = 0;
   std::map<ReplyId, JobId> submit_replies_;
--- a/tests/sim_worker.h
+++ b/tests/sim_worker.h
@@ -1,7 +1,9 @@
 #ifndef TESTS_SIM_WORKER_H_
 #define TESTS_SIM_WORKER_H_
 
+#include <algorithm>
 #include <map>
+#include <utility>
 #include <vector>
 
 #include "libjobs/jobs.h"
@@ -14,6 +16,8 @@
   struct Run {
     RunNumber run;
     Time ends_at;
+    /** When the run ends because another member of its gang has crashed. */
+    Time gang_ends_at = Time::max();
     std::int64_t lease_until_ms = 0;
     bool fails = false;
     bool stopping = false;
@@ -42,6 +46,12 @@
    * acknowledging them later does not count. */
   std::int64_t expired_ends = 0;
   Time started_at;
+  /** When the process last crashed. */
+  Time crashed_at;
+  /** The host has started another worker since the crash. */
+  bool replaced = false;
+  /** Capacities before they shrank, and until when each of them counts. */
+  std::vector<std::pair<Time, Resources>> former_capacities;
   /** Fencing token of the owner whose polls have an open connection; 0 for
    * none. */
   std::int64_t connected = 0;
@@ -58,6 +68,18 @@
     }
     return used;
   }
+  /** Returns the highest capacity that an owner may still count on. */
+  Resources CountedCapacity(Time now) const {
+    Resources counted = entry.capacity;
+    for (const auto& [until, capacity] : former_capacities) {
+      if (now < until) {
+        counted.cpu_milli = std::max(counted.cpu_milli, capacity.cpu_milli);
+        counted.mem_mb = std::max(counted.mem_mb, capacity.mem_mb);
+        counted.gpus = std::max(counted.gpus, capacity.gpus);
+      }
+    }
+    return counted;
+  }
 };
 
 }  // namespace baobab
