--- a/tests/pool_engine_property_test.cc
+++ b/tests/pool_engine_property_test.cc
@@ -18,9 +18,13 @@
 enum class Action {
   kSubmit,
   kSubmitAgain,
+  kSubmitCrashing,
   kCancel,
   kCrash,
   kRestart,
+  kReplace,
+  kShrink,
+  kGrow,
   kPartition,
   kHeal,
   kTakeOver,
@@ -40,9 +44,10 @@
 // RapidCheck finds this function by its name.
 void showValue(const Step& step, std::ostream& os) {
   constexpr const char* kNames[] = {
-      "submit",           "submit-again", "cancel",   "crash",
-      "restart",          "cut",          "heal",     "take-over",
-      "take-over-paused", "store-down",   "store-up", "wait"};
+      "submit",  "submit-again", "submit-crashing",  "cancel",     "crash",
+      "restart", "replace",      "shrink",           "grow",       "cut",
+      "heal",    "take-over",    "take-over-paused", "store-down", "store-up",
+      "wait"};
   os << kNames[static_cast<int>(step.action)] << "(" << step.which << ", "
      << step.wait_ms << " ms)";
 }
@@ -72,20 +77,51 @@
   return spec;
 }
 
+constexpr int kCores = 32;
+
+/** Limits the time that crashing jobs take until they are given up. */
+constexpr int kMaxCrashingJobs = 2;
+
+/** Time until workers that a crashing task takes down are back: within and
+ * after the lease of their runs. */
+constexpr Duration kDownFor[] = {seconds(1), seconds(8)};
+
+JobSpec MakeCrashingSpec(int which) {
+  JobSpec spec;
+  spec.payload = "crash-" + std::to_string(which);
+  spec.steps = {JobWorld::Step(1 + which % 3, 1 + which % 8, 1000)};
+  spec.steps[0].long_running = which % 5 == 0;
+  spec.steps[0].gang = which % 5 == 1;
+  return spec;
+}
+
+CrashingTask MakeCrashingTask(int which) {
+  CrashingTask task;
+  task.crashes_after = milliseconds(which % 5 * 100);
+  task.answers_start = which % 7 < 4;
+  task.down_for = kDownFor[which / 2 % 2];
+  task.new_id = which % 2 == 0;
+  return task;
+}
+
 class Scenario {
  public:
   explicit Scenario(unsigned seed) : world(seed) {
     for (int i = 0; i < 4; ++i) {
-      ids.push_back(world.AddWorker("w" + std::to_string(i), 32));
+      ids.push_back(world.AddWorker("w" + std::to_string(i), kCores));
       world.workers.at(ids.back()).clock_rate = i % 2 == 0 ? 1.0 : 0.98;
     }
     world.max_attempts = 1000;
+    world.drops_crashed = seed % 2 == 0;
+    // The states of all jobs are checked at the end.
+    world.tuning.status_retention = seconds(600);
     world.TakeOver();
     world.Advance(milliseconds(200));
   }
 
   void Do(const Step& step) {
-    const auto& worker = ids[static_cast<std::size_t>(step.which) % ids.size()];
+    const auto worker =
+        world.NewestOf(ids[static_cast<std::size_t>(step.which) % ids.size()]);
     const auto name = [&](int n) { return "job" + std::to_string(n); };
     switch (step.action) {
       case Action::kSubmit:
@@ -97,6 +133,15 @@
           world.Submit(name(n), world.submitted.at(JobId(name(n))));
         }
         break;
+      case Action::kSubmitCrashing:
+        if (world.crashing.size() < kMaxCrashingJobs) {
+          const auto spec = MakeCrashingSpec(step.which);
+          const int index = step.which / 3 % spec.steps[0].count;
+          world.crashing[{JobId(name(jobs)), 0, 0, index}] =
+              MakeCrashingTask(step.which);
+          world.Submit(name(jobs++), spec);
+        }
+        break;
       case Action::kCancel:
         if (jobs > 0) {
           world.Cancel(name(step.which % jobs));
@@ -110,6 +155,17 @@
           world.Restart(worker);
         }
         break;
+      case Action::kReplace:
+        if (!world.workers.at(worker).up) {
+          world.Replace(worker);
+        }
+        break;
+      case Action::kShrink:
+        world.SetCapacity(worker, step.which % kCores);
+        break;
+      case Action::kGrow:
+        world.SetCapacity(worker, kCores);
+        break;
       case Action::kPartition:
         world.workers.at(worker).reachable = false;
         break;
@@ -138,9 +194,11 @@
     world.store_up = true;
     world.faults = {};
     for (const auto& it : ids) {
-      world.workers.at(it).reachable = true;
-      if (!world.workers.at(it).up) {
-        world.Restart(it);
+      const auto worker = world.NewestOf(it);
+      world.workers.at(worker).reachable = true;
+      world.SetCapacity(worker, kCores);
+      if (!world.workers.at(worker).up) {
+        world.Restart(worker);
       }
     }
   }
@@ -164,8 +222,10 @@
 
 // Guards against concurrent runs of a task, starts after an acknowledged end,
 // workers over capacity, steps out of order, starts of refused or cancelled
-// jobs, and accepted jobs that are lost or never done. Covers crashes,
-// partitions, store outages, takeovers, and former owners that resume.
+// jobs, crashing tasks that are not given up, jobs that fail without crashes,
+// and accepted jobs that are lost or never done. Covers crashes, crashing
+// tasks, capacity that shrinks, partitions, store outages, takeovers, and
+// former owners that resume.
 RC_GTEST_PROP(PoolEngineProperty, KeepsInvariants, (unsigned seed)) {
   const auto steps = *rc::gen::container<std::vector<Step>>(GenStep());
   const auto& mix = kMixes[seed % std::size(kMixes)];
@@ -177,6 +237,9 @@
   }
   scenario.Heal();
   scenario.world.Advance(seconds(45));
+  if (!scenario.world.crashing.empty()) {
+    scenario.world.Advance(seconds(75));
+  }
   for (const auto& it : scenario.world.violations) {
     RC_FAIL(it);
   }
@@ -186,7 +249,10 @@
     }
     const auto state = scenario.world.State(id.value());
     RC_ASSERT(state.has_value());
-    RC_ASSERT(*state == JobState::kCompleted || *state == JobState::kCancelled);
+    const bool crashed = scenario.world.CrashesUnder(id) >= kCrashesToGiveUp;
+    RC_ASSERT(*state == JobState::kCompleted ||
+              *state == JobState::kCancelled ||
+              (*state == JobState::kFailed && crashed));
     RC_ASSERT(*state != JobState::kCancelled ||
               scenario.world.cancelled_at.contains(id));
   }
