tests: let crashed workers refuse connections in the job world

A crashed process leaves a host that refuses connections at once, where a crashed host gives no answer. The world now brings about both; CrashTest runs each kind of crash with both, two cases of FlappingWorkersTest and half of the property's runs too. Whether the list drops crashed workers no longer depends on the mix of faults in the property test.

--- a/tests/crashing_task_test.cc
+++ b/tests/crashing_task_test.cc
@@ -127,23 +127,22 @@
   *os << it.name;
 }
 
-std::string NameOf(const testing::TestParamInfo<CrashCase>& info) {
-  return info.param.name;
-}
-
-class CrashTest : public CrashingTaskTest,
-                  public testing::WithParamInterface<CrashCase> {};
+class CrashTest
+    : public CrashingTaskTest,
+      public testing::WithParamInterface<std::tuple<CrashCase, bool>> {};
 
 // Guards against a task that crashes one worker after the other for ever, and
 // against other jobs that fail or are lost with those workers.
 TEST_P(CrashTest, CrashingTaskIsGivenUpAndOtherJobsComplete) {
+  const auto& [kind, refuses_when_down] = GetParam();
   Begin(4);
+  world.refuses_when_down = refuses_when_down;
   std::vector<std::string> others;
   for (int i = 0; i < 6; ++i) {
     others.push_back("other" + std::to_string(i));
     world.Submit(others.back(), Work(4, 1500));
   }
-  SubmitCrashing("crashing", Work(1, 1000), GetParam().task);
+  SubmitCrashing("crashing", Work(1, 1000), kind.task);
   Run(kGivenUpWithin);
   ExpectGivenUp("crashing");
   ExpectCompleted(others);
@@ -152,25 +151,30 @@
 INSTANTIATE_TEST_SUITE_P(
     Kinds,
     CrashTest,
-    testing::Values(CrashCase{"UnansweredSameIdSoon",
-                              {milliseconds(0), false, seconds(1), false}},
-                    CrashCase{"UnansweredSameIdAfterTheLease",
-                              {milliseconds(0), false, seconds(8), false}},
-                    CrashCase{"UnansweredNewIdSoon",
-                              {milliseconds(0), false, seconds(1), true}},
-                    CrashCase{"UnansweredNewIdAfterTheLease",
-                              {milliseconds(0), false, seconds(8), true}},
-                    CrashCase{"AtOnceSameIdSoon",
-                              {milliseconds(0), true, seconds(1), false}},
-                    CrashCase{"RunningSameIdSoon",
-                              {milliseconds(300), true, seconds(1), false}},
-                    CrashCase{"RunningSameIdAfterTheLease",
-                              {milliseconds(300), true, seconds(8), false}},
-                    CrashCase{"RunningNewIdSoon",
-                              {milliseconds(300), true, seconds(1), true}},
-                    CrashCase{"RunningNewIdAfterTheLease",
-                              {milliseconds(300), true, seconds(8), true}}),
-    NameOf);
+    testing::Combine(
+        testing::Values(CrashCase{"UnansweredSameIdSoon",
+                                  {milliseconds(0), false, seconds(1), false}},
+                        CrashCase{"UnansweredSameIdAfterTheLease",
+                                  {milliseconds(0), false, seconds(8), false}},
+                        CrashCase{"UnansweredNewIdSoon",
+                                  {milliseconds(0), false, seconds(1), true}},
+                        CrashCase{"UnansweredNewIdAfterTheLease",
+                                  {milliseconds(0), false, seconds(8), true}},
+                        CrashCase{"AtOnceSameIdSoon",
+                                  {milliseconds(0), true, seconds(1), false}},
+                        CrashCase{"RunningSameIdSoon",
+                                  {milliseconds(300), true, seconds(1), false}},
+                        CrashCase{"RunningSameIdAfterTheLease",
+                                  {milliseconds(300), true, seconds(8), false}},
+                        CrashCase{"RunningNewIdSoon",
+                                  {milliseconds(300), true, seconds(1), true}},
+                        CrashCase{"RunningNewIdAfterTheLease",
+                                  {milliseconds(300), true, seconds(8), true}}),
+        testing::Bool()),
+    [](const auto& it) {
+      return std::string(std::get<0>(it.param).name) +
+             (std::get<1>(it.param) ? "Refused" : "");
+    });
 
 /** A takeover this long after each start or each crash of a crashing task. */
 struct TakeoverMoment {
@@ -239,6 +243,10 @@
              (std::get<1>(it.param) ? "FormerResumes" : "");
     });
 
+std::string NameOf(const testing::TestParamInfo<CrashCase>& info) {
+  return info.param.name;
+}
+
 class ManyCrashesTest : public CrashingTaskTest,
                         public testing::WithParamInterface<CrashCase> {};
 
@@ -296,6 +304,7 @@
   /** Workers crash by chance with this seed; 0 for by turns. */
   unsigned seed;
   bool new_id;
+  bool refuses_when_down;
 };
 
 class FlappingWorkersTest : public CrashingTaskTest,
@@ -306,6 +315,7 @@
 TEST_P(FlappingWorkersTest, InnocentJobsGoOn) {
   constexpr int kWorkers = 6;
   Begin(kWorkers);
+  world.refuses_when_down = GetParam().refuses_when_down;
   world.Submit("service", Service(GetParam().tasks));
   std::mt19937 random(GetParam().seed);
   std::vector<std::string> others;
@@ -331,12 +341,14 @@
 INSTANTIATE_TEST_SUITE_P(
     Order,
     FlappingWorkersTest,
-    testing::Values(FlappingCase{"ByTurns", 1, 0, false},
-                    FlappingCase{"ByTurnsNewId", 1, 0, true},
-                    FlappingCase{"ByTurnsManyTasks", 4, 0, false},
-                    FlappingCase{"ByChance1", 1, 1, false},
-                    FlappingCase{"ByChance2", 1, 2, false},
-                    FlappingCase{"ByChance3", 4, 3, true}),
+    testing::Values(FlappingCase{"ByTurns", 1, 0, false, false},
+                    FlappingCase{"ByTurnsNewId", 1, 0, true, false},
+                    FlappingCase{"ByTurnsManyTasks", 4, 0, false, false},
+                    FlappingCase{"ByChance1", 1, 1, false, false},
+                    FlappingCase{"ByChance2", 1, 2, false, false},
+                    FlappingCase{"ByChance3", 4, 3, true, false},
+                    FlappingCase{"ByTurnsRefused", 4, 0, false, true},
+                    FlappingCase{"ByChanceRefused", 1, 4, true, true}),
     [](const auto& it) { return it.param.name; });
 
 struct KindCase {
--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -364,6 +364,9 @@
   /** Workers in the list; empty for all. */
   std::set<WorkerId> listed;
   bool listing = true;
+  /** Hosts of crashed workers refuse connections at once; otherwise orders and
+   * polls get no answer. */
+  bool refuses_when_down = false;
   /** The list drops crashed workers after kListTimeout. */
   bool drops_crashed = false;
   SimFaults faults;
@@ -386,6 +389,10 @@
  private:
   using Engine = std::shared_ptr<PoolEngine>;
 
+  bool RefusesConnections(const SimWorker& worker) const {
+    return refuses_when_down && !worker.up && worker.reachable;
+  }
+
   bool Chance(double share) {
     return std::uniform_real_distribution<double>(0, 1)(random_) < share;
   }
@@ -466,6 +473,10 @@
              PollFinished{poll.worker, poll.poll, result, {}});
       });
     };
+    if (RefusesConnections(worker)) {
+      fail(OrderResult::kNotSent, std::chrono::milliseconds(2));
+      return;
+    }
     if (!worker.up || !worker.reachable) {
       fail(OrderResult::kUnknown, std::chrono::milliseconds(600));
       return;
@@ -538,6 +549,10 @@
       });
     };
     auto& worker = workers[start.worker];
+    if (RefusesConnections(worker)) {
+      answer(OrderResult::kNotSent, std::chrono::milliseconds(2));
+      return;
+    }
     if (!worker.up || !worker.reachable) {
       answer(OrderResult::kUnknown, std::chrono::milliseconds(600));
       return;
@@ -717,6 +732,10 @@
              StopFinished{order.worker, order.task, order.run, result});
       });
     };
+    if (RefusesConnections(worker)) {
+      answer(OrderResult::kNotSent, std::chrono::milliseconds(2));
+      return;
+    }
     if (!worker.up || !worker.reachable) {
       answer(OrderResult::kUnknown, std::chrono::milliseconds(600));
       return;
--- a/tests/pool_engine_property_test.cc
+++ b/tests/pool_engine_property_test.cc
@@ -3,6 +3,7 @@
 #include <rapidcheck/gtest.h>
 
 #include <chrono>
+#include <iterator>
 #include <ostream>
 #include <string>
 #include <vector>
@@ -104,6 +105,18 @@
   return task;
 }
 
+struct FaultMix {
+  const char* name;
+  SimFaults faults;
+};
+
+const FaultMix kMixes[] = {
+    {"none", {0, 0, 0}},
+    {"lost answers", {0.15, 0, 0}},
+    {"late orders", {0, 0.1, 0}},
+    {"failing runs", {0.05, 0.05, 0.1}},
+};
+
 class Scenario {
  public:
   explicit Scenario(unsigned seed) : world(seed) {
@@ -112,7 +125,9 @@
       world.workers.at(ids.back()).clock_rate = i % 2 == 0 ? 1.0 : 0.98;
     }
     world.max_attempts = 1000;
-    world.drops_crashed = seed % 2 == 0;
+    // Independent of each other and of the mix of faults.
+    world.drops_crashed = seed / std::size(kMixes) % 2 == 0;
+    world.refuses_when_down = seed / std::size(kMixes) / 2 % 2 == 0;
     // The states of all jobs are checked at the end.
     world.tuning.status_retention = seconds(600);
     world.TakeOver();
@@ -208,18 +223,6 @@
   int jobs = 0;
 };
 
-struct FaultMix {
-  const char* name;
-  SimFaults faults;
-};
-
-const FaultMix kMixes[] = {
-    {"none", {0, 0, 0}},
-    {"lost answers", {0.15, 0, 0}},
-    {"late orders", {0, 0.1, 0}},
-    {"failing runs", {0.05, 0.05, 0.1}},
-};
-
 // Guards against concurrent runs of a task, starts after an acknowledged end,
 // workers over capacity, steps out of order, starts of refused or cancelled
 // jobs, crashing tasks that are not given up, jobs that fail without crashes,
