libjobs: give up tasks that crash the workers which start them

Cause: a run that was lost with its worker was started again without limit. Nothing counted such runs, and the tasks of a crashed worker were placed together on the next one. Change: crashes under a task are counted and stored, with host and incarnation of its worker, so that a new owner knows them. A crash is a new incarnation or a new worker on the host; for runs lost with a silent worker it is decided when the host is back (LostRuns). After a crash the tasks of the worker are placed apart from each other, after two a task runs alone on a worker, after three its job fails. Starts without an answer may not have arrived; with them four count. A long-running task that has been at work for 5 s is cleared. Ruled out: capacity that shrinks. Placement uses the newest entry of a worker and counts runs that are being stopped.

--- a/src/libjobs/job.h
+++ b/src/libjobs/job.h
@@ -34,8 +34,17 @@
  * worker. */
 bool HoldsResources(TaskPhase phase);
 
+/** Number of crashes under a task from which it runs apart from others. The
+ * first one leaves all tasks of a worker under suspicion. */
+inline constexpr int kCrashesForTrial = 2;
+
 /** State of one task of an occurrence. */
 struct Task {
+  /** Returns the number of workers that may have crashed under the task. */
+  int Suspicion() const {
+    return crashes + doubtful_crashes + unexplained_losses;
+  }
+
   TaskPhase phase = TaskPhase::kWaiting;
   /** Number of the newest run; 0 before the first. */
   RunNumber run;
@@ -43,8 +52,21 @@
   int failures = 0;
   WorkerId worker;
   std::string checkpoint;
-  /** Worker of the last failed run; the next run avoids it. */
+  /** Worker of the last run that failed or during which its worker crashed; the
+   * next run avoids it. */
   WorkerId failed_on;
+  /** Number of runs in a row during which their worker crashed: those that the
+   * worker had confirmed, and those of which it is unknown whether their start
+   * had arrived. */
+  int crashes = 0;
+  int doubtful_crashes = 0;
+  /** Number of runs that were lost with a worker of which nothing was heard
+   * since; it may have crashed. */
+  int unexplained_losses = 0;
+  /** Host and incarnation of the worker when the newest run was placed. The
+   * incarnation is 0 once the run is counted as crashed. */
+  HostId host;
+  std::int64_t incarnation = 0;
   /** Earliest time of the next placement. */
   Time not_before;
   /** Whether the worker has confirmed the newest run. */
--- a/src/libjobs/placement.cc
+++ b/src/libjobs/placement.cc
@@ -8,6 +8,9 @@
 
 namespace {
 
+/** Number of usable workers for each one that is left to a suspected task. */
+constexpr std::ptrdiff_t kMinUsablePerTrial = 2;
+
 int RunsOfStep(const Worker& worker,
                const JobId& job,
                int occurrence,
@@ -41,12 +44,20 @@
   }
 }
 
+bool Placement::MayBeginTrial() const {
+  const auto trials =
+      std::count_if(workers_.begin(), workers_.end(),
+                    [](const auto* it) { return it->IsOnTrial(); });
+  return trials == 0 || (trials + 1) * kMinUsablePerTrial <=
+                            static_cast<std::ptrdiff_t>(workers_.size());
+}
+
 bool Placement::Allows(const Worker& worker,
                        const Job& job,
                        int occurrence,
                        int step) const {
   const auto& spec = job.Step(step);
-  if (!ResourcesOf(spec).FitsIn(worker.Free())) {
+  if (!ResourcesOf(spec).FitsIn(worker.Free()) || worker.IsOnTrial()) {
     return false;
   }
   if (!spec.label.empty() && !worker.HasLabel(spec.label)) {
@@ -78,20 +89,26 @@
   if (ResourcesOf(spec).cpu_milli > max_free_cpu_) {
     return nullptr;
   }
+  const bool suspect = task.Suspicion() > 0;
+  const bool trial = task.Suspicion() >= kCrashesForTrial;
+  if (trial && !MayBeginTrial()) {
+    return nullptr;
+  }
   const Worker* best = nullptr;
-  std::tuple<bool, bool, bool, std::int64_t> best_cost;
+  std::tuple<bool, bool, bool, std::size_t, std::int64_t> best_cost;
   std::int64_t max_free = 0;
   for (const auto* it : workers_) {
     const auto free = it->Free().cpu_milli;
     max_free = std::max(max_free, free);
     if (!Allows(*it, job, occurrence, step) ||
-        (filter && !filter(it->entry.id))) {
+        (trial && !it->suspects.empty()) || (filter && !filter(it->entry.id))) {
       continue;
     }
     const std::tuple cost(
         !spec.data_rack.empty() && it->Rack() != spec.data_rack,
         !rack.empty() && it->Rack() != rack, it->entry.id == task.failed_on,
-        free);
+        suspect ? it->suspects.size() : 0,
+        suspect ? static_cast<std::int64_t>(it->runs.size()) : free);
     if (!best || cost < best_cost) {
       best = it;
       best_cost = cost;
--- a/src/libjobs/placement.h
+++ b/src/libjobs/placement.h
@@ -33,7 +33,8 @@
   /** Returns the worker for one more task of the step, or null if none has free
    * capacity, the step's label and less than its maximum number of tasks.
    * Prefers the rack of the data, then `rack`, then workers on which the task
-   * has not failed. */
+   * has not failed. A task under which workers have crashed is placed apart
+   * from others of this kind, and where it would take few runs down. */
   const Worker* Choose(const Job& job,
                        int occurrence,
                        int step,
@@ -52,6 +53,10 @@
               int occurrence,
               int step) const;
 
+  /** Returns whether one more worker may be left to a task that may crash it.
+   */
+  bool MayBeginTrial() const;
+
   std::vector<const Worker*> workers_;
   /** Upper bound of the free CPU of any worker, in thousandths of a core;
    * lowered by each search. */
--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -12,6 +12,7 @@
 #include "libjobs/admission.h"
 #include "libjobs/background_throttle.h"
 #include "libjobs/demand_tracker.h"
+#include "libjobs/lost_runs.h"
 #include "libjobs/owner_load.h"
 #include "libjobs/pool_effect.h"
 #include "libjobs/pool_event.h"
@@ -190,11 +191,6 @@
   void ApplyAbsent(Worker& worker,
                    const std::set<TaskId>& present,
                    bool newly_confirmed);
-  /** Resets the state of a worker that has restarted. */
-  void BeginNewIncarnation(Worker& worker, const WorkerReport& report);
-  /** Treats all runs of the worker as ended without a result; their tasks wait
-   * to be placed again. */
-  void LoseRuns(Worker& worker, const std::string& why);
   void MaybePollWorkers();
   /** Sends a poll if one is due. */
   void MaybePollWorker(Worker& worker);
@@ -220,6 +216,40 @@
   /** Sends a stop for the run of the task. */
   void OrderStop(const TaskId& id, Task& task);
 
+  // Runs that are lost with their worker (pool_engine_crashes.cc).
+  /** What is known of a worker whose runs are lost. */
+  enum class WorkerFate {
+    kCrashed,
+    /** It may only be cut off. */
+    kUnknown,
+  };
+  /** Resets the state of a worker that has restarted. */
+  void BeginNewIncarnation(Worker& worker, const WorkerReport& report);
+  /** Treats all runs of the worker as ended without a result; their tasks wait
+   * to be placed again. */
+  void LoseRuns(Worker& worker, const std::string& why, WorkerFate fate);
+  /** Counts a crash of the worker under the newest run of the task, once. */
+  void RecordCrash(const TaskId& id, Task& task);
+  /** Returns whether the task is not placed until it is known whether the
+   * workers of its last runs have crashed, since its job may have failed. */
+  bool AwaitsFateOfWorkers(const Task& task) const {
+    return task.unexplained_losses > 0 &&
+           task.Suspicion() >= tuning_.max_crashes;
+  }
+  /** Ends the job as failed if too many workers have crashed under the task. */
+  bool FailsForCrashes(Job& job, const TaskId& id, const Task& task);
+  /** Counts the crashes under runs that were lost before their worker was known
+   * to have crashed. */
+  void CountLateCrashes(const std::vector<WorkerEntry>& workers);
+  /** Clears the tasks of the suspicion that these runs have brought. */
+  void ForgetLosses(const std::vector<LostRuns::Run>& runs);
+  /** Forgets the crashes under a long-running task that has been at work for
+   * long enough. */
+  void ClearSuspicion(const Job& job,
+                      const ActiveRun& reported,
+                      Worker& worker,
+                      Task& task);
+
   // Tasks (pool_engine_tasks.cc).
   /** Frees the resources of the task's run on its worker. */
   void ReleaseResources(const TaskId& id, const Task& task);
@@ -280,6 +310,7 @@
   std::set<std::pair<std::int64_t, JobId>> ended_;
   AdviceCache advice_;
   BackgroundThrottle throttle_;
+  LostRuns lost_runs_;
   DurationModel durations_;
   Admission admission_;
 
--- /dev/null
+++ b/src/libjobs/pool_engine_crashes.cc
@@ -0,0 +1,140 @@
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "libjobs/pool_engine.h"
+
+// Runs that are lost with their worker, and tasks that crash the workers which
+// start them. A crash puts all tasks of the worker under suspicion. They are
+// then spread over workers, so that the next crash tells them apart.
+
+namespace baobab {
+
+namespace {
+
+/** Progress of a long-running task that serves. */
+constexpr int kServingPercent = 100;
+
+}  // namespace
+
+void PoolEngine::BeginNewIncarnation(Worker& worker,
+                                     const WorkerReport& report) {
+  Log("worker-reborn", JobId(),
+      fmt::format("worker={} runs={}", worker.entry.id.value(),
+                  worker.runs.size()));
+  worker.StartNewIncarnation(report.incarnation);
+  // Runs that were started in the new incarnation have a lease computed from
+  // the clock of the previous one, which the worker limits to its maximum
+  // lease.
+  worker.lease_sent_ms = report.clock_ms + tuning_.max_lease.count() / 1000;
+}
+
+void PoolEngine::LoseRuns(Worker& worker,
+                          const std::string& why,
+                          WorkerFate fate) {
+  std::vector<TaskId> ids;
+  for (const auto& [id, resources] : worker.runs) {
+    ids.push_back(id);
+  }
+  for (const auto& id : ids) {
+    const auto found = jobs_.find(id.job);
+    Task* task = found == jobs_.end() ? nullptr : found->second.Find(id);
+    if (!task || task->worker != worker.entry.id) {
+      worker.RemoveRun(id);
+      continue;
+    }
+    if (task->phase == TaskPhase::kPlaced) {
+      ReleaseResources(id, *task);
+      ReturnToWaiting(found->second, id, *task);
+      continue;
+    }
+    Log("run-lost", id.job,
+        fmt::format("task={} run={} worker={} why={}", ToString(id),
+                    task->run.value(), worker.entry.id.value(), why));
+    // A worker that drains has stopped as planned.
+    if (fate == WorkerFate::kCrashed && !worker.entry.draining) {
+      RecordCrash(id, *task);
+    } else if (fate == WorkerFate::kUnknown) {
+      if (lost_runs_.Add(id, *task, now_)) {
+        ++task->unexplained_losses;
+      }
+    }
+    EndRun(found->second, id, *task, EndKind::kLeaseExpired, "");
+  }
+}
+
+void PoolEngine::RecordCrash(const TaskId& id, Task& task) {
+  if (task.incarnation == 0) {
+    return;
+  }
+  task.incarnation = 0;
+  ++(task.confirmed ? task.crashes : task.doubtful_crashes);
+  task.failed_on = task.worker;
+  staged_.dirty.insert(id.job);
+  LogRun("run-crashed", id,
+         fmt::format("task={} run={} worker={} host={} crashes={} doubtful={}",
+                     ToString(id), task.run.value(), task.worker.value(),
+                     task.host.value(), task.crashes, task.doubtful_crashes));
+}
+
+bool PoolEngine::FailsForCrashes(Job& job, const TaskId& id, const Task& task) {
+  if (task.crashes < tuning_.max_crashes &&
+      task.crashes + task.doubtful_crashes < tuning_.max_all_crashes) {
+    return false;
+  }
+  EndJob(job, JobEnd::kFailed,
+         fmt::format("crashes-workers task={} crashes={} doubtful={}",
+                     ToString(id), task.crashes, task.doubtful_crashes));
+  return true;
+}
+
+void PoolEngine::CountLateCrashes(const std::vector<WorkerEntry>& workers) {
+  ForgetLosses(lost_runs_.TakeExpired(now_));
+  for (const auto& it : lost_runs_.TakeCrashed(workers)) {
+    const auto found = jobs_.find(it.task.job);
+    Task* task = found == jobs_.end() ? nullptr : found->second.Find(it.task);
+    if (!task || found->second.end != JobEnd::kOpen ||
+        task->phase == TaskPhase::kDone) {
+      continue;
+    }
+    task->unexplained_losses = std::max(0, task->unexplained_losses - 1);
+    ++(it.confirmed ? task->crashes : task->doubtful_crashes);
+    staged_.dirty.insert(it.task.job);
+    LogRun("run-crashed", it.task,
+           fmt::format("task={} host={} crashes={} doubtful={} learnt=late",
+                       ToString(it.task), it.host.value(), task->crashes,
+                       task->doubtful_crashes));
+    FailsForCrashes(found->second, it.task, *task);
+  }
+}
+
+void PoolEngine::ForgetLosses(const std::vector<LostRuns::Run>& runs) {
+  for (const auto& it : runs) {
+    const auto found = jobs_.find(it.task.job);
+    Task* task = found == jobs_.end() ? nullptr : found->second.Find(it.task);
+    if (task && task->unexplained_losses > 0) {
+      --task->unexplained_losses;
+      schedule_needed_ = true;
+    }
+  }
+}
+
+void PoolEngine::ClearSuspicion(const Job& job,
+                                const ActiveRun& reported,
+                                Worker& worker,
+                                Task& task) {
+  task.incarnation = worker.incarnation;
+  if (task.Suspicion() == 0 || !job.Step(reported.task.step).long_running ||
+      reported.percent != kServingPercent ||
+      now_ - task.started_at < tuning_.crash_trial) {
+    return;
+  }
+  task.crashes = 0;
+  task.doubtful_crashes = 0;
+  task.unexplained_losses = 0;
+  worker.suspects.erase(reported.task);
+  staged_.dirty.insert(job.id);
+  schedule_needed_ = true;
+}
+
+}  // namespace baobab
--- a/src/libjobs/pool_engine_tasks.cc
+++ b/src/libjobs/pool_engine_tasks.cc
@@ -64,6 +64,14 @@
     task.phase = TaskPhase::kWaiting;
     return;
   }
+  if (kind == EndKind::kDone || kind == EndKind::kFailed) {
+    task.crashes = 0;
+    task.doubtful_crashes = 0;
+    task.unexplained_losses = 0;
+  } else if (FailsForCrashes(job, id, task)) {
+    task.phase = TaskPhase::kWaiting;
+    return;
+  }
   if (kind == EndKind::kDone && !spec.long_running) {
     if (task.confirmed && task.checkpoint.empty() && prompt_report_) {
       durations_.Observe(job.queue, spec.estimate, now_ - task.started_at);
@@ -189,7 +197,10 @@
     if (task.phase != TaskPhase::kWaiting) {
       continue;
     }
-    if (task.not_before > now_) {
+    // The fate of the workers decides whether the job has failed.
+    const bool on_hold =
+        task.unexplained_losses > 0 && task.Suspicion() >= tuning_.max_crashes;
+    if (task.not_before > now_ || on_hold) {
       all = false;
       continue;
     }
@@ -251,7 +262,7 @@
   RunNumber run;
   for (const auto& it : tasks) {
     // A member of the previous run may still be present.
-    if (it.phase != TaskPhase::kWaiting) {
+    if (it.phase != TaskPhase::kWaiting || AwaitsFateOfWorkers(it)) {
       return false;
     }
     run = std::max(run, it.run);
@@ -260,8 +271,11 @@
   std::vector<WorkerId> chosen;
   std::string rack;
   for (const auto& it : tasks) {
+    // Members can't be spread to find out which one crashes its worker.
+    Task unsuspected;
+    unsuspected.failed_on = it.failed_on;
     const Worker* worker =
-        placement.Choose(job, ready.occurrence, ready.step, it, rack);
+        placement.Choose(job, ready.occurrence, ready.step, unsuspected, rack);
     if (!worker) {
       break;
     }
@@ -270,7 +284,7 @@
     workers_.at(chosen.back())
         .AddRun({job.id, ready.occurrence, ready.step,
                  static_cast<int>(chosen.size()) - 1},
-                resources);
+                resources, 0);
   }
   for (std::size_t i = 0; i < chosen.size(); ++i) {
     const TaskId id{job.id, ready.occurrence, ready.step, static_cast<int>(i)};
@@ -298,7 +312,10 @@
   task.stop_answered = false;
   task.inherited_at.reset();
   task.speed_percent = 100;
-  workers_.at(worker).AddRun(id, ResourcesOf(job.Step(id.step)));
+  Worker& chosen = workers_.at(worker);
+  task.host = chosen.entry.host;
+  task.incarnation = chosen.incarnation;
+  chosen.AddRun(id, ResourcesOf(job.Step(id.step)), task.Suspicion());
   staged_.dirty.insert(job.id);
   staged_.placed.emplace_back(id, task.run);
 }
@@ -395,7 +412,7 @@
         {event.task.job, event.task.occurrence, event.task.step}, event.worker);
   }
   if (event.result == OrderResult::kWrongIncarnation) {
-    LoseRuns(worker, "address-reused");
+    LoseRuns(worker, "address-reused", WorkerFate::kCrashed);
     worker.fence_confirmed = false;
   }
 }
--- a/src/libjobs/pool_engine_workers.cc
+++ b/src/libjobs/pool_engine_workers.cc
@@ -87,7 +87,7 @@
                         host->second.first >= worker.entry.incarnation;
     if (worker.superseded && !worker.runs.empty()) {
       // A host runs one worker at a time.
-      LoseRuns(worker, "host-has-new-worker");
+      LoseRuns(worker, "host-has-new-worker", WorkerFate::kCrashed);
     }
     if (!listed.contains(id)) {
       if (std::exchange(worker.listed, false)) {
@@ -99,7 +99,7 @@
       // its runs, which end with their lease at the earliest.
       if (loaded_ && now_ - worker.unlisted_at > tuning_.unlisted_timeout &&
           (!worker.fence_confirmed || LeaseHasExpired(worker))) {
-        LoseRuns(worker, "no-longer-listed");
+        LoseRuns(worker, "no-longer-listed", WorkerFate::kUnknown);
       }
       if (worker.runs.empty()) {
         it = workers_.erase(it);
@@ -109,6 +109,7 @@
     ++it;
   }
   if (loaded_) {
+    CountLateCrashes(*event.workers);
     MaybePollWorkers();
     schedule_needed_ = true;
   }
@@ -136,7 +137,7 @@
       ApplyReport(worker, event);
       break;
     case OrderResult::kWrongIncarnation:
-      LoseRuns(worker, "address-reused");
+      LoseRuns(worker, "address-reused", WorkerFate::kCrashed);
       worker.fence_confirmed = false;
       worker.next_poll_at = now_ + tuning_.poll_retry_delay;
       break;
@@ -162,6 +163,7 @@
     BeginNewIncarnation(worker, report);
   }
   worker.incarnation = report.incarnation;
+  ForgetLosses(lost_runs_.TakeAlive(worker.entry.id, worker.incarnation));
   worker.SetClock(report.clock_ms, now_);
   // A poll that did not have to wait reports ends that happened earlier.
   prompt_report_ = now_ - worker.poll_sent_at > kMaxImmediateReply;
@@ -249,6 +251,7 @@
   if (!reported.checkpoint.empty()) {
     task->checkpoint = reported.checkpoint;
   }
+  ClearSuspicion(job, reported, worker, *task);
   if (reported.percent != task->percent) {
     task->percent = reported.percent;
     task->progress_at = now_;
@@ -321,6 +324,10 @@
       worker.RemoveRun(id);
       continue;
     }
+    if (task->phase != TaskPhase::kPlaced &&
+        task->incarnation < worker.incarnation) {
+      RecordCrash(id, *task);
+    }
     const bool answered = task->answered_at < worker.poll_sent_at;
     switch (task->phase) {
       case TaskPhase::kInherited:
@@ -353,42 +360,6 @@
   }
 }
 
-void PoolEngine::BeginNewIncarnation(Worker& worker,
-                                     const WorkerReport& report) {
-  Log("worker-reborn", JobId(),
-      fmt::format("worker={} runs={}", worker.entry.id.value(),
-                  worker.runs.size()));
-  worker.StartNewIncarnation(report.incarnation);
-  // Runs that were started in the new incarnation have a lease computed from
-  // the clock of the previous one, which the worker limits to its maximum
-  // lease.
-  worker.lease_sent_ms = report.clock_ms + tuning_.max_lease.count() / 1000;
-}
-
-void PoolEngine::LoseRuns(Worker& worker, const std::string& why) {
-  std::vector<TaskId> ids;
-  for (const auto& [id, resources] : worker.runs) {
-    ids.push_back(id);
-  }
-  for (const auto& id : ids) {
-    const auto found = jobs_.find(id.job);
-    Task* task = found == jobs_.end() ? nullptr : found->second.Find(id);
-    if (!task || task->worker != worker.entry.id) {
-      worker.RemoveRun(id);
-      continue;
-    }
-    if (task->phase == TaskPhase::kPlaced) {
-      ReleaseResources(id, *task);
-      ReturnToWaiting(found->second, id, *task);
-      continue;
-    }
-    Log("run-lost", id.job,
-        fmt::format("task={} run={} worker={} why={}", ToString(id),
-                    task->run.value(), worker.entry.id.value(), why));
-    EndRun(found->second, id, *task, EndKind::kLeaseExpired, "");
-  }
-}
-
 void PoolEngine::MaybePollWorkers() {
   for (auto& [id, worker] : workers_) {
     MaybePollWorker(worker);
@@ -436,7 +407,7 @@
       continue;
     }
     if (LeaseHasExpired(worker)) {
-      LoseRuns(worker, "lease-expired");
+      LoseRuns(worker, "lease-expired", WorkerFate::kUnknown);
     }
   }
 }
@@ -546,7 +517,7 @@
     task->answered_at = now_;
     MaybePollWorker(known->second);
   } else if (event.result == OrderResult::kWrongIncarnation) {
-    LoseRuns(known->second, "address-reused");
+    LoseRuns(known->second, "address-reused", WorkerFate::kCrashed);
     known->second.fence_confirmed = false;
   }
 }
--- a/src/libjobs/pool_tuning.h
+++ b/src/libjobs/pool_tuning.h
@@ -51,6 +51,13 @@
   Duration quarantine_duration = std::chrono::milliseconds(3000);
   /** Consecutive failed runs on a worker that put it into quarantine. */
   int quarantine_failures = 2;
+  /** Number of workers in a row that crashed under a task, after which its job
+   * fails: for certain, and with those where the start may not have arrived. */
+  int max_crashes = 3;
+  int max_all_crashes = 4;
+  /** Time at work after which a long-running task counts as harmless to its
+   * worker. */
+  Duration crash_trial = std::chrono::milliseconds(5000);
   /** Initial backoff before a long-running task is restarted; doubles with each
    * failure, up to 8 times this value. */
   Duration restart_backoff = std::chrono::milliseconds(100);
--- a/src/libjobs/stored_job.cc
+++ b/src/libjobs/stored_job.cc
@@ -93,6 +93,14 @@
   task->failures = row.at(5).get<int>();
   task->worker = WorkerId(row.at(6).get<std::string>());
   task->checkpoint = row.at(7).get<std::string>();
+  // Absent in records of earlier releases, and for tasks without crashes that
+  // are not placed.
+  if (row.size() > 11) {
+    task->crashes = row.at(8).get<int>();
+    task->doubtful_crashes = row.at(9).get<int>();
+    task->host = HostId(row.at(10).get<std::string>());
+    task->incarnation = row.at(11).get<std::int64_t>();
+  }
 }
 
 void ApplyProgress(Job& job, const Json& json) {
@@ -162,10 +170,17 @@
         if (it.run.value() == 0 || (job.end != JobEnd::kOpen && !open_run)) {
           continue;
         }
-        rows.push_back(Json::array(
+        auto row = Json::array(
             {number, step, i, static_cast<int>(it.phase), it.run.value(),
              it.failures, open_run ? it.worker.value() : "",
-             it.phase == TaskPhase::kDone ? "" : it.checkpoint}));
+             it.phase == TaskPhase::kDone ? "" : it.checkpoint});
+        if (open_run || it.Suspicion() > 0) {
+          row.push_back(it.crashes);
+          row.push_back(it.doubtful_crashes + it.unexplained_losses);
+          row.push_back(open_run ? it.host.value() : "");
+          row.push_back(open_run ? it.incarnation : 0);
+        }
+        rows.push_back(std::move(row));
       }
     }
   }
--- a/src/libjobs/worker.cc
+++ b/src/libjobs/worker.cc
@@ -54,9 +54,20 @@
   return free;
 }
 
-void Worker::AddRun(const TaskId& task, const Resources& resources) {
+bool Worker::IsOnTrial() const {
+  return std::any_of(suspects.begin(), suspects.end(), [](const auto& it) {
+    return it.second >= kCrashesForTrial;
+  });
+}
+
+void Worker::AddRun(const TaskId& task,
+                    const Resources& resources,
+                    int crashes) {
   runs.emplace(task, resources);
   used += resources;
+  if (crashes > 0) {
+    suspects.emplace(task, crashes);
+  }
 }
 
 bool Worker::RemoveRun(const TaskId& task) {
@@ -66,6 +77,7 @@
   }
   used -= it->second;
   runs.erase(it);
+  suspects.erase(task);
   return true;
 }
 
--- a/src/libjobs/worker.h
+++ b/src/libjobs/worker.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 
+#include "libjobs/job.h"
 #include "libjobs/pool_tuning.h"
 #include "libjobs/worker_report.h"
 
@@ -33,9 +34,13 @@
   bool IsUsable(Time now) const;
   /** Returns the free capacity. */
   Resources Free() const;
+  /** Returns whether the worker runs a task under which several workers have
+   * crashed, and so gets no other runs. */
+  bool IsOnTrial() const;
 
-  /** Occupies the resources of a run. */
-  void AddRun(const TaskId& task, const Resources& resources);
+  /** Occupies the resources of a run. `crashes` is the number of workers that
+   * have crashed under its task. */
+  void AddRun(const TaskId& task, const Resources& resources, int crashes);
   /** Frees the resources of a run; returns false if it is not in `runs`. */
   bool RemoveRun(const TaskId& task);
 
@@ -88,6 +93,9 @@
   std::map<TaskId, Resources> runs;
   /** Sum of the resources of `runs`. */
   Resources used;
+  /** Runs whose tasks may crash the worker, with the number of workers that
+   * have crashed under them. */
+  std::map<TaskId, int> suspects;
 
   /** The host planner keeps the worker free of new runs. */
   bool reserved = false;
