libjobs, libfleet: bound the nesting of stored records and peer messages

One record of 256 KiB of nested MessagePack arrays in the topic of the jobs or of the division ended each node that loaded it, and so each next owner; a message to the port for peers did the same.

Cause: records and messages were parsed by nlohmann's DOM parser, which recurses for each level of nesting. JSON was read with BoundedDom already.

RequireMessagePack() throws, as the readers of records expect.

--- a/src/libfleet/peer_calls.cc
+++ b/src/libfleet/peer_calls.cc
@@ -2,17 +2,14 @@
 
 #include <utility>
 
-#include <nlohmann/json.hpp>
-
 #include "libfleet/planner_codec.h"
 #include "libjobs/stored_job.h"
+#include "libwire/bounded_dom.h"
 
 namespace baobab {
 
 namespace {
 
-using Json = nlohmann::json;
-
 constexpr Duration kNotifyTimeout = std::chrono::milliseconds(500);
 
 constexpr int kOk = 200;
@@ -57,7 +54,7 @@
     }
     T value;
     try {
-      value = read(Json::from_msgpack(answer->body));
+      value = read(RequireMessagePack(answer->body));
     } catch (const std::exception&) {
       done(tl::unexpected(PeerFault::kUnknown));
       return;
@@ -265,7 +262,7 @@
                const std::function<bool()>& membership_is_valid,
                std::function<void(HttpResponse)> respond) {
   try {
-    const auto body = Json::from_msgpack(request.body);
+    const auto body = RequireMessagePack(request.body);
     ShardOwner* owner = find(ShardId(body.at(0).get<int>()));
     if (!owner) {
       respond({kNotOwner, {}, ""});
--- a/src/libjobs/host_planner.cc
+++ b/src/libjobs/host_planner.cc
@@ -5,7 +5,8 @@
 #include <utility>
 
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
+
+#include "libwire/bounded_dom.h"
 
 namespace baobab {
 
@@ -163,7 +164,7 @@
         continue;
       }
       auto& wave = waves_[std::stoi(it.key.substr(2))];
-      for (const auto& host : nlohmann::json::from_msgpack(it.value)) {
+      for (const auto& host : RequireMessagePack(it.value)) {
         wave.begun.insert(HostId(host.get<std::string>()));
       }
     } catch (const std::exception& error) {
@@ -431,12 +432,12 @@
     intent.records.push_back({"h/" + it.value(), std::to_string(wall_ms_)});
   }
   for (const int it : changed) {
-    auto begun = nlohmann::json::array();
+    auto begun = Json::array();
     for (const auto& host : waves_[it].begun) {
       begun.push_back(host.value());
     }
     std::string value;
-    nlohmann::json::to_msgpack(begun, value);
+    Json::to_msgpack(begun, value);
     intent.records.push_back({WaveKey(it), std::move(value)});
   }
   storing_ = true;
--- a/src/libjobs/pool_division.cc
+++ b/src/libjobs/pool_division.cc
@@ -6,7 +6,8 @@
 #include <utility>
 
 #include <xxhash.h>
-#include <nlohmann/json.hpp>
+
+#include "libwire/bounded_dom.h"
 
 namespace baobab {
 
@@ -87,12 +88,12 @@
     if (current.Contains(pool)) {
       continue;
     }
-    auto shards = nlohmann::json::array();
+    auto shards = Json::array();
     for (int i = 0; i < cells; ++i) {
       shards.push_back(first + next++ % (input.shards - first));
     }
     std::string value;
-    nlohmann::json::to_msgpack(shards, value);
+    Json::to_msgpack(shards, value);
     records.push_back({pool.value(), std::move(value)});
   }
   return records;
@@ -101,15 +102,15 @@
 PoolDivision DecodeDivision(const std::vector<StoredRecord>& records) {
   PoolDivision division;
   for (const auto& it : records) {
-    const auto json = nlohmann::json::from_msgpack(it.value, true, false);
-    if (!json.is_array() ||
-        !std::all_of(json.begin(), json.end(), [](const auto& shard) {
+    const auto json = ParseMessagePack(it.value);
+    if (!json || !json->is_array() ||
+        !std::all_of(json->begin(), json->end(), [](const auto& shard) {
           return shard.is_number_integer() && shard.template get<int>() >= 0;
         })) {
       continue;
     }
     std::vector<ShardId> cells;
-    for (const auto& shard : json) {
+    for (const auto& shard : *json) {
       cells.emplace_back(shard.get<int>());
     }
     division.Add(ServiceId(it.key), std::move(cells));
--- a/src/libjobs/stored_job.cc
+++ b/src/libjobs/stored_job.cc
@@ -3,14 +3,12 @@
 #include <cstdint>
 #include <utility>
 
-#include <nlohmann/json.hpp>
+#include "libwire/bounded_dom.h"
 
 namespace baobab {
 
 namespace {
 
-using Json = nlohmann::json;
-
 // Both records are arrays, to which later releases may only append fields.
 constexpr int kFormatVersion = 1;
 
@@ -182,7 +180,7 @@
         continue;
       }
       try {
-        apply(JobId(it.key.substr(2)), Json::from_msgpack(it.value));
+        apply(JobId(it.key.substr(2)), RequireMessagePack(it.value));
       } catch (const std::exception& error) {
         loaded.faults.push_back(it.key + ": " + error.what());
       }
--- a/src/libwire/bounded_dom.cc
+++ b/src/libwire/bounded_dom.cc
@@ -1,6 +1,7 @@
 #include "libwire/bounded_dom.h"
 
 #include <cstdint>
+#include <stdexcept>
 #include <utility>
 
 namespace baobab {
@@ -112,6 +113,14 @@
   return BoundedDom::Parse(data, nlohmann::detail::input_format_t::msgpack);
 }
 
+Json RequireMessagePack(std::string_view data) {
+  auto json = ParseMessagePack(data);
+  if (!json) {
+    throw std::invalid_argument("malformed or excessively nested MessagePack");
+  }
+  return std::move(*json);
+}
+
 std::string DumpJson(const Json& json) {
   return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
--- a/src/libwire/bounded_dom.h
+++ b/src/libwire/bounded_dom.h
@@ -62,6 +62,10 @@
 /** Parses one MessagePack value within the limits of BoundedDom. */
 std::optional<Json> ParseMessagePack(std::string_view data);
 
+/** Does the same, but throws std::invalid_argument instead of returning
+ * nothing. */
+Json RequireMessagePack(std::string_view data);
+
 /** Returns the JSON text on one line; invalid UTF-8 is replaced by U+FFFD. */
 std::string DumpJson(const Json& json);
 
