--- a/tests/platform_decode_test.cc
+++ b/tests/platform_decode_test.cc
@@ -123,6 +123,7 @@
   DecodeHosts(text);
   DecodeWorker("i", text);
   DecodeRead(text);
+  DecodePage(text);
   DecodeBase64(text);
   ParseTask(text);
 }
