--- a/src/libjobs/job_spec.cc
+++ b/src/libjobs/job_spec.cc
@@ -18,6 +18,13 @@
   return *this;
 }
 
+bool Resources::IsInRange() const {
+  const auto in_range = [](std::int64_t n) {
+    return n >= 0 && n <= kMaxResource;
+  };
+  return in_range(cpu_milli) && in_range(mem_mb) && in_range(gpus);
+}
+
 bool Resources::FitsIn(const Resources& limit) const {
   return cpu_milli <= limit.cpu_milli && mem_mb <= limit.mem_mb &&
          gpus <= limit.gpus;
--- a/src/libjobs/job_spec.h
+++ b/src/libjobs/job_spec.h
@@ -9,6 +9,13 @@
 
 namespace baobab {
 
+/** Maximum of each resource of a worker or a task, so that sums over all of
+ * them cannot overflow. */
+inline constexpr std::int64_t kMaxResource = 1'000'000'000'000;
+
+/** Latest time in ms since 1970: the end of the year 9999. */
+inline constexpr std::int64_t kMaxWallMilliseconds = 253'402'300'799'999;
+
 /** Resources of a worker or a task. */
 struct Resources {
   std::int64_t cpu_milli = 0;
@@ -17,6 +24,8 @@
 
   Resources& operator+=(const Resources& other);
   Resources& operator-=(const Resources& other);
+  /** Returns whether each resource is from 0 to kMaxResource. */
+  bool IsInRange() const;
   /** Returns whether no resource exceeds that of `limit`. */
   bool FitsIn(const Resources& limit) const;
   bool operator==(const Resources&) const = default;
--- a/tests/odd_entry_test.cc
+++ b/tests/odd_entry_test.cc
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -114,5 +115,148 @@
                     }}),
     [](const auto& info) { return info.param.name; });
 
+struct FieldCase {
+  const char* name;
+  /** JSON pointer to the field, and its value as JSON. */
+  const char* field;
+  const char* value;
+};
+
+class OddWorkerTest : public testing::TestWithParam<FieldCase> {
+ protected:
+  static constexpr char kWorker[] =
+      R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"ready",)"
+      R"("capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1"],)"
+      R"("clock_ms":482113,"born":17,"machine":"m-1","remaining_ms":5})";
+};
+
+// Guards against an entry of another writer that is used as a worker: it is
+// polled for ever, its sums overflow, or its later birth supersedes the real
+// worker of the host.
+TEST_P(OddWorkerTest, NamesNoWorker) {
+  ASSERT_TRUE(platform::DecodeWorker("i", kWorker).has_value());
+  const auto valid = *ParseJson(kWorker);
+  // A number too large for a double is no JSON value; it is put in as text.
+  auto changed = valid;
+  changed[Json::json_pointer(GetParam().field)] = "VALUE";
+  auto text = DumpJson(changed);
+  text.replace(text.find("\"VALUE\""), 7, GetParam().value);
+  EXPECT_FALSE(platform::DecodeWorker("i", text).has_value()) << text;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Fields,
+    OddWorkerTest,
+    testing::Values(
+        FieldCase{"PortZero", "/address", R"("10.0.0.9:0")"},
+        FieldCase{"PortTooLarge", "/address", R"("10.0.0.9:65536")"},
+        FieldCase{"PortNegative", "/address", R"("10.0.0.9:-1")"},
+        FieldCase{"PortHuge", "/address", R"("10.0.0.9:99999999999")"},
+        FieldCase{"PortWithSuffix", "/address", R"("10.0.0.9:80x")"},
+        FieldCase{"PortEmpty", "/address", R"("10.0.0.9:")"},
+        FieldCase{"NoPort", "/address", R"("10.0.0.9")"},
+        FieldCase{"HostName", "/address", R"("server.example:80")"},
+        FieldCase{"AddressEmpty", "/address", R"("")"},
+        FieldCase{"AddressWithLineBreak", "/address", R"("10.0.0.9\r\n:80")"},
+        FieldCase{"AddressIsNumber", "/address", "80"},
+        FieldCase{"CpuHuge", "/capacity/cpu", "9000000000000000000"},
+        FieldCase{"CpuBeyondInt64", "/capacity/cpu", "9223372036854775808"},
+        FieldCase{"CpuBeyondUint64", "/capacity/cpu", "18446744073709551616"},
+        FieldCase{"CpuInfinite", "/capacity/cpu", "1e999"},
+        FieldCase{"CpuFraction", "/capacity/cpu", "0.5"},
+        FieldCase{"CpuNegative", "/capacity/cpu", "-1"},
+        FieldCase{"MemoryNegative", "/capacity/mem_mb", "-1"},
+        FieldCase{"GpusHuge", "/capacity/gpu", "9223372036854775807"},
+        FieldCase{"CapacityIsList", "/capacity", "[]"},
+        FieldCase{"BornHuge", "/born", "9223372036854775807"},
+        FieldCase{"BornNegative", "/born", "-1"},
+        FieldCase{"BornFraction", "/born", "17.5"},
+        FieldCase{"ClockHuge", "/clock_ms", "9223372036854775807"},
+        FieldCase{"ClockNegative", "/clock_ms", "-9223372036854775808"},
+        FieldCase{"RemainingHuge", "/remaining_ms", "1e300"},
+        FieldCase{"RemainingNegative", "/remaining_ms", "-1"},
+        FieldCase{"LabelIsNumber", "/labels", R"(["a",7])"},
+        FieldCase{"LabelsAreText", "/labels", R"("a")"},
+        FieldCase{"LabelIsNoUtf8", "/labels", "[\"\xff\"]"},
+        FieldCase{"ServiceEmpty", "/service", R"("")"},
+        FieldCase{"MachineIsNumber", "/machine", "7"},
+        FieldCase{"RepeatedKey", "/zone", R"("z","zone":"y")"}),
+    [](const auto& info) { return info.param.name; });
+
+class OddWorkerIdTest : public testing::TestWithParam<std::string> {};
+
+// Guards against an id that ends a line of the log or a header of a request.
+TEST_P(OddWorkerIdTest, NamesNoWorker) {
+  EXPECT_FALSE(platform::DecodeWorker(
+                   GetParam(),
+                   R"({"service":"s","address":"10.0.0.9:80","zone":"z",)"
+                   R"("state":"ready","capacity":{},"labels":[]})")
+                   .has_value());
+}
+
+INSTANTIATE_TEST_SUITE_P(Ids,
+                         OddWorkerIdTest,
+                         testing::Values("",
+                                         "a\r\nX-Fencing-Token: 9",
+                                         "\xff",
+                                         std::string("a\0b", 3)));
+
+// Guards against sums and products of what was decoded that overflow.
+RC_GTEST_PROP(OddWorkerProperty, DecodedNumbersAreInRange, ()) {
+  const auto number = [] {
+    return *rc::gen::element<Json>(0, 1, -1, INT64_MAX, INT64_MIN, UINT64_MAX,
+                                   1e300, -1e300, 0.5, std::int64_t{1} << 53,
+                                   *rc::gen::arbitrary<std::int64_t>());
+  };
+  const Json json = {{"service", "s"},
+                     {"address", "10.0.0.9:80"},
+                     {"state", "ready"},
+                     {"capacity", {{"cpu", number()}, {"mem_mb", number()}}},
+                     {"labels", Json::array()},
+                     {"born", number()},
+                     {"clock_ms", number()}};
+  const auto worker = platform::DecodeWorker("i", DumpJson(json));
+  if (worker) {
+    constexpr std::int64_t kLimit = INT64_MAX / 1'000'000;
+    for (const auto n : {worker->capacity.cpu_milli, worker->capacity.mem_mb}) {
+      RC_ASSERT(n >= 0 && n < kLimit);
+    }
+    for (const auto n : {worker->incarnation, worker->clock_ms}) {
+      RC_ASSERT(n >= 0 && n < INT64_MAX / 10'000);
+    }
+  }
+}
+
+class OddWaveTest : public testing::TestWithParam<const char*> {};
+
+// Guards against a time limit that overflows the end of the wave.
+TEST_P(OddWaveTest, IsRejected) {
+  EXPECT_FALSE(platform::DecodeWave(
+                   std::string(R"({"wave":1,"machines":["m"],"within_s":)") +
+                   GetParam() + "}")
+                   .has_value());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    TimeLimits,
+    OddWaveTest,
+    testing::Values("1e300", "1e999", "-1", "9e18", "\"25\"", "null"));
+
+// Guards against one odd host that hides all others of the list.
+TEST(OddHostTest, OtherHostsAreListed) {
+  for (const char* it :
+       {R"({"machine":"m1","state":"up","capacity":{"cpu":"x"}})",
+        R"({"machine":"m1","state":"up","capacity":{"cpu":9e18}})",
+        R"({"machine":"m1","state":"up","capacity":{"cpu":-1}})",
+        R"({"machine":7})", "7", "null", "[]"}) {
+    const auto page = platform::DecodeHosts(
+        std::string(R"({"machines":[)") + it +
+        R"(,{"machine":"m2","state":"up","capacity":{"cpu":64000}}]})");
+    ASSERT_TRUE(page.has_value()) << it;
+    ASSERT_EQ(page->hosts.size(), 1u) << it;
+    EXPECT_EQ(page->hosts[0].host, HostId("m2"));
+  }
+}
+
 }  // namespace
 }  // namespace baobab
