libjobs: skip job records whose values are out of range

A record in the topic of the jobs that decodes, but has a negative or huge number of tasks, or a dependency on a step that does not exist, ended the owner of the shard while it loaded it, and then each next owner.

Cause: the specification of a stored job was used without CheckSpec(), which callers' jobs pass. CheckSpec() itself had no upper bound for resources, durations and occurrences, whose sums could overflow.

Why it works: CheckSpec() is applied to stored jobs too, so what is accepted can also be loaded. Ends and open occurrences of a progress record are checked; an open occurrence twice or beyond the created ones is refused.

--- a/src/libjobs/job_spec.cc
+++ b/src/libjobs/job_spec.cc
@@ -1,9 +1,25 @@
 #include "libjobs/job_spec.h"
 
 #include <algorithm>
+#include <chrono>
 
 namespace baobab {
 
+namespace {
+
+constexpr int kMaxRepeats = 1'000'000;
+
+/** Longer durations are mistakes, and sums of them could overflow. */
+constexpr Duration kMaxEstimate = std::chrono::hours(366 * 24);
+constexpr std::int64_t kMaxIntervalMilliseconds =
+    kMaxEstimate / std::chrono::milliseconds(1);
+
+bool IsDurationInRange(Duration duration) {
+  return duration >= Duration(0) && duration <= kMaxEstimate;
+}
+
+}  // namespace
+
 Resources& Resources::operator+=(const Resources& other) {
   cpu_milli += other.cpu_milli;
   mem_mb += other.mem_mb;
@@ -37,6 +53,12 @@
   if (spec.steps.empty()) {
     return fault("a job needs at least one step");
   }
+  if (spec.repeats < 0 || spec.repeats > kMaxRepeats ||
+      spec.first_due_wall_ms < 0 ||
+      spec.first_due_wall_ms > kMaxWallMilliseconds || spec.interval_ms < 0 ||
+      spec.interval_ms > kMaxIntervalMilliseconds) {
+    return fault("the occurrences are out of range");
+  }
   std::int64_t tasks = 0;
   for (std::size_t i = 0; i < spec.steps.size(); ++i) {
     const auto& step = spec.steps[i];
@@ -47,8 +69,13 @@
     if (tasks > kMaxTasksPerJob) {
       return fault("the job has too many tasks");
     }
-    if (step.need.cpu_milli < 0 || step.need.mem_mb < 0 || step.need.gpus < 0) {
-      return fault("a task needs a negative amount of CPU, memory or GPUs");
+    if (!step.need.IsInRange()) {
+      return fault(
+          "a task needs an amount of CPU, memory or GPUs out of range");
+    }
+    if (!IsDurationInRange(step.estimate) ||
+        !IsDurationInRange(step.tail_target)) {
+      return fault("a duration of a step is out of range");
     }
     for (const int it : step.after) {
       if (it < 0 || it >= static_cast<int>(i)) {
--- a/src/libjobs/job_spec.h
+++ b/src/libjobs/job_spec.h
@@ -90,6 +90,10 @@
 /** Maximum tasks of an accepted job, over all its steps. */
 inline constexpr int kMaxTasksPerJob = 10'000;
 
+/** Maximum tasks of the open occurrences of a job; further ones are created as
+ * these end. */
+inline constexpr int kMaxOpenTasksPerJob = 2 * kMaxTasksPerJob;
+
 /** Returns an error if there are no steps, a number is out of range, or a step
  * depends on itself or a later step. */
 Result<void> CheckSpec(const JobSpec& spec);
--- a/src/libjobs/stored_job.cc
+++ b/src/libjobs/stored_job.cc
@@ -1,6 +1,7 @@
 #include "libjobs/stored_job.h"
 
 #include <cstdint>
+#include <stdexcept>
 #include <utility>
 
 #include "libwire/bounded_dom.h"
@@ -74,6 +75,12 @@
   // Absent in records of earlier releases.
   job.needs_advice = json.size() > 13 && json.at(13).get<bool>();
   job.stored = true;
+  // A tombstone has no steps.
+  if (job.spec.steps.empty()) {
+    job.spec.repeats = 0;
+  } else if (const auto checked = CheckSpec(job.spec); !checked) {
+    throw std::out_of_range(checked.error().message);
+  }
   return job;
 }
 
@@ -93,8 +100,34 @@
   task->checkpoint = row.at(7).get<std::string>();
 }
 
+/** Returns the numbers of the open occurrences, which are below `created`. */
+std::vector<int> OpenOccurrencesFromJson(const Job& job,
+                                         const Json& json,
+                                         int created) {
+  auto open = json.get<std::vector<int>>();
+  int least = 0;
+  for (const int it : open) {
+    if (it < least || it >= created) {
+      throw std::out_of_range("progress has an invalid open occurrence");
+    }
+    least = it + 1;
+  }
+  std::size_t tasks = 0;
+  for (const auto& it : job.spec.steps) {
+    tasks += static_cast<std::size_t>(it.count);
+  }
+  if (open.size() > 1 && open.size() * tasks > kMaxOpenTasksPerJob) {
+    throw std::out_of_range("progress has too many open tasks");
+  }
+  return open;
+}
+
 void ApplyProgress(Job& job, const Json& json) {
-  job.end = static_cast<JobEnd>(json.at(1).get<int>());
+  const int end = json.at(1).get<int>();
+  if (end < 0 || end > static_cast<int>(JobEnd::kCancelled)) {
+    throw std::out_of_range("progress has an unknown end");
+  }
+  job.end = static_cast<JobEnd>(end);
   job.visible_end = job.end;
   job.ended_wall_ms = json.at(2).get<std::int64_t>();
   job.begun = json.at(3).get<bool>();
@@ -102,7 +135,7 @@
   if (created < 0 || created > job.OccurrenceCount()) {
     throw std::out_of_range("progress has more occurrences than the job");
   }
-  const auto open = json.at(5).get<std::vector<int>>();
+  const auto open = OpenOccurrencesFromJson(job, json.at(5), created);
   for (const int it : open) {
     job.created = it;
     job.CreateOccurrence(Time{});
--- a/tests/odd_entry_test.cc
+++ b/tests/odd_entry_test.cc
@@ -9,8 +9,8 @@
 #include <string>
 #include <vector>
 
+#include "job_world.h"
 #include "libfleet/peer_calls.h"
-#include "libjobs/jobs.h"
 #include "platform/decode.h"
 
 namespace baobab {
@@ -258,5 +258,88 @@
   }
 }
 
+/** Part of a record, as a JSON pointer, and its odd value. */
+struct RecordCase {
+  const char* name;
+  char kind;
+  const char* part;
+  Json value;
+};
+
+/** Overwrites part of the record with the key KIND/ID. */
+void ChangeRecord(std::map<std::string, std::string>& store,
+                  const std::string& id,
+                  const RecordCase& change) {
+  auto& record = store.at(change.kind + ("/" + id));
+  auto json = *ParseMessagePack(record);
+  json[Json::json_pointer(change.part)] = change.value;
+  record.clear();
+  Json::to_msgpack(json, record);
+}
+
+class OddJobRecordTest : public testing::TestWithParam<RecordCase> {};
+
+// Guards against a record that decodes, but whose values end the owner of its
+// shard, and then each next owner.
+TEST_P(OddJobRecordTest, ShardIsServed) {
+  JobWorld world;
+  for (const char* it : {"w1", "w2"}) {
+    world.AddWorker(it);
+  }
+  world.TakeOver();
+  world.Advance(std::chrono::milliseconds(300));
+  JobSpec spec{"work", {JobWorld::Step(2, 1, 60'000)}};
+  spec.steps.push_back(JobWorld::Step(1, 1, 100));
+  spec.steps[1].after = {0};
+  world.Submit("odd", spec);
+  world.Submit("good", spec);
+  world.Advance(std::chrono::milliseconds(500));
+  ASSERT_EQ(world.State("good"), JobState::kRunning);
+
+  ChangeRecord(world.store, "odd", GetParam());
+  world.TakeOver();
+  world.Advance(std::chrono::milliseconds(500));
+  ASSERT_TRUE(world.engine->IsLoaded());
+  EXPECT_EQ(world.State("good"), JobState::kRunning);
+  world.Submit("next", JobSpec{"work", {JobWorld::Step(1, 1, 100)}});
+  world.Advance(std::chrono::milliseconds(500));
+  EXPECT_EQ(world.State("next"), JobState::kCompleted);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Records,
+    OddJobRecordTest,
+    testing::Values(RecordCase{"CountNegative", 'a', "/9/0/0", -1},
+                    RecordCase{"CountHuge", 'a', "/9/0/0", INT32_MAX},
+                    RecordCase{"CountBeyondInt", 'a', "/9/0/0", INT64_MAX},
+                    RecordCase{"CountInfinite", 'a', "/9/0/0", 1e300},
+                    RecordCase{"NeedHuge", 'a', "/9/0/1", INT64_MAX},
+                    RecordCase{"NeedNegative", 'a', "/9/0/1", INT64_MIN},
+                    RecordCase{"EstimateHuge", 'a', "/9/0/4", INT64_MAX},
+                    RecordCase{"EstimateNegative", 'a', "/9/0/4", INT64_MIN},
+                    RecordCase{"DependsOnNone", 'a', "/9/1/5", {100'000'000}},
+                    RecordCase{"DependsOnNegative", 'a', "/9/1/5", {-1}},
+                    RecordCase{"DependsOnItself", 'a', "/9/1/5", {1}},
+                    RecordCase{"StretchHuge", 'a', "/5", 1e300},
+                    RecordCase{"TargetHuge", 'a', "/6", INT64_MAX},
+                    RecordCase{"SubmittedHuge", 'a', "/7", INT64_MAX},
+                    RecordCase{"SubmittedNegative", 'a', "/7", INT64_MIN},
+                    RecordCase{"RepeatsHuge", 'a', "/10", INT32_MAX},
+                    RecordCase{"FirstDueNegative", 'a', "/11", INT64_MIN},
+                    RecordCase{"EndOutOfRange", 'p', "/1", 200},
+                    RecordCase{"EndNegative", 'p', "/1", -1},
+                    RecordCase{"EndedAtHuge", 'p', "/2", INT64_MAX},
+                    RecordCase{"CreatedHuge", 'p', "/4", INT32_MAX},
+                    RecordCase{"OccurrenceNegative", 'p', "/5", {-1}},
+                    RecordCase{"OccurrenceHuge", 'p', "/5", {INT32_MAX}},
+                    RecordCase{"OccurrenceTwice", 'p', "/5", {0, 0}},
+                    RecordCase{"PhaseOutOfRange", 'p', "/6/0/3", 1000},
+                    RecordCase{"RunNegative", 'p', "/6/0/4", INT64_MIN},
+                    RecordCase{"RunHuge", 'p', "/6/0/4", INT64_MAX},
+                    RecordCase{"FailuresHuge", 'p', "/6/0/5", INT32_MAX},
+                    RecordCase{"TaskNegative", 'p', "/6/0/2", -1},
+                    RecordCase{"WorkerEmpty", 'p', "/6/0/6", ""}),
+    [](const auto& info) { return info.param.name; });
+
 }  // namespace
 }  // namespace baobab
