libjobs: create occurrences that are due at once gradually

A job of 2000 occurrences with 1000 tasks each and an interval of 0, which any caller may submit, made its owner allocate all two million tasks at once. A valid job may have 5000 times as many, which no owner can hold.

Cause: BeginDueOccurrences() created each occurrence that is due.

The largest valid job was not run.

Why it works: a job has open occurrences of up to kMaxOpenTasksPerJob tasks, at least one; ticks create the next ones as these end. This also bounds its progress record.

--- a/src/libjobs/pool_engine.cc
+++ b/src/libjobs/pool_engine.cc
@@ -349,7 +349,15 @@
 }
 
 void PoolEngine::BeginDueOccurrences(Job& job) {
+  std::size_t tasks = 0;
+  for (const auto& it : job.spec.steps) {
+    tasks += static_cast<std::size_t>(it.count);
+  }
   while (job.created < job.OccurrenceCount()) {
+    if (!job.occurrences.empty() &&
+        (job.occurrences.size() + 1) * tasks > kMaxOpenTasksPerJob) {
+      return;
+    }
     const int number = job.created;
     Time due = job.submitted_at;
     if (job.IsPeriodic()) {
--- a/tests/odd_entry_test.cc
+++ b/tests/odd_entry_test.cc
@@ -341,5 +341,29 @@
                     RecordCase{"WorkerEmpty", 'p', "/6/0/6", ""}),
     [](const auto& info) { return info.param.name; });
 
+// Guards against a job whose occurrences are all due at once, whose tasks take
+// more memory than an owner has.
+TEST(OddJobTest, OccurrencesDueAtOnceAreCreatedGradually) {
+  JobWorld world;
+  world.AddWorker("w1");
+  world.TakeOver();
+  world.Advance(std::chrono::milliseconds(300));
+  JobSpec spec{"work", {JobWorld::Step(1000, 1, 100)}};
+  spec.repeats = 2000;
+  spec.interval_ms = 0;
+  world.Submit("all", spec);
+  world.Advance(std::chrono::milliseconds(500));
+  ASSERT_NE(world.State("all"), std::nullopt);
+  const auto loaded = DecodeJobs([&] {
+    std::vector<StoredRecord> records;
+    for (const auto& [key, value] : world.store) {
+      records.push_back({key, value});
+    }
+    return records;
+  }());
+  EXPECT_LE(loaded.jobs.at(JobId("all")).occurrences.size(),
+            static_cast<std::size_t>(kMaxOpenTasksPerJob / 1000));
+}
+
 }  // namespace
 }  // namespace baobab
