libjobs: let an entry of an unknown service supersede no worker

An entry of another writer that named the host of a real worker, a service that is not configured and a later birth made the owner count all runs of the real worker as lost and start them again, while they still ran.

Cause: the newest worker of each host was determined over all entries, also those that no pool uses.

Why it works: only entries whose service has cells count. A host that moves to a pool without cells is noticed when its former worker leaves the list.

--- a/src/libjobs/pool_engine_workers.cc
+++ b/src/libjobs/pool_engine_workers.cc
@@ -52,7 +52,9 @@
   std::set<WorkerId> listed;
   std::map<HostId, std::pair<std::int64_t, WorkerId>> newest;
   for (const auto& it : *event.workers) {
-    if (!it.host.value().empty()) {
+    // An entry of an unknown service is another writer's, not a worker.
+    const bool is_known = division_ && division_->Contains(it.service);
+    if (is_known && !it.host.value().empty()) {
       auto& host = newest[it.host];
       host = std::max(host, std::pair(it.incarnation, it.id));
     }
--- a/tests/odd_entry_test.cc
+++ b/tests/odd_entry_test.cc
@@ -258,6 +258,22 @@
   }
 }
 
+// Guards against an entry of an unknown service that supersedes the worker of
+// the host that it names, whose runs are then started a second time.
+TEST(OddServiceTest, SupersedesNoWorker) {
+  JobWorld world;
+  world.AddWorker("w1");
+  world.TakeOver();
+  world.Advance(std::chrono::milliseconds(300));
+  world.Submit("job", JobSpec{"work", {JobWorld::Step(1, 1, 60'000)}});
+  world.Advance(std::chrono::milliseconds(500));
+  ASSERT_EQ(world.State("job"), JobState::kRunning);
+  const auto odd = world.AddWorker("odd", 64, "host-w1");
+  world.workers.at(odd).entry.service = ServiceId("elsewhere");
+  world.List();
+  EXPECT_EQ(world.engine->Report(world.now).runs, 1);
+}
+
 /** Part of a record, as a JSON pointer, and its odd value. */
 struct RecordCase {
   const char* name;
