platform: log each rejected record once

An operator could not see that a record of the worker list, the configuration or a wave was rejected, nor that the worker list could not be read.

Cause: the decoders' errors were dropped.

Why it works: StoreClient remembers the last reason of each rejected record and reports a record again only if the reason changed or the record was usable in between.

--- a/src/libfleet/fleet_node.cc
+++ b/src/libfleet/fleet_node.cc
@@ -470,6 +470,9 @@
           for (auto& [id, shard] : shards_) {
             shard->SetWorkers(worker_list_);
           }
+        } else {
+          ports_.log.Write("workers-unread", "",
+                           fmt::format("fault=\"{}\"", ToString(read.error())));
         }
         schedule_next();
       });
--- a/tests/store_client_test.cc
+++ b/tests/store_client_test.cc
@@ -167,5 +167,40 @@
   EXPECT_NE(targets.back().find("from=14"), std::string::npos);
 }
 
+// Guards against a rejected record that leaves no line in the log, a line with
+// each read, and a line of any length or with line breaks.
+TEST_F(StoreClientTest, ReportsARejectedRecordOnce) {
+  std::vector<std::string> lines;
+  store->SetOnRejected([&](const std::string& record, const std::string& why) {
+    lines.push_back(record + ": " + why);
+  });
+  const std::string odd_key = "a\n\"" + std::string(200, 'k');
+  const std::string odd_state =
+      R"({"service":"s","address":"10.0.0.9:80","state":"\n)" +
+      std::string(5000, 's') + "\"}";
+  AddPage({Item("i1", "[]"),
+           Item(odd_key, kWorker),
+           {{"key", "j"}, {"value", "%%%"}}},
+          false);
+  AddRead(EncodeRecords({{"i1", "[]"}}));
+  AddRead(EncodeRecords({{"i1", odd_state}}));
+  AddRead(EncodeRecords({{"i1", kWorker}}));
+  AddRead(EncodeRecords({{"i1", "[]"}}));
+  for (std::size_t n = answers.size(); n > 0; --n) {
+    ASSERT_TRUE(ReadWorkers().has_value());
+  }
+  ASSERT_EQ(lines.size(), 5u);
+  EXPECT_EQ(lines[0], "keyed.servers/j: the key or the value cannot be read");
+  EXPECT_TRUE(lines[1].starts_with("keyed.servers/a??kkk")) << lines[1];
+  EXPECT_EQ(lines[2], "keyed.servers/i1: no JSON object");
+  EXPECT_TRUE(lines[3].starts_with("keyed.servers/i1: unknown state ?sss"))
+      << lines[3];
+  EXPECT_EQ(lines[4], "keyed.servers/i1: no JSON object");
+  for (const auto& it : lines) {
+    EXPECT_LT(it.size(), 250u);
+    EXPECT_EQ(it.find('\n'), std::string::npos);
+  }
+}
+
 }  // namespace
 }  // namespace baobab::platform
