--- a/src/libjobs/job_spec.h
+++ b/src/libjobs/job_spec.h
@@ -9,6 +9,13 @@
 
 namespace baobab {
 
+/** Maximum of each resource of a worker or a task, so that sums over all of
+ * them cannot overflow. */
+inline constexpr std::int64_t kMaxResource = 1'000'000'000'000;
+
+/** Latest time in ms since 1970: the end of the year 9999. */
+inline constexpr std::int64_t kMaxWallMilliseconds = 253'402'300'799'999;
+
 /** Resources of a worker or a task. */
 struct Resources {
   std::int64_t cpu_milli = 0;
@@ -17,6 +24,8 @@
 
   Resources& operator+=(const Resources& other);
   Resources& operator-=(const Resources& other);
+  /** Returns whether each resource is from 0 to kMaxResource. */
+  bool IsInRange() const;
   /** Returns whether no resource exceeds that of `limit`. */
   bool FitsIn(const Resources& limit) const;
   bool operator==(const Resources&) const = default;
@@ -81,6 +90,10 @@
 /** Maximum tasks of an accepted job, over all its steps. */
 inline constexpr int kMaxTasksPerJob = 10'000;
 
+/** Maximum tasks of the open occurrences of a job; further ones are created as
+ * these end. */
+inline constexpr int kMaxOpenTasksPerJob = 2 * kMaxTasksPerJob;
+
 /** Returns an error if there are no steps, a number is out of range, or a step
  * depends on itself or a later step. */
 Result<void> CheckSpec(const JobSpec& spec);
