libfleet: cancel the action of a timer that is due

fleet_node_test ended with SIGSEGV in 7 of 18 runs (arm64, three at a time beside load), each time in CutOffNodeAloneAcceptsAndDeniesNothing. All 7 cores show the same stack:

std::_Rb_tree_increment FleetNode::TickLoop (fleet_node.cc:533, iterates shards_) LoopTimer::Set()::lambda boost::asio::io_context::run_for (fleet_node_test.cc:154)

`this` of TickLoop is the node that the test has destroyed, not the one that is left: the tick of the destroyed node ran on freed memory. steady_timer reports no error to a handler that is queued already, so neither destroying a LoopTimer nor cancelling or setting it withdrew an action that was due, against its comment. The test runs the loop for 700 ms and then destroys a node whose ticks fall due at 250 ms and each 50 ms after that, so at 700 ms. Memory order has no part in it: all of this is on one thread.

In a running process a node lives until the loop has stopped, so its timers don't outlive it. Cancel() and Set() failed there in the same way: after an error of a shard, for example, a node whose renewal was due joined at once and not after a second.

CallbackGuard ends the callbacks that are bound to it when it is destroyed or revoked, and LoopTimer binds its action to one.

--- a/src/libfleet/loop_timer.h
+++ b/src/libfleet/loop_timer.h
@@ -14,25 +14,32 @@
 
 namespace baobab {
 
-/** One-shot timer on the event loop. Setting it again or destroying it cancels
- * the pending function. */
+/** One-shot timer on the event loop. Setting it again, cancelling or destroying
+ * it cancels the pending function, even one that is due. */
 class LoopTimer {
  public:
   explicit LoopTimer(boost::asio::io_context& loop) : timer_(loop) {}
 
   void Set(Duration delay, std::function<void()> action) {
     timer_.expires_after(delay);
-    timer_.async_wait(
+    // The timer reports no error once its handler is queued, so that it alone
+    // can't cancel an action that is due.
+    guard_.Revoke();
+    timer_.async_wait(guard_.Bind(
         [action = std::move(action)](const boost::system::error_code& error) {
           if (!error) {
             action();
           }
-        });
+        }));
+  }
+  void Cancel() {
+    guard_.Revoke();
+    timer_.cancel();
   }
-  void Cancel() { timer_.cancel(); }
 
  private:
   boost::asio::steady_timer timer_;
+  CallbackGuard guard_;
 };
 
 /** Returns the time since the machine started, which includes the time while it
