libnet: end the handler of a server with the server

A connection keeps the implementation of AsyncHttpServer alive, and with it the handler. A request on an open connection to a server that was destroyed was still handled: a node without the store asks others for the list of owners, so a node that was destroyed while the loop went on read its list from freed memory.

The handler is bound to a guard of the server, and the destructor closes the open connections.

--- a/src/libnet/async_http_server.cc
+++ b/src/libnet/async_http_server.cc
@@ -39,6 +39,7 @@
   int Port() const { return acceptor_.local_endpoint().port(); }
   void Drain(bool close_idle);
   void Stop();
+  void CloseAll();
   std::size_t InFlight() const { return in_flight_; }
 
   AsyncServerLimits limits;
@@ -95,6 +96,12 @@
     }
   }
 
+  void Close() {
+    error_code ignored;
+    timer_.cancel();
+    socket_.close(ignored);
+  }
+
  private:
   void OnRead(const error_code& error) {
     if (error) {
@@ -221,12 +228,6 @@
     Close();
   }
 
-  void Close() {
-    error_code ignored;
-    timer_.cancel();
-    socket_.close(ignored);
-  }
-
   const std::shared_ptr<Impl> server_;
   tcp::socket socket_;
   asio::steady_timer timer_;
@@ -311,11 +312,18 @@
   accept_timer_.cancel();
 }
 
+void AsyncHttpServer::Impl::CloseAll() {
+  Stop();
+  for (auto* it : std::set<Session*>(sessions_)) {
+    it->Close();
+  }
+}
+
 AsyncHttpServer::AsyncHttpServer(asio::io_context& loop, Handler handler)
-    : impl_(std::make_shared<Impl>(loop, std::move(handler))) {}
+    : impl_(std::make_shared<Impl>(loop, guard_.Bind(std::move(handler)))) {}
 
 AsyncHttpServer::~AsyncHttpServer() {
-  impl_->Stop();
+  impl_->CloseAll();
 }
 
 Result<void> AsyncHttpServer::Listen(const Endpoint& endpoint) {
--- a/src/libnet/async_http_server.h
+++ b/src/libnet/async_http_server.h
@@ -8,6 +8,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "libbase/base.h"
 #include "libnet/http_call.h"
 
 namespace baobab {
@@ -37,6 +38,8 @@
   using Handler = std::function<void(HttpRequest, Responder)>;
 
   AsyncHttpServer(boost::asio::io_context& loop, Handler handler);
+  /** Closes all connections. The handler is not called from then on, and
+   * responses that are sent later have no effect. */
   ~AsyncHttpServer();
   AsyncHttpServer(const AsyncHttpServer&) = delete;
   AsyncHttpServer& operator=(const AsyncHttpServer&) = delete;
@@ -58,6 +61,8 @@
 
  private:
   class Impl;
+  /** Ends the calls of the handler by open connections, which own `impl_`. */
+  CallbackGuard guard_;
   std::shared_ptr<Impl> impl_;
 };
 
--- a/tests/async_http_test.cc
+++ b/tests/async_http_test.cc
@@ -2,8 +2,10 @@
 #include <sys/socket.h>
 
 #include <chrono>
+#include <memory>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -196,6 +198,33 @@
   EXPECT_EQ(client.counters().connections, 2u);
 }
 
+// Guards against requests on open connections that reach the handler of a
+// server which is gone: a destroyed node read its list of owners.
+TEST_F(AsyncHttpTest, DestroyedServerHandlesNothing) {
+  int handled = 0;
+  std::vector<AsyncHttpServer::Responder> held;
+  Serve([&](const HttpRequest& request, AsyncHttpServer::Responder respond) {
+    ++handled;
+    if (request.target == "/hold") {
+      held.push_back(std::move(respond));
+    } else {
+      respond({200, {}, ""});
+    }
+  });
+  EXPECT_TRUE(Call({"GET", "/", {}, ""}).has_value());
+  auto sending = ConnectRaw();
+  loop.run_for(milliseconds(10));
+  EXPECT_FALSE(Call({"GET", "/hold", {}, ""}).has_value());
+  EXPECT_EQ(handled, 2);
+  asio::write(sending, asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+  server.reset();
+  EXPECT_FALSE(Call({"GET", "/", {}, ""}).has_value());
+  held.at(0)({200, {}, ""});
+  loop.restart();
+  loop.run_for(milliseconds(50));
+  EXPECT_EQ(handled, 2);
+}
+
 struct BadRequest {
   const char* name;
   std::string bytes;
