libnet: end the callbacks of a client with the client

A connection of AsyncHttpClient keeps the implementation alive until its call has ended, and idle connections and the implementation kept each other alive for good. The callbacks of calls in flight ran after the client was gone, in objects that had used it, and its idle connections stayed open.

Callbacks are bound to a guard of the client, and the destructor drops the idle connections.

--- a/src/libnet/async_http_client.cc
+++ b/src/libnet/async_http_client.cc
@@ -66,6 +66,8 @@
             Duration timeout,
             const Channel& channel,
             Callback done);
+  /** Drops the idle connections, which own this object. */
+  void Close();
   const Counters& counters() const { return counters_; }
 
  private:
@@ -91,6 +93,7 @@
   /** Expiry of `timer_`; max() if it is not running. */
   SteadyClock::time_point armed_for_ = SteadyClock::time_point::max();
   Counters counters_;
+  bool closed_ = false;
 };
 
 class AsyncHttpClient::Impl::Connection
@@ -294,12 +297,20 @@
 }
 
 void AsyncHttpClient::Impl::AddIdle(std::shared_ptr<Connection> connection) {
+  if (closed_) {
+    return;
+  }
   auto& connections = idle_[connection->pool_key()];
   if (connections.size() < kMaxIdlePerPool) {
     connections.push_back(std::move(connection));
   }
 }
 
+void AsyncHttpClient::Impl::Close() {
+  closed_ = true;
+  idle_.clear();
+}
+
 void AsyncHttpClient::Impl::WatchDeadline(
     SteadyClock::time_point deadline,
     std::weak_ptr<Connection> connection) {
@@ -372,13 +383,15 @@
 AsyncHttpClient::AsyncHttpClient(asio::io_context& loop)
     : impl_(std::make_shared<Impl>(loop)) {}
 
-AsyncHttpClient::~AsyncHttpClient() = default;
+AsyncHttpClient::~AsyncHttpClient() {
+  impl_->Close();
+}
 
 void AsyncHttpClient::Call(const std::string& address,
                            HttpRequest request,
                            Duration timeout,
                            Callback done) {
-  impl_->Call(address, std::move(request), timeout, {}, std::move(done));
+  Call(address, std::move(request), timeout, {}, std::move(done));
 }
 
 void AsyncHttpClient::Call(const std::string& address,
@@ -386,7 +399,8 @@
                            Duration timeout,
                            const Channel& channel,
                            Callback done) {
-  impl_->Call(address, std::move(request), timeout, channel, std::move(done));
+  impl_->Call(address, std::move(request), timeout, channel,
+              guard_.Bind(std::move(done)));
 }
 
 const AsyncHttpClient::Counters& AsyncHttpClient::counters() const {
--- a/src/libnet/async_http_client.h
+++ b/src/libnet/async_http_client.h
@@ -8,6 +8,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "libbase/base.h"
 #include "libnet/http_call.h"
 
 namespace baobab {
@@ -31,6 +32,7 @@
   };
 
   explicit AsyncHttpClient(boost::asio::io_context& loop);
+  /** Closes idle connections. Calls in flight end without their callback. */
   ~AsyncHttpClient();
   AsyncHttpClient(const AsyncHttpClient&) = delete;
   AsyncHttpClient& operator=(const AsyncHttpClient&) = delete;
@@ -61,6 +63,7 @@
  private:
   class Impl;
   std::shared_ptr<Impl> impl_;
+  CallbackGuard guard_;
 };
 
 }  // namespace baobab
--- a/tests/async_http_test.cc
+++ b/tests/async_http_test.cc
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <utility>
@@ -225,6 +226,30 @@
   EXPECT_EQ(handled, 2);
 }
 
+// Guards against answers that reach the callers of a client which is gone.
+TEST_F(AsyncHttpTest, DestroyedClientCallsNothingBack) {
+  std::vector<AsyncHttpServer::Responder> held;
+  Serve([&](const HttpRequest&, AsyncHttpServer::Responder respond) {
+    held.push_back(std::move(respond));
+  });
+  bool called = false;
+  std::optional<AsyncHttpClient> other(loop);
+  for (const auto& it : {address, std::string("no address")}) {
+    other->Call(it, {"GET", "/", {}, ""}, milliseconds(1000),
+                [&](const auto&) { called = true; });
+  }
+  while (held.empty()) {
+    loop.run_one();
+  }
+  other->Call("no address", {"GET", "/", {}, ""}, milliseconds(1000),
+              [&](const auto&) { called = true; });
+  called = false;
+  other.reset();
+  held.at(0)({200, {}, ""});
+  loop.run_for(milliseconds(50));
+  EXPECT_FALSE(called);
+}
+
 struct BadRequest {
   const char* name;
   std::string bytes;
