libnet: keep a connection whose time ends as its request arrives

A request that became complete in the same turn of the loop in which the idle, header or body time of its connection ended was handled, but its connection was closed and the caller got no answer: the handler of the timer was queued already, cancelling it had no effect, and the check of the expiry protects only after the timer was set again. This concerns a running process: with a loop that is busy for long at a time, the turn in which both happen is long too. The request has run then, such as a job that was accepted; its caller sees a closed connection.

The timer's handler is bound to a guard that stopping the timer revokes.

--- a/src/libnet/async_http_server.cc
+++ b/src/libnet/async_http_server.cc
@@ -98,7 +98,7 @@
 
   void Close() {
     error_code ignored;
-    timer_.cancel();
+    StopTimer();
     socket_.close(ignored);
   }
 
@@ -150,7 +150,7 @@
   }
 
   void Handle() {
-    timer_.cancel();
+    StopTimer();
     body_started_ = false;
     request_pending_ = true;
     ++server_->in_flight_;
@@ -212,14 +212,19 @@
   }
 
   void RestartTimer(Duration timeout) {
+    StopTimer();
     timer_.expires_after(timeout);
-    timer_.async_wait([weak = weak_from_this()](const error_code& error) {
-      const auto self = weak.lock();
-      if (!error && self &&
-          self->timer_.expiry() <= std::chrono::steady_clock::now()) {
-        self->Close();
+    timer_.async_wait(timer_guard_.Bind([this](const error_code& error) {
+      if (!error) {
+        Close();
       }
-    });
+    }));
+  }
+
+  /** Stops the timer, also if it is due and its handler is queued. */
+  void StopTimer() {
+    timer_guard_.Revoke();
+    timer_.cancel();
   }
 
   void ShutDownAndClose() {
@@ -231,6 +236,7 @@
   const std::shared_ptr<Impl> server_;
   tcp::socket socket_;
   asio::steady_timer timer_;
+  CallbackGuard timer_guard_;
   boost::beast::flat_buffer buffer_;
   std::optional<http::request_parser<http::string_body>> parser_;
   http::response<http::string_body> response_;
--- a/tests/async_http_test.cc
+++ b/tests/async_http_test.cc
@@ -250,6 +250,55 @@
   EXPECT_FALSE(called);
 }
 
+struct LateRequestCase {
+  const char* name;
+  /** Bytes that arrive in time, and those that arrive as the time ends. */
+  std::string early;
+  std::string late;
+};
+
+class LateRequestTest : public AsyncHttpTest,
+                        public testing::WithParamInterface<LateRequestCase> {};
+
+// Guards against a connection that is closed while its request is handled, as
+// the time to send it ended in the moment in which it became complete.
+TEST_P(LateRequestTest, IsAnswered) {
+  AsyncHttpServer::Responder held;
+  Serve([&](const HttpRequest&, AsyncHttpServer::Responder respond) {
+    held = std::move(respond);
+  });
+  AsyncServerLimits limits;
+  limits.header_timeout = milliseconds(60);
+  limits.body_timeout = milliseconds(60);
+  limits.idle_timeout = milliseconds(60);
+  server->SetLimits(limits);
+  auto socket = ConnectRaw();
+  asio::write(socket, asio::buffer(GetParam().early));
+  loop.run_for(milliseconds(20));
+  std::this_thread::sleep_for(milliseconds(80));
+  asio::write(socket, asio::buffer(GetParam().late));
+  std::this_thread::sleep_for(milliseconds(5));
+  loop.run_for(milliseconds(20));
+  ASSERT_TRUE(held);
+  held({200, {}, ""});
+  loop.run_for(milliseconds(20));
+  socket.non_blocking(true);
+  std::string got(200, '\0');
+  boost::system::error_code ec;
+  got.resize(socket.read_some(asio::buffer(got), ec));
+  EXPECT_EQ(got.substr(0, 12), "HTTP/1.1 200");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Timeouts,
+    LateRequestTest,
+    testing::Values(
+        LateRequestCase{"Idle", "", "GET / HTTP/1.1\r\n\r\n"},
+        LateRequestCase{"Head", "GET / HTTP/1.1\r\n", "\r\n"},
+        LateRequestCase{
+            "Body", "POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\nab", "cd"}),
+    [](const auto& it) { return it.param.name; });
+
 struct BadRequest {
   const char* name;
   std::string bytes;
