libfleet: end the callbacks of a node with the node

FleetNode and DivisionKeeper passed callbacks with a pointer to themselves to the store, the feed, the loop, calls to other nodes and the owners of shards, which could run after the node was destroyed while the loop goes on. Calls in flight also keep a ShardOwner or PlannerOwner alive, which was not stopped with the node and uses its callbacks, log and store. The test's interfaces to the platform hid a part of this, since they dropped the answers to a destroyed node; they now deliver them.

All these callbacks are bound to a guard of their owner, and the destructor of the node stops its shards and its planner.

--- a/src/libfleet/division_keeper.cc
+++ b/src/libfleet/division_keeper.cc
@@ -61,7 +61,7 @@
 
 void DivisionKeeper::Read() {
   reading_ = true;
-  ports_.store.ReadDivision([this](Result<JobStore::StoredDivision> stored) {
+  const auto on_read = [this](Result<JobStore::StoredDivision> stored) {
     reading_ = false;
     if (!stored) {
       ports_.log.Write("division-unread", "",
@@ -82,7 +82,8 @@
     if (!still_missing.empty()) {
       Divide(*stored);
     }
-  });
+  };
+  ports_.store.ReadDivision(guard_.Bind(on_read));
 }
 
 void DivisionKeeper::ReadLater() {
@@ -108,18 +109,17 @@
   input.shards = shards_;
   const auto records = DividePools(*division_, input);
   reading_ = true;
-  ports_.store.ExtendDivision(
-      records, stored.end, [this, input](AppendOutcome outcome) {
-        ports_.log.Write(
-            "divide-pools", "",
-            fmt::format("pools={} hosts_per_pool={} owner_milli_cores={} "
-                        "stored={}",
-                        input.pools.size(), input.hosts_per_pool,
-                        input.owner_milli_cores,
-                        outcome == AppendOutcome::kStored ? "yes" : "no"));
-        // What is stored is used only after it is read, whoever wrote it.
-        Read();
-      });
+  const auto on_stored = [this, input](AppendOutcome outcome) {
+    ports_.log.Write(
+        "divide-pools", "",
+        fmt::format("pools={} hosts_per_pool={} owner_milli_cores={} stored={}",
+                    input.pools.size(), input.hosts_per_pool,
+                    input.owner_milli_cores,
+                    outcome == AppendOutcome::kStored ? "yes" : "no"));
+    // What is stored is used only after it is read, whoever wrote it.
+    Read();
+  };
+  ports_.store.ExtendDivision(records, stored.end, guard_.Bind(on_stored));
 }
 
 }  // namespace baobab
--- a/src/libfleet/division_keeper.h
+++ b/src/libfleet/division_keeper.h
@@ -61,6 +61,7 @@
   /** Workers of the last list, and since when their number has not changed. */
   int workers_ = 0;
   Time workers_since_;
+  CallbackGuard guard_;
 };
 
 }  // namespace baobab
--- a/src/libfleet/fleet_node.cc
+++ b/src/libfleet/fleet_node.cc
@@ -85,6 +85,12 @@
       owner_timer_(ports.loop),
       tick_timer_(ports.loop) {}
 
+FleetNode::~FleetNode() {
+  guard_.Revoke();
+  // Calls in flight keep the owners alive, but not what they use.
+  StopShards();
+}
+
 void FleetNode::Start() {
   const auto endpoint = ParseEndpoint(config_.peer_address);
   const auto listening =
@@ -96,12 +102,12 @@
   renewal_sent_at_ = SteadyNow();
   // A previous process of this node may still be a member; leaving rebalances
   // its shards with a higher generation.
-  ports_.store.Leave([this] {
+  ports_.store.Leave(guard_.Bind([this] {
     join_timer_.Set(eligibility_.JoinDelay(), [this] {
       started_ = true;
       OwnerLoop();
     });
-  });
+  }));
   PublishedLoop();
   WorkerLoop();
   TickLoop();
@@ -120,11 +126,11 @@
   StopShards();
   auto peers = OwnerNodes();
   peers.erase(config_.peer_address);
-  ports_.store.Leave([this, peers] {
+  ports_.store.Leave(guard_.Bind([this, peers] {
     for (const auto& it : peers) {
       peers_.NotifyRebalanced(it);
     }
-  });
+  }));
 }
 
 void FleetNode::StopShards() {
@@ -165,7 +171,7 @@
   }
   const auto sent_at = SteadyNow();
   renewal_pending_ = true;
-  ports_.store.Join(generation_, [this, sent_at](Result<Membership> joined) {
+  const auto on_joined = [this, sent_at](const Result<Membership>& joined) {
     renewal_pending_ = false;
     if (leaving_ || !participating_) {
       return;
@@ -190,7 +196,8 @@
     }
     join_timer_.Set(joined ? RenewalInterval() : kRetryDelay,
                     [this] { MembershipLoop(); });
-  });
+  };
+  ports_.store.Join(generation_, guard_.Bind(on_joined));
 }
 
 std::set<std::string> FleetNode::OwnerNodes() const {
@@ -264,16 +271,16 @@
     it = shards_.erase(it);
     unconfirmed_release_ = true;
   }
-  const ShardOwner::Ports ports{ports_.loop,
-                                ports_.store,
-                                ports_.workers,
-                                ports_.log,
-                                [this] {
-                                  return SteadyNow() - renewal_sent_at_ <
-                                         kMaxRenewalAgeForOrders;
-                                },
-                                [this](ShardId it) { OnFenced(it); },
-                                [this](ShardId it) { OnFailed(it); }};
+  const ShardOwner::Ports ports{
+      ports_.loop,
+      ports_.store,
+      ports_.workers,
+      ports_.log,
+      guard_.Bind([this] {
+        return SteadyNow() - renewal_sent_at_ < kMaxRenewalAgeForOrders;
+      }),
+      guard_.Bind([this](ShardId it) { OnFenced(it); }),
+      guard_.Bind([this](ShardId it) { OnFailed(it); })};
   SetPlannerOwned(held.contains(kPlannerShard));
   for (const auto& it : held) {
     if (shards_.contains(it)) {
@@ -297,7 +304,7 @@
 void FleetNode::OnFenced(ShardId shard) {
   ports_.log.Write("shard-fenced", "", fmt::format("shard={}", shard.value()));
   // Posted, because the caller may be the shard that is destroyed here.
-  boost::asio::post(ports_.loop, [this, shard] {
+  boost::asio::post(ports_.loop, guard_.Bind([this, shard] {
     const auto it = shards_.find(shard);
     if (it != shards_.end()) {
       it->second->Stop();
@@ -308,12 +315,12 @@
     }
     owners_.erase(shard);
     RefreshOwners();
-  });
+  }));
 }
 
 void FleetNode::OnFailed(ShardId shard) {
   // Posted, because the caller is a shard that is destroyed here.
-  boost::asio::post(ports_.loop, [this, shard] {
+  boost::asio::post(ports_.loop, guard_.Bind([this, shard] {
     if (leaving_ || !participating_ || !shards_.contains(shard)) {
       return;
     }
@@ -321,13 +328,13 @@
     // node, fences the current one.
     ReleaseShards();
     join_timer_.Set(kRejoinDelay, [this] { MembershipLoop(); });
-  });
+  }));
 }
 
 std::function<bool()> FleetNode::MakeMembershipCheck() const {
-  return [this] {
+  return guard_.Bind([this] {
     return SteadyNow() - renewal_sent_at_ < ports_.store.MemberLifetime();
-  };
+  });
 }
 
 ShardOwner* FleetNode::FindLoadedShard(ShardId shard) {
@@ -337,7 +344,7 @@
 }
 
 void FleetNode::PublishedLoop() {
-  ports_.feed.AwaitPublished([this](Result<FleetFeed::PublishedConfig> read) {
+  const auto on_read = [this](Result<FleetFeed::PublishedConfig> read) {
     if (!read) {
       ports_.log.Write("feed-failed", "",
                        fmt::format("fault=\"{}\"", ToString(read.error())));
@@ -364,7 +371,8 @@
       planner_->SetPublished(published_);
     }
     PublishedLoop();
-  });
+  };
+  ports_.feed.AwaitPublished(guard_.Bind(on_read));
 }
 
 void FleetNode::OnDivision(
@@ -413,13 +421,13 @@
       ports_.feed,
       ports_.hosts,
       ports_.log,
-      [this] {
+      guard_.Bind([this] {
         return SteadyNow() - renewal_sent_at_ < kMaxRenewalAgeForOrders;
-      },
+      }),
       MakeMembershipCheck(),
-      [this](ShardId shard, HostPlan plan, auto done) {
+      guard_.Bind([this](ShardId shard, HostPlan plan, auto done) {
         ExchangePlan(shard, std::move(plan), std::move(done));
-      }};
+      })};
   planner_ = std::make_shared<PlannerOwner>(ports, FenceToken(generation_),
                                             config_.planner);
   planner_->SetPublished(published_);
@@ -442,15 +450,16 @@
     RefreshOwners();
     return;
   }
-  peers_.ApplyPlan(
-      owner->second.peer_address, shard, plan, kPlanTimeout,
+  const auto on_usage =
       [this, done = std::move(done)](tl::expected<PoolUsage, PeerFault> usage) {
         if (usage) {
           done(std::move(*usage));
         } else {
           RefreshOwners();
         }
-      });
+      };
+  peers_.ApplyPlan(owner->second.peer_address, shard, plan, kPlanTimeout,
+                   guard_.Bind(on_usage));
 }
 
 void FleetNode::WorkerLoop() {
@@ -461,9 +470,9 @@
     schedule_next();
     return;
   }
-  ports_.feed.ReadWorkers(
+  const auto on_read =
       [this, schedule_next](
-          Result<std::shared_ptr<const std::vector<WorkerEntry>>> read) {
+          const Result<std::shared_ptr<const std::vector<WorkerEntry>>>& read) {
         if (read) {
           worker_list_ = *read;
           keeper_.SetWorkers(*worker_list_);
@@ -472,7 +481,8 @@
           }
         }
         schedule_next();
-      });
+      };
+  ports_.feed.ReadWorkers(guard_.Bind(on_read));
 }
 
 void FleetNode::OwnerLoop() {
@@ -487,7 +497,7 @@
   }
   owners_read_pending_ = true;
   owners_read_at_ = SteadyNow();
-  ports_.store.ReadOwners([this](Result<std::map<ShardId, OwnerNode>> owners) {
+  const auto on_read = [this](Result<std::map<ShardId, OwnerNode>> owners) {
     if (!owners) {
       ReadOwnersFromPeer();
       return;
@@ -498,7 +508,8 @@
     store_answered_at_ = owners_current_at_;
     eligibility_.Observe(owners_);
     ApplyEligibility();
-  });
+  };
+  ports_.store.ReadOwners(guard_.Bind(on_read));
 }
 
 void FleetNode::ReadOwnersFromPeer() {
@@ -510,8 +521,7 @@
   }
   auto peer = peers.upper_bound(asked_peer_);
   asked_peer_ = peer == peers.end() ? *peers.begin() : *peer;
-  peers_.ReadOwners(
-      asked_peer_, kPeerOwnersTimeout,
+  const auto on_read =
       [this](tl::expected<std::map<ShardId, OwnerNode>, PeerFault> owners) {
         owners_read_pending_ = false;
         if (owners) {
@@ -520,7 +530,8 @@
               fmt::format("peer={} shards={}", asked_peer_, owners->size()));
           owners_ = std::move(*owners);
         }
-      });
+      };
+  peers_.ReadOwners(asked_peer_, kPeerOwnersTimeout, guard_.Bind(on_read));
 }
 
 void FleetNode::TickLoop() {
--- a/src/libfleet/fleet_node.h
+++ b/src/libfleet/fleet_node.h
@@ -63,6 +63,11 @@
   };
 
   FleetNode(const Ports& ports, const FleetNodeConfig& config);
+  /** Ends what is in flight: callers whose requests are not answered yet get no
+   * answer from this node. */
+  ~FleetNode();
+  FleetNode(const FleetNode&) = delete;
+  FleetNode& operator=(const FleetNode&) = delete;
 
   /** Starts listening for other nodes, and joins the group of owners. */
   void Start();
@@ -251,6 +256,8 @@
   bool started_ = false;
   bool leaving_ = false;
   bool store_unreachable_ = false;
+  /** Ends the callbacks of calls in flight. */
+  CallbackGuard guard_;
 };
 
 }  // namespace baobab
--- a/src/libfleet/fleet_node_calls.cc
+++ b/src/libfleet/fleet_node_calls.cc
@@ -58,13 +58,13 @@
   // The owner may wait for the store beyond the caller's deadline.
   auto timer = std::make_shared<LoopTimer>(ports_.loop);
   auto settled = std::make_shared<bool>(false);
-  const auto settle = [this, forward, timer,
-                       settled](tl::expected<T, PeerFault> answer) {
-    if (!std::exchange(*settled, true)) {
-      timer->Cancel();
-      FinishAttempt<T>(forward, std::move(answer));
-    }
-  };
+  const auto settle = guard_.Bind(
+      [this, forward, timer, settled](tl::expected<T, PeerFault> answer) {
+        if (!std::exchange(*settled, true)) {
+          timer->Cancel();
+          FinishAttempt<T>(forward, std::move(answer));
+        }
+      });
   const auto left = forward->deadline - SteadyNow();
   const auto shard =
       forward->delegate ? forward->delegate : forward->find_shard();
@@ -116,7 +116,7 @@
   RefreshOwners();
   auto timer = std::make_shared<LoopTimer>(ports_.loop);
   timer->Set(kRetryBackoff,
-             [this, forward, timer] { StartAttempt<T>(forward); });
+             guard_.Bind([this, forward, timer] { StartAttempt<T>(forward); }));
 }
 
 void FleetNode::Submit(const JobId& job,
--- a/tests/fleet_fakes.h
+++ b/tests/fleet_fakes.h
@@ -288,7 +288,7 @@
 
   void AwaitPublished(FleetFeed::Callback<PublishedConfig> done) override {
     After(std::chrono::milliseconds(50),
-          [this, done] { done(platform_.published); });
+          [&platform = platform_, done] { done(platform.published); });
   }
   void ReportWave(const baobab::ReportWave&,
                   std::function<void(bool)> done) override {
@@ -297,7 +297,8 @@
   void ReadWorkers(
       FleetFeed::Callback<std::shared_ptr<const std::vector<WorkerEntry>>> done)
       override {
-    After(Duration(0), [this, done] { done(platform_.workers); });
+    After(Duration(0),
+          [&platform = platform_, done] { done(platform.workers); });
   }
 
   void Poll(const PollWorker& poll,
@@ -313,18 +314,19 @@
     std::erase_if(sim.ended, [&](const auto& it) {
       return it.number <= poll.acknowledged_ends;
     });
-    After(std::min(poll.wait, kMaxPollWait), [this, poll, done] {
-      auto& sim = platform_.sim_workers[poll.worker];
-      Expire(sim);
-      WorkerReport report;
-      report.incarnation = 1;
-      report.clock_ms = SteadyNow().time_since_epoch().count() / 1000;
-      for (const auto& it : sim.running) {
-        report.running.push_back({it.task, it.run, "", 1, 0});
-      }
-      report.ended = sim.ended;
-      done(OrderResult::kDone, std::move(report));
-    });
+    After(std::min(poll.wait, kMaxPollWait),
+          [&platform = platform_, poll, done] {
+            auto& sim = platform.sim_workers[poll.worker];
+            Expire(sim);
+            WorkerReport report;
+            report.incarnation = 1;
+            report.clock_ms = SteadyNow().time_since_epoch().count() / 1000;
+            for (const auto& it : sim.running) {
+              report.running.push_back({it.task, it.run, "", 1, 0});
+            }
+            report.ended = sim.ended;
+            done(OrderResult::kDone, std::move(report));
+          });
   }
   void Start(const StartRun& start,
              FenceToken token,
@@ -366,15 +368,10 @@
                 std::function<void(HostOrderResult)>) override {}
 
  private:
-  /** Runs `action` later, unless the node of these interfaces has been
+  /** Runs `action` later, even if the node of these interfaces has been
    * destroyed by then. */
   void After(Duration delay, std::function<void()> action) {
-    platform_.After(delay, [weak = std::weak_ptr<bool>(alive_),
-                            action = std::move(action)] {
-      if (weak.lock()) {
-        action();
-      }
-    });
+    platform_.After(delay, std::move(action));
   }
 
   static constexpr Duration kMaxPollWait = std::chrono::milliseconds(20);
@@ -392,7 +389,7 @@
           [done, result = std::move(result)] { done(result); });
   }
 
-  void Expire(FakePlatform::SimWorker& sim) {
+  static void Expire(FakePlatform::SimWorker& sim) {
     std::erase_if(sim.running, [&](const auto& it) {
       if (SteadyNow() < it.ends_at) {
         return false;
@@ -405,7 +402,6 @@
 
   FakePlatform& platform_;
   const std::string member_;
-  const std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace baobab
