--- a/src/libfleet/fleet_node.cc
+++ b/src/libfleet/fleet_node.cc
@@ -85,6 +85,12 @@
       owner_timer_(ports.loop),
       tick_timer_(ports.loop) {}
 
+FleetNode::~FleetNode() {
+  guard_.Revoke();
+  // Calls in flight keep the owners alive, but not what they use.
+  StopShards();
+}
+
 void FleetNode::Start() {
   const auto endpoint = ParseEndpoint(config_.peer_address);
   const auto listening =
@@ -103,7 +109,7 @@
 void FleetNode::LeaveFormerMembership() {
   // Joining a membership of a former process would return its generation, and
   // so a token with which that process has stored records.
-  ports_.store.Leave([this](bool left) {
+  ports_.store.Leave(guard_.Bind([this](bool left) {
     if (leaving_) {
       return;
     }
@@ -116,7 +122,7 @@
     }
     RefreshOwners();
     join_timer_.Set(kRetryDelay, [this] { LeaveFormerMembership(); });
-  });
+  }));
 }
 
 void FleetNode::Leave() {
@@ -133,11 +139,11 @@
   StopShards();
   auto peers = OwnerNodes();
   peers.erase(config_.peer_address);
-  ports_.store.Leave([this, peers](bool) {
+  ports_.store.Leave(guard_.Bind([this, peers](bool) {
     for (const auto& it : peers) {
       peers_.NotifyRebalanced(it);
     }
-  });
+  }));
 }
 
 void FleetNode::StopShards() {
@@ -193,8 +199,8 @@
   }
   const auto sent_at = SteadyNow();
   renewal_pending_ = true;
-  ports_.store.Join(generation_, [this, sent_at, releases = releases_](
-                                     Result<Membership> joined) {
+  const auto on_joined = [this, sent_at, releases = releases_](
+                             const Result<Membership>& joined) {
     renewal_pending_ = false;
     if (leaving_ || !participating_ || releases != releases_) {
       return;
@@ -222,7 +228,8 @@
     }
     join_timer_.Set(joined ? RenewalInterval() : kRetryDelay,
                     [this] { MembershipLoop(); });
-  });
+  };
+  ports_.store.Join(generation_, guard_.Bind(on_joined));
 }
 
 std::set<std::string> FleetNode::OwnerNodes() const {
@@ -300,11 +307,12 @@
       ports_.store,
       ports_.workers,
       ports_.log,
-      [this] {
+      guard_.Bind([this] {
         return SteadyNow() - renewal_sent_at_ < kMaxRenewalAgeForOrders;
-      },
-      [this](ShardId it, AppendOutcome cause) { OnFenced(it, cause); },
-      [this](ShardId it) { OnFailed(it); }};
+      }),
+      guard_.Bind(
+          [this](ShardId it, AppendOutcome cause) { OnFenced(it, cause); }),
+      guard_.Bind([this](ShardId it) { OnFailed(it); })};
   SetPlannerOwned(held.contains(kPlannerShard) &&
                   !WouldReuseToken(kPlannerShard));
   bool reused = false;
@@ -341,7 +349,7 @@
       "shard-fenced", "",
       fmt::format("shard={} cause={}", shard.value(), ToString(cause)));
   // Posted, because the caller may be the shard that is destroyed here.
-  boost::asio::post(ports_.loop, [this, shard] {
+  boost::asio::post(ports_.loop, guard_.Bind([this, shard] {
     const auto it = shards_.find(shard);
     if (it != shards_.end()) {
       StopShard(it);
@@ -351,17 +359,17 @@
     }
     owners_.erase(shard);
     RefreshOwners();
-  });
+  }));
 }
 
 void FleetNode::OnFailed(ShardId shard) {
   // Posted, because the caller is a shard that is destroyed here.
-  boost::asio::post(ports_.loop, [this, shard] {
+  boost::asio::post(ports_.loop, guard_.Bind([this, shard] {
     if (leaving_ || !participating_ || !shards_.contains(shard)) {
       return;
     }
     Rejoin();
-  });
+  }));
 }
 
 void FleetNode::Rejoin() {
@@ -372,9 +380,9 @@
 }
 
 std::function<bool()> FleetNode::MakeMembershipCheck() const {
-  return [this] {
+  return guard_.Bind([this] {
     return SteadyNow() - renewal_sent_at_ < ports_.store.MemberLifetime();
-  };
+  });
 }
 
 ShardOwner* FleetNode::FindLoadedShard(ShardId shard) {
@@ -384,7 +392,7 @@
 }
 
 void FleetNode::PublishedLoop() {
-  ports_.feed.AwaitPublished([this](Result<FleetFeed::PublishedConfig> read) {
+  const auto on_read = [this](Result<FleetFeed::PublishedConfig> read) {
     if (!read) {
       ports_.log.Write("feed-failed", "",
                        fmt::format("fault=\"{}\"", ToString(read.error())));
@@ -411,7 +419,8 @@
       planner_->SetPublished(published_);
     }
     PublishedLoop();
-  });
+  };
+  ports_.feed.AwaitPublished(guard_.Bind(on_read));
 }
 
 void FleetNode::OnDivision(
@@ -460,13 +469,13 @@
       ports_.feed,
       ports_.hosts,
       ports_.log,
-      [this] {
+      guard_.Bind([this] {
         return SteadyNow() - renewal_sent_at_ < kMaxRenewalAgeForOrders;
-      },
+      }),
       MakeMembershipCheck(),
-      [this](ShardId shard, HostPlan plan, auto done) {
+      guard_.Bind([this](ShardId shard, HostPlan plan, auto done) {
         ExchangePlan(shard, std::move(plan), std::move(done));
-      }};
+      })};
   planner_ = std::make_shared<PlannerOwner>(ports, FenceToken(generation_),
                                             config_.planner);
   planner_->SetPublished(published_);
@@ -489,15 +498,16 @@
     RefreshOwners();
     return;
   }
-  peers_.ApplyPlan(
-      owner->second.peer_address, shard, plan, kPlanTimeout,
+  const auto on_usage =
       [this, done = std::move(done)](tl::expected<PoolUsage, PeerFault> usage) {
         if (usage) {
           done(std::move(*usage));
         } else {
           RefreshOwners();
         }
-      });
+      };
+  peers_.ApplyPlan(owner->second.peer_address, shard, plan, kPlanTimeout,
+                   guard_.Bind(on_usage));
 }
 
 void FleetNode::WorkerLoop() {
@@ -508,9 +518,9 @@
     schedule_next();
     return;
   }
-  ports_.feed.ReadWorkers(
+  const auto on_read =
       [this, schedule_next](
-          Result<std::shared_ptr<const std::vector<WorkerEntry>>> read) {
+          const Result<std::shared_ptr<const std::vector<WorkerEntry>>>& read) {
         if (read) {
           worker_list_ = *read;
           keeper_.SetWorkers(*worker_list_);
@@ -522,7 +532,8 @@
                            fmt::format("fault=\"{}\"", ToString(read.error())));
         }
         schedule_next();
-      });
+      };
+  ports_.feed.ReadWorkers(guard_.Bind(on_read));
 }
 
 void FleetNode::OwnerLoop() {
@@ -537,7 +548,7 @@
   }
   owners_read_pending_ = true;
   owners_read_at_ = SteadyNow();
-  ports_.store.ReadOwners([this](Result<std::map<ShardId, OwnerNode>> owners) {
+  const auto on_read = [this](Result<std::map<ShardId, OwnerNode>> owners) {
     if (!owners) {
       ReadOwnersFromPeer();
       return;
@@ -548,7 +559,8 @@
     store_answered_at_ = owners_current_at_;
     eligibility_.Observe(owners_);
     ApplyEligibility();
-  });
+  };
+  ports_.store.ReadOwners(guard_.Bind(on_read));
 }
 
 void FleetNode::ReadOwnersFromPeer() {
@@ -560,8 +572,7 @@
   }
   auto peer = peers.upper_bound(asked_peer_);
   asked_peer_ = peer == peers.end() ? *peers.begin() : *peer;
-  peers_.ReadOwners(
-      asked_peer_, kPeerOwnersTimeout,
+  const auto on_read =
       [this](tl::expected<std::map<ShardId, OwnerNode>, PeerFault> owners) {
         owners_read_pending_ = false;
         if (owners) {
@@ -570,7 +581,8 @@
               fmt::format("peer={} shards={}", asked_peer_, owners->size()));
           owners_ = std::move(*owners);
         }
-      });
+      };
+  peers_.ReadOwners(asked_peer_, kPeerOwnersTimeout, guard_.Bind(on_read));
 }
 
 void FleetNode::TickLoop() {
--- a/src/libnet/async_http_server.cc
+++ b/src/libnet/async_http_server.cc
@@ -39,6 +39,7 @@
   int Port() const { return acceptor_.local_endpoint().port(); }
   void Drain(bool close_idle);
   void Stop();
+  void CloseAll();
   std::size_t InFlight() const { return in_flight_; }
 
   AsyncServerLimits limits;
@@ -95,6 +96,12 @@
     }
   }
 
+  void Close() {
+    error_code ignored;
+    StopTimer();
+    socket_.close(ignored);
+  }
+
  private:
   void OnRead(const error_code& error) {
     if (error) {
@@ -143,7 +150,7 @@
   }
 
   void Handle() {
-    timer_.cancel();
+    StopTimer();
     body_started_ = false;
     request_pending_ = true;
     ++server_->in_flight_;
@@ -205,14 +212,19 @@
   }
 
   void RestartTimer(Duration timeout) {
+    StopTimer();
     timer_.expires_after(timeout);
-    timer_.async_wait([weak = weak_from_this()](const error_code& error) {
-      const auto self = weak.lock();
-      if (!error && self &&
-          self->timer_.expiry() <= std::chrono::steady_clock::now()) {
-        self->Close();
+    timer_.async_wait(timer_guard_.Bind([this](const error_code& error) {
+      if (!error) {
+        Close();
       }
-    });
+    }));
+  }
+
+  /** Stops the timer, also if it is due and its handler is queued. */
+  void StopTimer() {
+    timer_guard_.Revoke();
+    timer_.cancel();
   }
 
   void ShutDownAndClose() {
@@ -221,15 +233,10 @@
     Close();
   }
 
-  void Close() {
-    error_code ignored;
-    timer_.cancel();
-    socket_.close(ignored);
-  }
-
   const std::shared_ptr<Impl> server_;
   tcp::socket socket_;
   asio::steady_timer timer_;
+  CallbackGuard timer_guard_;
   boost::beast::flat_buffer buffer_;
   std::optional<http::request_parser<http::string_body>> parser_;
   http::response<http::string_body> response_;
@@ -311,11 +318,18 @@
   accept_timer_.cancel();
 }
 
+void AsyncHttpServer::Impl::CloseAll() {
+  Stop();
+  for (auto* it : std::set<Session*>(sessions_)) {
+    it->Close();
+  }
+}
+
 AsyncHttpServer::AsyncHttpServer(asio::io_context& loop, Handler handler)
-    : impl_(std::make_shared<Impl>(loop, std::move(handler))) {}
+    : impl_(std::make_shared<Impl>(loop, guard_.Bind(std::move(handler)))) {}
 
 AsyncHttpServer::~AsyncHttpServer() {
-  impl_->Stop();
+  impl_->CloseAll();
 }
 
 Result<void> AsyncHttpServer::Listen(const Endpoint& endpoint) {
--- a/tests/async_http_test.cc
+++ b/tests/async_http_test.cc
@@ -2,8 +2,11 @@
 #include <sys/socket.h>
 
 #include <chrono>
+#include <memory>
+#include <optional>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -196,6 +199,106 @@
   EXPECT_EQ(client.counters().connections, 2u);
 }
 
+// Guards against requests on open connections that reach the handler of a
+// server which is gone: a destroyed node read its list of owners.
+TEST_F(AsyncHttpTest, DestroyedServerHandlesNothing) {
+  int handled = 0;
+  std::vector<AsyncHttpServer::Responder> held;
+  Serve([&](const HttpRequest& request, AsyncHttpServer::Responder respond) {
+    ++handled;
+    if (request.target == "/hold") {
+      held.push_back(std::move(respond));
+    } else {
+      respond({200, {}, ""});
+    }
+  });
+  EXPECT_TRUE(Call({"GET", "/", {}, ""}).has_value());
+  auto sending = ConnectRaw();
+  loop.run_for(milliseconds(10));
+  EXPECT_FALSE(Call({"GET", "/hold", {}, ""}).has_value());
+  EXPECT_EQ(handled, 2);
+  asio::write(sending, asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+  server.reset();
+  EXPECT_FALSE(Call({"GET", "/", {}, ""}).has_value());
+  held.at(0)({200, {}, ""});
+  loop.restart();
+  loop.run_for(milliseconds(50));
+  EXPECT_EQ(handled, 2);
+}
+
+// Guards against answers that reach the callers of a client which is gone.
+TEST_F(AsyncHttpTest, DestroyedClientCallsNothingBack) {
+  std::vector<AsyncHttpServer::Responder> held;
+  Serve([&](const HttpRequest&, AsyncHttpServer::Responder respond) {
+    held.push_back(std::move(respond));
+  });
+  bool called = false;
+  std::optional<AsyncHttpClient> other(loop);
+  for (const auto& it : {address, std::string("no address")}) {
+    other->Call(it, {"GET", "/", {}, ""}, milliseconds(1000),
+                [&](const auto&) { called = true; });
+  }
+  while (held.empty()) {
+    loop.run_one();
+  }
+  other->Call("no address", {"GET", "/", {}, ""}, milliseconds(1000),
+              [&](const auto&) { called = true; });
+  called = false;
+  other.reset();
+  held.at(0)({200, {}, ""});
+  loop.run_for(milliseconds(50));
+  EXPECT_FALSE(called);
+}
+
+struct LateRequestCase {
+  const char* name;
+  /** Bytes that arrive in time, and those that arrive as the time ends. */
+  std::string early;
+  std::string late;
+};
+
+class LateRequestTest : public AsyncHttpTest,
+                        public testing::WithParamInterface<LateRequestCase> {};
+
+// Guards against a connection that is closed while its request is handled, as
+// the time to send it ended in the moment in which it became complete.
+TEST_P(LateRequestTest, IsAnswered) {
+  AsyncHttpServer::Responder held;
+  Serve([&](const HttpRequest&, AsyncHttpServer::Responder respond) {
+    held = std::move(respond);
+  });
+  AsyncServerLimits limits;
+  limits.header_timeout = milliseconds(60);
+  limits.body_timeout = milliseconds(60);
+  limits.idle_timeout = milliseconds(60);
+  server->SetLimits(limits);
+  auto socket = ConnectRaw();
+  asio::write(socket, asio::buffer(GetParam().early));
+  loop.run_for(milliseconds(20));
+  std::this_thread::sleep_for(milliseconds(80));
+  asio::write(socket, asio::buffer(GetParam().late));
+  std::this_thread::sleep_for(milliseconds(5));
+  loop.run_for(milliseconds(20));
+  ASSERT_TRUE(held);
+  held({200, {}, ""});
+  loop.run_for(milliseconds(20));
+  socket.non_blocking(true);
+  std::string got(200, '\0');
+  boost::system::error_code ec;
+  got.resize(socket.read_some(asio::buffer(got), ec));
+  EXPECT_EQ(got.substr(0, 12), "HTTP/1.1 200");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Timeouts,
+    LateRequestTest,
+    testing::Values(
+        LateRequestCase{"Idle", "", "GET / HTTP/1.1\r\n\r\n"},
+        LateRequestCase{"Head", "GET / HTTP/1.1\r\n", "\r\n"},
+        LateRequestCase{
+            "Body", "POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\nab", "cd"}),
+    [](const auto& it) { return it.param.name; });
+
 struct BadRequest {
   const char* name;
   std::string bytes;
