libfleet: load shards again after the membership has expired

Callers saw: 404 for an accepted job, from an owner that had been cut off. Cause: an owner whose membership had expired went on with its state in memory if the store assigned it the shard again, though another owner may have accepted jobs meanwhile. It learnt of that only with its next append. Change: if the membership may have expired and the generation has risen, all shards are stopped and loaded again with the new token. A node that gives up its shards to get a new token joins again only once the store has confirmed that it has left.

--- a/src/libfleet/fleet_node.cc
+++ b/src/libfleet/fleet_node.cc
@@ -131,7 +131,7 @@
   ports_.log.Write("leave-group", "", "");
 }
 
-void FleetNode::ReleaseShards() {
+void FleetNode::ReleaseShards(std::function<void(bool left)> done) {
   ++releases_;
   join_timer_.Cancel();
   is_member_ = false;
@@ -139,11 +139,15 @@
   StopShards();
   auto peers = OwnerNodes();
   peers.erase(config_.peer_address);
-  ports_.store.Leave(guard_.Bind([this, peers](bool) {
-    for (const auto& it : peers) {
-      peers_.NotifyRebalanced(it);
-    }
-  }));
+  ports_.store.Leave(
+      guard_.Bind([this, peers, done = std::move(done)](bool left) {
+        for (const auto& it : peers) {
+          peers_.NotifyRebalanced(it);
+        }
+        if (done) {
+          done(left);
+        }
+      }));
 }
 
 void FleetNode::StopShards() {
@@ -209,6 +213,10 @@
       if (std::exchange(store_unreachable_, false)) {
         ports_.log.Write("store-regained", "", "");
       }
+      if (!MakeMembershipCheck()() && joined->generation > generation_) {
+        // Others may have owned the shards meanwhile, and stored records.
+        StopShards();
+      }
       renewal_sent_at_ = sent_at;
       store_answered_at_ = SteadyNow();
       is_member_ = true;
@@ -375,8 +383,19 @@
 void FleetNode::Rejoin() {
   ports_.log.Write("rejoin-group", "",
                    fmt::format("generation={}", generation_));
-  ReleaseShards();
-  join_timer_.Set(kRejoinDelay, [this] { MembershipLoop(); });
+  ReleaseShards([this, releases = releases_ + 1](bool left) {
+    if (leaving_ || releases != releases_) {
+      return;
+    }
+    // Joining a membership that has not ended would return its generation.
+    join_timer_.Set(left ? kRejoinDelay : kRetryDelay, [this, left] {
+      if (left) {
+        MembershipLoop();
+      } else {
+        Rejoin();
+      }
+    });
+  });
 }
 
 std::function<bool()> FleetNode::MakeMembershipCheck() const {
--- a/src/libfleet/fleet_node.h
+++ b/src/libfleet/fleet_node.h
@@ -138,8 +138,9 @@
   bool WouldReuseToken(ShardId shard) const;
   /** Joins the group of owners, or yields ownership to larger nodes. */
   void ApplyEligibility();
-  /** Stops all shards, leaves the group of owners and notifies the others. */
-  void ReleaseShards();
+  /** Stops all shards, leaves the group of owners and notifies the others.
+   * `done` gets false if the store has not confirmed it. */
+  void ReleaseShards(std::function<void(bool left)> done = {});
   /** Follows the configuration and passes it to the shards. */
   void PublishedLoop();
   /** Starts or stops the host planner on this node. */
--- a/tests/fleet_node_test.cc
+++ b/tests/fleet_node_test.cc
@@ -215,6 +215,22 @@
   EXPECT_GT(producer.token, token);
 }
 
+// Guards against an owner that goes on with what it knows of a shard although
+// another node has owned the shard meanwhile, and says that a job which that
+// node accepted does not exist.
+TEST_F(FleetNodeTest, OwnerWhoseMembershipExpiredLoadsItsShardsAgain) {
+  const int first = &Owner() == nodes[0].get() ? 0 : 1;
+  platform.cut_off.insert(addresses[first]);
+  loop.run_for(milliseconds(900));
+  ASSERT_EQ(Call(*nodes[1 - first], "POST", "/jobs/queue/j1", kJob).status,
+            200);
+  nodes[1 - first].reset();
+  loop.run_for(milliseconds(500));
+  platform.cut_off.clear();
+  loop.run_for(milliseconds(1500));
+  EXPECT_EQ(Call(*nodes[first], "GET", "/jobs/queue/j1").status, 200);
+}
+
 // Guards against callers that wait although their job reached no owner; in a
 // recorded day they waited 2.2 s and then got 504.
 TEST_F(FleetNodeTest, RefusesQuicklyIfNoOwnerIsReached) {
