libjobs: keep runs of a worker that is newer than the list

Cause: stores the host of a run. A new owner then took any listed worker of that host for its newest one, also the former one of a list that was older than the run, as it did not know since when the run's worker is up. Change: the stored incarnation says that. Measured: OldListEndsNoRunsOfANewerWorker fails without the change (4 starts for 3 tasks, concurrent runs), passes with it; 34 of 34 pass.

--- a/src/libjobs/pool_engine.cc
+++ b/src/libjobs/pool_engine.cc
@@ -142,7 +142,11 @@
         for (std::size_t i = 0; i < tasks.size(); ++i) {
           if (tasks[i].phase == TaskPhase::kInherited) {
             Worker& worker = WorkerFor(tasks[i].worker);
-            worker.entry.host = tasks[i].host;
+            if (!tasks[i].host.value().empty()) {
+              worker.entry.host = tasks[i].host;
+              worker.entry.incarnation =
+                  std::max(worker.entry.incarnation, tasks[i].incarnation);
+            }
             const auto resources = ResourcesOf(job.spec.steps[step]);
             worker.AddRun(
                 TaskId{id, number, static_cast<int>(step), static_cast<int>(i)},
--- a/tests/pool_engine_test.cc
+++ b/tests/pool_engine_test.cc
@@ -146,6 +146,30 @@
   EXPECT_FALSE(world.workers.at(WorkerId("w2")).runs.empty());
 }
 
+// Guards against a new owner whose list of workers is older than the stored
+// runs: it took the former worker of a host for its newest one, and started the
+// runs of the newest one again.
+TEST_F(PoolEngineTest, OldListEndsNoRunsOfANewerWorker) {
+  const WorkerId former("w1");
+  world.Crash(former);
+  const WorkerId newest = world.Replace(former);
+  world.Advance(milliseconds(900));
+  JobSpec spec;
+  spec.payload = "work";
+  spec.steps = {JobWorld::Step(3, 40, 5000)};
+  world.Submit("j1", spec);
+  world.Advance(milliseconds(500));
+  ASSERT_FALSE(world.workers.at(newest).runs.empty());
+  world.listed = {former, WorkerId("w2"), WorkerId("w3")};
+  world.TakeOver();
+  world.Advance(milliseconds(700));
+  EXPECT_FALSE(world.workers.at(newest).runs.empty());
+  world.listed.clear();
+  world.Advance(seconds(6));
+  EXPECT_EQ(world.State("j1"), JobState::kCompleted);
+  EXPECT_EQ(world.starts, 3);
+}
+
 struct TakeoverCase {
   const char* name;
   int after_ms;
