libjobs: count no planned stops and no unexplained losses as crashes

Cause: a review of the count of crashes found that runs lost with a draining worker counted once its host was back, that entries of unknown services counted as a restart, that a loss which turned out to be a cut-off stayed in the record, that a worker stayed reserved for a task after its suspicion was cleared, and that a host whose list was unread for long was forgotten first. Change: each of these. None of the five has a test of its own.

--- a/src/libjobs/lost_runs.cc
+++ b/src/libjobs/lost_runs.cc
@@ -66,6 +66,10 @@
   });
 }
 
+void LostRuns::Forget(const TaskId& task) {
+  std::erase_if(runs_, [&](const auto& it) { return it.task == task; });
+}
+
 std::vector<LostRuns::Run> LostRuns::TakeExpired(Time now) {
   return TakeIf([&](const auto& it) { return now - it.lost_at > kMaxAbsence; });
 }
--- a/src/libjobs/lost_runs.h
+++ b/src/libjobs/lost_runs.h
@@ -34,6 +34,9 @@
   /** Returns and forgets the runs whose host has started a worker again since
    * they were lost, according to the list of workers. */
   std::vector<Run> TakeCrashed(const std::vector<WorkerEntry>& workers);
+  /** Forgets the runs of the task. */
+  void Forget(const TaskId& task);
+  bool empty() const { return runs_.empty(); }
   /** Returns and forgets the runs whose worker has not come back for long. */
   std::vector<Run> TakeExpired(Time now);
 
--- a/src/libjobs/pool_engine_crashes.cc
+++ b/src/libjobs/pool_engine_crashes.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <iterator>
 
 #include <fmt/format.h>
 
@@ -52,10 +53,10 @@
         fmt::format("task={} run={} worker={} why={}", ToString(id),
                     task->run.value(), worker.entry.id.value(), why));
     // A worker that drains has stopped as planned.
-    if (fate == WorkerFate::kCrashed && !worker.entry.draining) {
-      RecordCrash(id, *task);
-    } else if (fate == WorkerFate::kUnknown) {
-      if (lost_runs_.Add(id, *task, now_)) {
+    if (!worker.entry.draining) {
+      if (fate == WorkerFate::kCrashed) {
+        RecordCrash(id, *task);
+      } else if (lost_runs_.Add(id, *task, now_)) {
         ++task->unexplained_losses;
       }
     }
@@ -89,8 +90,13 @@
 }
 
 void PoolEngine::CountLateCrashes(const std::vector<WorkerEntry>& workers) {
-  ForgetLosses(lost_runs_.TakeExpired(now_));
-  for (const auto& it : lost_runs_.TakeCrashed(workers)) {
+  std::vector<WorkerEntry> known;
+  if (!lost_runs_.empty() && division_) {
+    std::copy_if(
+        workers.begin(), workers.end(), std::back_inserter(known),
+        [&](const auto& it) { return division_->Contains(it.service); });
+  }
+  for (const auto& it : lost_runs_.TakeCrashed(known)) {
     const auto found = jobs_.find(it.task.job);
     Task* task = found == jobs_.end() ? nullptr : found->second.Find(it.task);
     if (!task || found->second.end != JobEnd::kOpen ||
@@ -106,15 +112,22 @@
                        task->doubtful_crashes));
     FailsForCrashes(found->second, it.task, *task);
   }
+  ForgetLosses(lost_runs_.TakeExpired(now_));
 }
 
 void PoolEngine::ForgetLosses(const std::vector<LostRuns::Run>& runs) {
   for (const auto& it : runs) {
     const auto found = jobs_.find(it.task.job);
     Task* task = found == jobs_.end() ? nullptr : found->second.Find(it.task);
-    if (task && task->unexplained_losses > 0) {
-      --task->unexplained_losses;
-      schedule_needed_ = true;
+    if (!task || task->unexplained_losses == 0) {
+      continue;
+    }
+    --task->unexplained_losses;
+    staged_.dirty.insert(it.task.job);
+    schedule_needed_ = true;
+    const auto worker = workers_.find(task->worker);
+    if (worker != workers_.end()) {
+      worker->second.SetSuspicion(it.task, task->Suspicion());
     }
   }
 }
@@ -132,7 +145,8 @@
   task.crashes = 0;
   task.doubtful_crashes = 0;
   task.unexplained_losses = 0;
-  worker.suspects.erase(reported.task);
+  lost_runs_.Forget(reported.task);
+  worker.SetSuspicion(reported.task, 0);
   staged_.dirty.insert(job.id);
   schedule_needed_ = true;
 }
--- a/src/libjobs/pool_engine_tasks.cc
+++ b/src/libjobs/pool_engine_tasks.cc
@@ -68,9 +68,12 @@
     task.crashes = 0;
     task.doubtful_crashes = 0;
     task.unexplained_losses = 0;
-  } else if (FailsForCrashes(job, id, task)) {
+    lost_runs_.Forget(id);
+  } else {
     task.phase = TaskPhase::kWaiting;
-    return;
+    if (FailsForCrashes(job, id, task)) {
+      return;
+    }
   }
   if (kind == EndKind::kDone && !spec.long_running) {
     if (task.confirmed && task.checkpoint.empty() && prompt_report_) {
--- a/src/libjobs/worker.cc
+++ b/src/libjobs/worker.cc
@@ -65,8 +65,14 @@
                     int crashes) {
   runs.emplace(task, resources);
   used += resources;
-  if (crashes > 0) {
-    suspects.emplace(task, crashes);
+  SetSuspicion(task, crashes);
+}
+
+void Worker::SetSuspicion(const TaskId& task, int crashes) {
+  if (crashes == 0) {
+    suspects.erase(task);
+  } else if (runs.contains(task)) {
+    suspects[task] = crashes;
   }
 }
 
--- a/src/libjobs/worker.h
+++ b/src/libjobs/worker.h
@@ -41,6 +41,9 @@
   /** Occupies the resources of a run. `crashes` is the number of workers that
    * have crashed under its task. */
   void AddRun(const TaskId& task, const Resources& resources, int crashes);
+  /** Changes the number of crashes under the task of a run, if it is present.
+   */
+  void SetSuspicion(const TaskId& task, int crashes);
   /** Frees the resources of a run; returns false if it is not in `runs`. */
   bool RemoveRun(const TaskId& task);
 
