--- a/tests/crashing_task_test.cc
+++ b/tests/crashing_task_test.cc
@@ -373,6 +373,56 @@
 class CrashingKindTest : public CrashingTaskTest,
                          public testing::WithParamInterface<KindCase> {};
 
+// Guards against planned stops of workers that count as crashes under their
+// tasks.
+TEST_F(CrashingTaskTest, StopOfADrainingWorkerIsNoCrash) {
+  Begin(1);
+  world.Submit("job", Work(1, 20000));
+  world.Advance(seconds(1));
+  const WorkerId worker("w0");
+  world.workers.at(worker).entry.draining = true;
+  world.Advance(seconds(1));
+  world.Crash(worker);
+  world.Advance(seconds(6));
+  world.Replace(worker);
+  world.Advance(seconds(2));
+  for (const auto& it : world.decisions) {
+    EXPECT_NE(it.decision, "run-crashed") << it.fields;
+  }
+}
+
+// Guards against a worker that takes no other runs for ever because its
+// long-running task was once lost with workers that were only cut off.
+TEST_F(CrashingTaskTest, WorkerTakesOtherRunsOnceTheSuspicionIsCleared) {
+  Begin(3);
+  world.Submit("service", Service(1));
+  const auto runs_on = [this] {
+    for (const auto& [id, worker] : world.workers) {
+      if (worker.reachable && !worker.runs.empty()) {
+        return id;
+      }
+    }
+    return WorkerId();
+  };
+  for (int i = 0; i < 2; ++i) {
+    world.Advance(milliseconds(500));
+    const auto worker = runs_on();
+    ASSERT_FALSE(worker.value().empty());
+    world.workers.at(worker).reachable = false;
+    for (int step = 0; step < 1000 && runs_on().value().empty(); ++step) {
+      world.Advance(milliseconds(10));
+    }
+  }
+  const auto worker = runs_on();
+  ASSERT_FALSE(worker.value().empty());
+  EXPECT_TRUE(world.engine->workers().at(worker).IsOnTrial());
+  for (auto& [id, it] : world.workers) {
+    it.reachable = true;
+  }
+  world.Advance(seconds(2));
+  EXPECT_FALSE(world.engine->workers().at(worker).IsOnTrial());
+}
+
 // Guards against long-running tasks and gang members that are restarted for
 // ever, since neither counts attempts, although they crash their workers.
 TEST_P(CrashingKindTest, IsGivenUp) {
