--- a/src/libfleet/fleet_node.h
+++ b/src/libfleet/fleet_node.h
@@ -172,6 +172,9 @@
   /** Returns a predicate that is true while no other node can own the shards of
    * this one. */
   std::function<bool()> MakeMembershipCheck() const;
+  /** Returns a predicate that is false once another node may own the shards of
+   * this one, so that it sends no orders. */
+  std::function<bool()> MakeOrderCheck() const;
   /** Returns the shard if this node owns it and has loaded it, or null. */
   ShardOwner* FindLoadedShard(ShardId shard);
   /** Passes a division with more pools to the shards and the planner. */
