libfleet: replace a planner whose records the store refuses

Cause: a planner that the store had fenced stopped, and its node went on as its owner, so that nobody planned moves and maintenance until shard 0 changed hands. Change: the node then gives up shard 0 and joins again if it keeps the shard, as for an owner whose records are refused.

--- a/src/libfleet/fleet_node.cc
+++ b/src/libfleet/fleet_node.cc
@@ -190,6 +190,8 @@
       ports_.log,
       MakeOrderCheck(),
       MakeMembershipCheck(),
+      guard_.Bind(
+          [this](AppendOutcome cause) { OnFenced(kPlannerShard, cause); }),
       guard_.Bind([this](ShardId shard, HostPlan plan, auto done) {
         ExchangePlan(shard, std::move(plan), std::move(done));
       })};
--- a/src/libfleet/planner_owner.cc
+++ b/src/libfleet/planner_owner.cc
@@ -57,18 +57,19 @@
 }
 
 void PlannerOwner::FenceFormerOwners() {
-  ports_.store.Fence(
-      kPlannerStream, token_,
-      [self = shared_from_this()](AppendOutcome outcome) {
-        if (self->stopped_ || outcome == AppendOutcome::kFenced) {
-          return;
-        }
-        if (outcome == AppendOutcome::kStored) {
-          self->Load();
-        } else {
-          self->Retry(&PlannerOwner::FenceFormerOwners);
-        }
-      });
+  ports_.store.Fence(kPlannerStream, token_,
+                     [self = shared_from_this()](AppendOutcome outcome) {
+                       if (self->stopped_) {
+                         return;
+                       }
+                       if (outcome == AppendOutcome::kStored) {
+                         self->Load();
+                       } else if (outcome == AppendOutcome::kFenced) {
+                         self->ports_.on_fenced(outcome);
+                       } else {
+                         self->Retry(&PlannerOwner::FenceFormerOwners);
+                       }
+                     });
 }
 
 void PlannerOwner::Load() {
@@ -171,7 +172,7 @@
                             break;
                           case AppendOutcome::kFenced:
                           case AppendOutcome::kOutOfSequence:
-                            self->Stop();
+                            self->ports_.on_fenced(outcome);
                             break;
                           default:
                             self->Retry(&PlannerOwner::Append);
--- a/src/libfleet/planner_owner.h
+++ b/src/libfleet/planner_owner.h
@@ -25,6 +25,8 @@
     std::function<bool()> may_send_orders;
     /** Returns false once another planner may have taken over. */
     std::function<bool()> may_plan;
+    /** Called when the store refuses the records of this planner. */
+    std::function<void(AppendOutcome)> on_fenced;
     /** Sends the plan to the owner of the shard, here or on another node, and
      * reports the usage of its pools if it answers. */
     std::function<void(ShardId, HostPlan, std::function<void(PoolUsage)>)>
--- a/tests/fleet_node_test.cc
+++ b/tests/fleet_node_test.cc
@@ -215,6 +215,22 @@
   EXPECT_GT(producer.token, token);
 }
 
+// Guards against a node that owns the planner's shard and plans nothing, as the
+// store has refused the planner's records.
+TEST_F(FleetNodeTest, PlannerWhoseRecordsAreRefusedIsReplaced) {
+  const int planner = kPlannerShard.value();
+  const int first =
+      platform.members[addresses[0]].shards.contains(planner) ? 0 : 1;
+  const auto refused_up_to = platform.generation + 2;
+  platform.producers[{kPlannerShard, ShardWriter::kPlanner}] = {refused_up_to,
+                                                                std::nullopt};
+  nodes[first]->node.Leave();
+  loop.run_for(milliseconds(5000));
+  const auto& producer =
+      platform.producers[{kPlannerShard, ShardWriter::kPlanner}];
+  EXPECT_GT(producer.token, refused_up_to);
+}
+
 // Guards against an owner that goes on with what it knows of a shard although
 // another node has owned the shard meanwhile, and says that a job which that
 // node accepted does not exist.
