libjobs: bound the time for which suspected tasks wait

Cause: a task under which two workers had crashed waited without a bound for a worker of its own, and a task lost three times waited up to 15 s for the fate of its workers. Change: both waits end after 2 s. As a task may then share its worker again, a third crash fails its job only if the task ran alone; otherwise a fourth does.

--- a/src/libjobs/job.h
+++ b/src/libjobs/job.h
@@ -1,6 +1,7 @@
 #ifndef SRC_LIBJOBS_JOB_H_
 #define SRC_LIBJOBS_JOB_H_
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -38,12 +39,22 @@
  * first one leaves all tasks of a worker under suspicion. */
 inline constexpr int kCrashesForTrial = 2;
 
+/** Time for which a suspected task waits for a worker of its own, or until the
+ * fate of its former workers is known. Many tasks may be under suspicion. */
+inline constexpr Duration kMaxTrialWait = std::chrono::milliseconds(2000);
+
 /** State of one task of an occurrence. */
 struct Task {
   /** Returns the number of workers that may have crashed under the task. */
   int Suspicion() const {
     return crashes + doubtful_crashes + unexplained_losses;
   }
+  /** Returns whether the task is to run on a worker of its own, if it is placed
+   * at `now`. */
+  bool NeedsTrial(Time now) const {
+    return Suspicion() >= kCrashesForTrial &&
+           now - waiting_since < kMaxTrialWait;
+  }
 
   TaskPhase phase = TaskPhase::kWaiting;
   /** Number of the newest run; 0 before the first. */
@@ -63,10 +74,15 @@
   /** Number of runs that were lost with a worker of which nothing was heard
    * since; it may have crashed. */
   int unexplained_losses = 0;
+  /** Whether the newest run has a worker of its own, so that a crash tells the
+   * task from others. */
+  bool on_trial = false;
   /** Host and incarnation of the worker when the newest run was placed. The
    * incarnation is 0 once the run is counted as crashed. */
   HostId host;
   std::int64_t incarnation = 0;
+  /** When the task last began to wait for a placement. */
+  Time waiting_since;
   /** Earliest time of the next placement. */
   Time not_before;
   /** Whether the worker has confirmed the newest run. */
--- a/src/libjobs/placement.cc
+++ b/src/libjobs/placement.cc
@@ -36,7 +36,7 @@
 }
 
 Placement::Placement(const Workers& workers, const ServiceId& service, Time now)
-    : max_free_cpu_(std::numeric_limits<std::int64_t>::max()) {
+    : now_(now), max_free_cpu_(std::numeric_limits<std::int64_t>::max()) {
   for (const auto& [id, worker] : workers) {
     if (worker.IsUsable(now) && worker.entry.service == service) {
       workers_.push_back(&worker);
@@ -90,7 +90,7 @@
     return nullptr;
   }
   const bool suspect = task.Suspicion() > 0;
-  const bool trial = task.Suspicion() >= kCrashesForTrial;
+  const bool trial = task.NeedsTrial(now_);
   if (trial && !MayBeginTrial()) {
     return nullptr;
   }
--- a/src/libjobs/placement.h
+++ b/src/libjobs/placement.h
@@ -57,6 +57,7 @@
    */
   bool MayBeginTrial() const;
 
+  const Time now_;
   std::vector<const Worker*> workers_;
   /** Upper bound of the free CPU of any worker, in thousandths of a core;
    * lowered by each search. */
--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -234,7 +234,8 @@
    * workers of its last runs have crashed, since its job may have failed. */
   bool AwaitsFateOfWorkers(const Task& task) const {
     return task.unexplained_losses > 0 &&
-           task.Suspicion() >= tuning_.max_crashes;
+           task.Suspicion() >= tuning_.max_crashes &&
+           now_ - task.waiting_since < kMaxTrialWait;
   }
   /** Ends the job as failed if too many workers have crashed under the task. */
   bool FailsForCrashes(Job& job, const TaskId& id, const Task& task);
--- a/src/libjobs/pool_engine_crashes.cc
+++ b/src/libjobs/pool_engine_crashes.cc
@@ -79,7 +79,7 @@
 }
 
 bool PoolEngine::FailsForCrashes(Job& job, const TaskId& id, const Task& task) {
-  if (task.crashes < tuning_.max_crashes &&
+  if ((task.crashes < tuning_.max_crashes || !task.on_trial) &&
       task.crashes + task.doubtful_crashes < tuning_.max_all_crashes) {
     return false;
   }
@@ -126,8 +126,8 @@
     staged_.dirty.insert(it.task.job);
     schedule_needed_ = true;
     const auto worker = workers_.find(task->worker);
-    if (worker != workers_.end()) {
-      worker->second.SetSuspicion(it.task, task->Suspicion());
+    if (worker != workers_.end() && task->Suspicion() == 0) {
+      worker->second.SetSuspicion(it.task, 0);
     }
   }
 }
--- a/src/libjobs/pool_engine_tasks.cc
+++ b/src/libjobs/pool_engine_tasks.cc
@@ -33,6 +33,7 @@
 
 void PoolEngine::ReturnToWaiting(Job& job, const TaskId& id, Task& task) {
   task.phase = TaskPhase::kWaiting;
+  task.waiting_since = now_;
   task.stop_answered = false;
   task.confirmed = false;
   if (job.end == JobEnd::kOpen) {
@@ -318,7 +319,10 @@
   Worker& chosen = workers_.at(worker);
   task.host = chosen.entry.host;
   task.incarnation = chosen.incarnation;
-  chosen.AddRun(id, ResourcesOf(job.Step(id.step)), task.Suspicion());
+  task.on_trial = task.NeedsTrial(now_) && !job.Step(id.step).gang;
+  chosen.AddRun(
+      id, ResourcesOf(job.Step(id.step)),
+      task.on_trial ? task.Suspicion() : std::min(task.Suspicion(), 1));
   staged_.dirty.insert(job.id);
   staged_.placed.emplace_back(id, task.run);
 }
--- a/src/libjobs/pool_tuning.h
+++ b/src/libjobs/pool_tuning.h
@@ -52,7 +52,8 @@
   /** Consecutive failed runs on a worker that put it into quarantine. */
   int quarantine_failures = 2;
   /** Number of workers in a row that crashed under a task, after which its job
-   * fails: for certain, and with those where the start may not have arrived. */
+   * fails: if the last one ran only this task, and otherwise, with those where
+   * the start may not have arrived. */
   int max_crashes = 3;
   int max_all_crashes = 4;
   /** Time at work after which a long-running task counts as harmless to its
