--- a/tests/crashing_task_test.cc
+++ b/tests/crashing_task_test.cc
@@ -273,20 +273,20 @@
   }
   Run(kGivenUpWithin);
   ExpectCompleted(innocent);
-  constexpr int max_crashes_each =
+  constexpr int kMaxCrashesEach =
       kCrashesToLimitStarts + kStartsAfterThirdCrash;
   for (const auto& it : crashing) {
     ExpectGivenUp(it.job.value());
-    EXPECT_LE(world.crashes_under[it], max_crashes_each) << ToString(it);
+    EXPECT_LE(world.crashes_under[it], kMaxCrashesEach) << ToString(it);
   }
-  const int max_crashes = max_crashes_each * kCrashingJobs;
-  EXPECT_LE(world.crashes, max_crashes);
+  constexpr int kMaxCrashes = kMaxCrashesEach * kCrashingJobs;
+  EXPECT_LE(world.crashes, kMaxCrashes);
   int starts = 0;
   for (const auto& it : innocent) {
     starts += world.StartsOf(JobId(it));
   }
   EXPECT_LE(starts,
-            kInnocentJobs * kTasksPerJob + max_crashes * kTasksPerWorker);
+            kInnocentJobs * kTasksPerJob + kMaxCrashes * kTasksPerWorker);
 }
 
 INSTANTIATE_TEST_SUITE_P(
