libjobs: log why accepted tasks wait

Cause: a job that waits leaves no line between its acceptance and its first start, so an owner that reads an end late, a cell without room, a deferred step and a slow store cannot be told apart. Change: a step with a task that has waited for 1 s is logged each 2 s, as `task-waits`, with the numbers of workers that have cores, memory, the label and room below the step's limit.

--- a/src/libjobs/job.h
+++ b/src/libjobs/job.h
@@ -81,8 +81,11 @@
    * incarnation is 0 once the run is counted as crashed. */
   HostId host;
   std::int64_t incarnation = 0;
-  /** When the task last began to wait for a placement. */
+  /** When the task last began to wait for a placement; Time() before its step
+   * was ready. */
   Time waiting_since;
+  /** When a worker was last chosen. */
+  Time placed_at;
   /** Earliest time of the next placement. */
   Time not_before;
   /** Whether the worker has confirmed the newest run. */
--- a/src/libjobs/placement.h
+++ b/src/libjobs/placement.h
@@ -42,6 +42,18 @@
                        const std::string& rack,
                        const Filter& filter = {}) const;
 
+  /** Numbers of usable workers that meet one condition each for a task of a
+   * step, and of those that meet all. */
+  struct Room {
+    int usable = 0;
+    int cpu = 0;
+    int memory = 0;
+    int label = 0;
+    int below_limit = 0;
+    int all = 0;
+  };
+  Room RoomFor(const Job& job, int occurrence, int step) const;
+
   /** Returns all workers that could run a task of the step. */
   std::vector<WorkerId> Candidates(const Job& job,
                                    int occurrence,
--- a/src/libjobs/pool_engine.cc
+++ b/src/libjobs/pool_engine.cc
@@ -105,6 +105,7 @@
     ExpireLeases();
     EvacuateWorkers();
     RetryStops();
+    LogWaits();
     DropExpiredJobs();
     DropExpiredDelegations();
   }
@@ -435,11 +436,16 @@
     return;
   }
   for (int step = 0; step < static_cast<int>(job.spec.steps.size()); ++step) {
-    const auto& tasks = it->second.steps[static_cast<std::size_t>(step)];
+    auto& tasks = it->second.steps[static_cast<std::size_t>(step)];
     const bool waits = std::any_of(
         tasks.begin(), tasks.end(),
         [](const auto& task) { return task.phase == TaskPhase::kWaiting; });
     if (waits && job.IsReady(it->second, step)) {
+      for (auto& task : tasks) {
+        if (task.phase == TaskPhase::kWaiting && task.waiting_since == Time()) {
+          task.waiting_since = now_;
+        }
+      }
       ready_.Add(job.service, ReadyKey(job, occurrence, step));
       schedule_needed_ = true;
     }
--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -251,6 +251,13 @@
                       Worker& worker,
                       Task& task);
 
+  // Reasons why tasks wait (pool_engine_waits.cc).
+  /** Writes a line on each step that has waited for long, at intervals. */
+  void LogWaits();
+  /** Returns why the waiting tasks of the step are not placed, for the log. */
+  std::string WaitReason(const Placement& placement,
+                         const ReadyStep& ready) const;
+
   // Tasks (pool_engine_tasks.cc).
   /** Frees the resources of the task's run on its worker. */
   void ReleaseResources(const TaskId& id, const Task& task);
@@ -340,6 +347,8 @@
     double cores = 0;
   };
   std::map<ServiceId, LateWorkCores> late_work_cores_;
+  /** When the last line on the wait of a step was written. */
+  std::map<StepId, Time> waits_logged_;
   /** Jobs that other cells decide on, and their ids by time of the decision. */
   std::map<JobId, Delegation> delegated_;
   std::set<std::pair<std::int64_t, JobId>> delegated_at_;
--- a/src/libjobs/pool_engine_workers.cc
+++ b/src/libjobs/pool_engine_workers.cc
@@ -211,10 +211,11 @@
                     worker.failures_in_row));
   }
   LogRun("run-ended", reported.task,
-         fmt::format("task={} run={} worker={} end={} ms={}",
+         fmt::format("task={} run={} worker={} end={} ms={} poll_ms={}",
                      ToString(reported.task), reported.run.value(),
                      worker.entry.id.value(), ToString(reported.kind),
-                     (now_ - task->started_at).count() / 1000));
+                     (now_ - task->started_at).count() / 1000,
+                     (now_ - worker.poll_sent_at).count() / 1000));
   EndRun(found->second, reported.task, *task, reported.kind,
          reported.checkpoint);
 }
