libjobs: ask for hosts for tasks that no worker can take

Its ten tasks of 7.7 cores and 35 GB waited for 21 s in a cell whose six workers all had the cores and none the memory, while hosts of other pools went to standby.

Cause: whether work has room was judged by one resource, cores, and by their sum over a cell, while a task needs all its resources on one worker. The sum said that the cell had room, so the job was neither delegated, nor was a host asked for: missing hosts were counted for long-running tasks only, which hold the memory for good. The planner also treated missing hosts as a deficit of the whole pool, so that a host could join another cell.

Change: PoolRoom counts the tasks that fit on the workers of a cell once their finite runs have ended, by worker and resource. A step of which none fits (all members, for a gang) is counted in missing_hosts, with the tasks that one empty host of the listed sizes takes; in missing_hosts_late if its job is late, which gets only idle hosts. A task that fits on no listed worker asks for none. A job of which a step has no room is delegated to a cell with free cores. Without one it is still accepted: a host takes about 3 s, so the job runs late at worst, while nobody would bring a host for a job that was refused. Missing hosts are a deficit of their cell, so only hosts that join it are moved, and idle hosts stay in a pool whose late tasks lack some.

pool-demand lines now name the missing hosts.

Conclusion: room is now judged by worker and resource where a job is accepted and where hosts are asked for. The forecast of admission and the loads by which another cell is chosen are still sums of cores.

--- a/src/libfleet/planner_codec.cc
+++ b/src/libfleet/planner_codec.cc
@@ -67,7 +67,7 @@
     services.push_back(Json::array(
         {it.service.value(), it.cores, it.used, it.late, it.long_running,
          it.waiting, it.refused, it.missing_hosts, it.arriving.ExpectedCores(),
-         it.waiting_late, ArrivingToJson(it.arriving)}));
+         it.waiting_late, ArrivingToJson(it.arriving), it.missing_hosts_late}));
   }
   Json hosts = Json::array();
   for (const auto& it : usage.hosts) {
@@ -97,6 +97,9 @@
       service.waiting_late = it.at(9).get<double>();
       service.arriving = ArrivingFromJson(it.at(10));
     }
+    if (it.size() > 11) {
+      service.missing_hosts_late = it.at(11).get<int>();
+    }
     usage.services.push_back(std::move(service));
   }
   for (const auto& it : json.at(1)) {
--- a/src/libjobs/host_planner_moves.cc
+++ b/src/libjobs/host_planner_moves.cc
@@ -103,9 +103,10 @@
       const double cores = moving == moving_in.end() ? 0 : moving->second;
       const double lacking = PoolBalance::AcceptedDeficitOf(it.usage) - cores;
       accepted += std::max(0.0, lacking);
-      deficit.cells[shard] = deficit.cells_only
-                                 ? lacking
-                                 : PoolBalance::DeficitOf(it.usage) - cores;
+      deficit.cells[shard] =
+          deficit.cells_only
+              ? lacking
+              : std::max(lacking, PoolBalance::DeficitOf(it.usage) - cores);
     }
     deficit.cores =
         std::max(accepted, deficit.cells_only ? 0 : of_pool->second);
@@ -128,7 +129,7 @@
     deficit.of_late_work = true;
     const auto moving_in = CoresMovingTo(pool);
     for (const auto& [shard, it] : cells) {
-      if (it.usage.waiting_late <= 0 || now_ - it.at > tuning_.max_usage_age) {
+      if (now_ - it.at > tuning_.max_usage_age) {
         continue;
       }
       const auto moving = moving_in.find(shard);
@@ -205,11 +206,13 @@
         "pool-demand",
         fmt::format("pool={} hosts={} cores={:.0f} used={:.0f} late={:.0f} "
                     "long_running={:.0f} waiting={:.0f} waiting_late={:.0f} "
-                    "refused={:.0f} expected={:.0f} moving_in={:.0f} donors={}",
+                    "refused={:.0f} expected={:.0f} moving_in={:.0f} "
+                    "missing_hosts={} missing_hosts_late={} donors={}",
                     pool.value(), hosts[pool], usage->cores, usage->used,
                     usage->late, usage->long_running, usage->waiting,
                     usage->waiting_late, usage->refused,
-                    usage->arriving.ExpectedCores(), moving_in, donors));
+                    usage->arriving.ExpectedCores(), moving_in,
+                    usage->missing_hosts, usage->missing_hosts_late, donors));
   }
 }
 
@@ -315,6 +318,10 @@
         !balance.CanSpare(pool, cores)) {
       continue;
     }
+    if (const auto usage = PoolUsageOf(pool);
+        usage && usage->missing_hosts_late > 0) {
+      continue;
+    }
     balance.RemoveCores(pool, cores);
     it->purpose = Purpose::kMove;
     it->target = standby->first;
--- a/src/libjobs/pool_balance.cc
+++ b/src/libjobs/pool_balance.cc
@@ -21,7 +21,7 @@
   const double current_demand = usage.used + usage.waiting + usage.refused;
   const double need = usage.long_running +
                       std::max(current_demand, usage.arriving.ExpectedCores());
-  return std::max(need - usage.cores, usage.missing_hosts * kTypicalHostCores);
+  return need - usage.cores;
 }
 
 double PoolBalance::AcceptedDeficitOf(const ServiceUsage& usage) {
@@ -30,7 +30,8 @@
 }
 
 double PoolBalance::LateDeficitOf(const ServiceUsage& usage) {
-  return usage.waiting_late - std::max(0.0, usage.FreeCores());
+  return std::max(usage.waiting_late - std::max(0.0, usage.FreeCores()),
+                  usage.missing_hosts_late * kTypicalHostCores);
 }
 
 void PoolBalance::Add(const ServiceUsage& usage, double moving_in) {
--- a/src/libjobs/pool_balance.h
+++ b/src/libjobs/pool_balance.h
@@ -14,15 +14,17 @@
  * demand peak. */
 class PoolBalance {
  public:
-  /** Returns the cores that a pool, or one cell of it, lacks; negative if it
-   * has free cores. */
+  /** Returns the cores that a pool, or one cell of it, lacks as a whole;
+   * negative if it has free cores. */
   static double DeficitOf(const ServiceUsage& usage);
 
-  /** Returns the cores that the accepted work of a cell lacks; negative if it
-   * has free cores. Unlike a request, it cannot go to another cell. */
+  /** Returns the cores that the accepted work of a cell lacks, including those
+   * of its missing hosts; negative if it has free cores. Unlike a request, it
+   * cannot go to another cell. */
   static double AcceptedDeficitOf(const ServiceUsage& usage);
 
-  /** Returns the cores that waiting tasks of late jobs lack in a cell. */
+  /** Returns the cores that waiting tasks of late jobs lack in a cell,
+   * including those of their missing hosts. */
   static double LateDeficitOf(const ServiceUsage& usage);
 
   /** Adds a pool. `moving_in` are the cores of hosts on their way to it. */
--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -16,6 +16,7 @@
 #include "libjobs/owner_load.h"
 #include "libjobs/pool_effect.h"
 #include "libjobs/pool_event.h"
+#include "libjobs/pool_room.h"
 #include "libjobs/ready_steps.h"
 
 namespace baobab {
@@ -138,6 +139,22 @@
    * without steps that are late. */
   double UpcomingCores(const Job& job) const;
 
+  // Tasks that lack a host (pool_engine_room.cc).
+  /** Hosts that waiting tasks of a pool lack. */
+  struct MissingHosts {
+    int hosts = 0;
+    /** Those of late jobs. */
+    int late = 0;
+  };
+  std::map<ServiceId, MissingHosts> CountMissingHosts() const;
+  /** Returns the room of the cell's workers without their finite runs. */
+  PoolRoom RoomOf(const ServiceId& service) const;
+  /** Returns whether the run of the task ends without being stopped. */
+  bool EndsByItself(const TaskId& id) const;
+  /** Returns the number of empty hosts that `tasks` of the step need; 0 if no
+   * known host can take one. */
+  int HostsFor(const StepSpec& step, int tasks) const;
+
   // Jobs of other cells (pool_engine_delegation.cc).
   /** Delegates the job to a cell with free cores; returns false if there is
    * none. */
@@ -147,7 +164,8 @@
    * is known with a delay. */
   CellLoad* ChooseCell(const Job& job, double cores);
   /** Returns whether this cell lacks the cores or hosts for all tasks of a
-   * long-running job. */
+   * long-running job, or whether none of its workers can ever take a task of a
+   * step of another one. */
   bool LacksRoomFor(const Job& job) const;
   /** Answers a request for a delegated job once the delegation is stored. */
   void AnswerDelegated(const ReplyId& reply, const JobId& job);
@@ -207,10 +225,8 @@
   /** Returns whether the worker may be about to stop the run on an order of a
    * former owner. */
   bool MayBeStoppedByFormerOwner(const Task& task) const;
-  /** Returns whether a worker could take the task now. */
-  bool CanPlace(const Job& job, const TaskId& id) const;
-  /** Returns the number of hosts that long-running tasks lack, by service. */
-  std::map<ServiceId, int> CountMissingHosts() const;
+  /** Returns whether a worker could take a task of the step now. */
+  bool CanPlace(const Job& job, const StepId& id) const;
   /** Sends stops again that were not answered in time. */
   void RetryStops();
   /** Sends a stop for the run of the task. */
@@ -311,6 +327,9 @@
   std::shared_ptr<const PoolDivision> division_;
   std::map<JobId, Job> jobs_;
   Workers workers_;
+  /** The platform's list of all workers, also of other cells and pools. */
+  std::shared_ptr<const std::vector<WorkerEntry>> listed_ =
+      std::make_shared<const std::vector<WorkerEntry>>();
   ReadySteps ready_;
   /** Open jobs with further occurrences to create. */
   std::set<JobId> scheduled_jobs_;
--- a/src/libjobs/pool_engine_delegation.cc
+++ b/src/libjobs/pool_engine_delegation.cc
@@ -46,7 +46,9 @@
 
 bool PoolEngine::LacksRoomFor(const Job& job) const {
   if (!job.IsLongRunning()) {
-    return false;
+    auto room = RoomOf(job.service);
+    return !std::all_of(job.spec.steps.begin(), job.spec.steps.end(),
+                        [&](const auto& it) { return room.Holds(it); });
   }
   double free = 0;
   int hosts = 0;
--- a/src/libjobs/pool_engine_demand.cc
+++ b/src/libjobs/pool_engine_demand.cc
@@ -65,8 +65,9 @@
     // Includes pools that have no workers left.
     usage_of(it);
   }
-  for (const auto& [id, hosts] : CountMissingHosts()) {
-    usage_of(id).missing_hosts = hosts;
+  for (const auto& [id, missing] : CountMissingHosts()) {
+    usage_of(id).missing_hosts = missing.hosts;
+    usage_of(id).missing_hosts_late = missing.late;
   }
   for (auto& [id, service] : services) {
     service.refused = demand_.RefusedCores(id, now);
@@ -108,52 +109,6 @@
   (late ? service.late : service.used) += cores;
 }
 
-std::map<ServiceId, int> PoolEngine::CountMissingHosts() const {
-  // Number of tasks that no worker can take, by service and step.
-  std::map<std::pair<ServiceId, StepId>, int> tasks;
-  const auto count = [&](const Job& job, const TaskId& id) {
-    if (!CanPlace(job, id)) {
-      ++tasks[{job.service, {id.job, id.occurrence, id.step}}];
-    }
-  };
-  for (const auto& [service, steps] : ready_.by_service()) {
-    for (const auto& it : steps) {
-      const Job& job = jobs_.at(it.job);
-      if (!job.Step(it.step).long_running) {
-        continue;
-      }
-      const auto& waiting = job.occurrences.at(it.occurrence)
-                                .steps[static_cast<std::size_t>(it.step)];
-      for (std::size_t i = 0; i < waiting.size(); ++i) {
-        if (waiting[i].phase == TaskPhase::kWaiting &&
-            waiting[i].not_before <= now_) {
-          count(job, {it.job, it.occurrence, it.step, static_cast<int>(i)});
-        }
-      }
-    }
-  }
-  for (const auto& [worker_id, worker] : workers_) {
-    if (!worker.reserved) {
-      continue;
-    }
-    for (const auto& [id, room] : worker.runs) {
-      const auto job = jobs_.find(id.job);
-      if (job != jobs_.end() && job->second.Step(id.step).long_running) {
-        count(job->second, id);
-      }
-    }
-  }
-  std::map<ServiceId, int> hosts;
-  for (const auto& [key, n] : tasks) {
-    const auto& [service, step] = key;
-    const int each =
-        std::max(1, jobs_.at(step.job).Step(step.step).max_per_worker);
-    // The maximum, not the sum: tasks of different steps may share a host.
-    hosts[service] = std::max(hosts[service], (n + each - 1) / each);
-  }
-  return hosts;
-}
-
 AdmissionVerdict PoolEngine::Evaluate(const Job& job) const {
   PoolLoad load;
   for (const auto& [id, other] : jobs_) {
--- /dev/null
+++ b/src/libjobs/pool_engine_room.cc
@@ -0,0 +1,84 @@
+#include <algorithm>
+#include <utility>
+
+#include "libjobs/pool_engine.h"
+#include "libjobs/pool_room.h"
+
+// Tasks that lack a host, and jobs for which the cell has no room.
+
+namespace baobab {
+
+PoolRoom PoolEngine::RoomOf(const ServiceId& service) const {
+  return {workers_, service,
+          [this](const TaskId& id) { return EndsByItself(id); }};
+}
+
+bool PoolEngine::EndsByItself(const TaskId& id) const {
+  const auto job = jobs_.find(id.job);
+  return job == jobs_.end() || job->second.end != JobEnd::kOpen ||
+         !job->second.Step(id.step).long_running;
+}
+
+int PoolEngine::HostsFor(const StepSpec& step, int tasks) const {
+  int each = 0;
+  for (const auto& it : *listed_) {
+    if (step.label.empty() || std::find(it.labels.begin(), it.labels.end(),
+                                        step.label) != it.labels.end()) {
+      each = std::max(each, TasksThatFit(step, it.capacity, tasks));
+    }
+  }
+  return each == 0 ? 0 : (tasks + each - 1) / each;
+}
+
+std::map<ServiceId, PoolEngine::MissingHosts> PoolEngine::CountMissingHosts()
+    const {
+  // Numbers of tasks that no worker can take, by step.
+  std::map<StepId, int> tasks;
+  for (const auto& [service, steps] : ready_.by_service()) {
+    auto room = RoomOf(service);
+    for (const auto& it : steps) {
+      const Job& job = jobs_.at(it.job);
+      const auto& spec = job.Step(it.step);
+      const auto& all = job.occurrences.at(it.occurrence)
+                            .steps[static_cast<std::size_t>(it.step)];
+      const auto waiting = static_cast<int>(
+          std::count_if(all.begin(), all.end(), [this](const auto& task) {
+            return task.phase == TaskPhase::kWaiting && task.not_before <= now_;
+          }));
+      const bool lacks_host =
+          waiting > 0 &&
+          (spec.long_running ? !CanPlace(job, {it.job, it.occurrence, it.step})
+                             : !room.Holds(spec));
+      if (lacks_host) {
+        tasks[{it.job, it.occurrence, it.step}] =
+            spec.long_running ? waiting
+                              : waiting - room.CountTasks(spec, waiting);
+      }
+    }
+  }
+  for (const auto& [worker_id, worker] : workers_) {
+    if (!worker.reserved) {
+      continue;
+    }
+    for (const auto& [id, resources] : worker.runs) {
+      const auto job = jobs_.find(id.job);
+      const StepId step{id.job, id.occurrence, id.step};
+      if (job != jobs_.end() && job->second.Step(id.step).long_running &&
+          !CanPlace(job->second, step)) {
+        ++tasks[step];
+      }
+    }
+  }
+  std::map<ServiceId, MissingHosts> missing;
+  for (const auto& [step, n] : tasks) {
+    const Job& job = jobs_.at(step.job);
+    const bool late =
+        LatenessOf(ReadyKey(job, step.occurrence, step.step), now_) > 0;
+    int& hosts = late ? missing[job.service].late : missing[job.service].hosts;
+    // The maximum, not the sum: tasks of different steps may share a host.
+    hosts = std::max(hosts, HostsFor(job.Step(step.step), n));
+  }
+  return missing;
+}
+
+}  // namespace baobab
--- a/src/libjobs/pool_engine_workers.cc
+++ b/src/libjobs/pool_engine_workers.cc
@@ -49,6 +49,7 @@
   if (workers_.empty() && (!division_ || !division_->Uses(shard_))) {
     return;
   }
+  listed_ = event.workers;
   std::set<WorkerId> listed;
   std::map<HostId, std::pair<std::int64_t, WorkerId>> newest;
   for (const auto& it : *event.workers) {
@@ -444,13 +445,12 @@
          now_ - *task.inherited_at < tuning_.stop_duration + kStopReportDelay;
 }
 
-bool PoolEngine::CanPlace(const Job& job, const TaskId& id) const {
+bool PoolEngine::CanPlace(const Job& job, const StepId& id) const {
   const Placement placement(workers_, job.service, now_);
   Placement::Filter filter;
   if (job.needs_advice) {
     filter = [&](const WorkerId& it) {
-      return !advice_.TicketFor({id.job, id.occurrence, id.step}, it, now_)
-                  .empty();
+      return !advice_.TicketFor(id, it, now_).empty();
     };
   }
   return placement.Choose(job, id.occurrence, id.step, Task(), "", filter) !=
@@ -475,8 +475,9 @@
       }
       // A draining worker ends its runs in any case. Others keep a task until
       // another worker can take it.
-      if (worker.entry.draining || (CanPlace(found->second, id) &&
-                                    MayStopLongRunning(found->second, id))) {
+      if (worker.entry.draining ||
+          (CanPlace(found->second, {id.job, id.occurrence, id.step}) &&
+           MayStopLongRunning(found->second, id))) {
         OrderStop(id, *task);
       }
     }
--- /dev/null
+++ b/src/libjobs/pool_room.h
@@ -0,0 +1,47 @@
+#ifndef SRC_LIBJOBS_POOL_ROOM_H_
+#define SRC_LIBJOBS_POOL_ROOM_H_
+
+#include <functional>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "libjobs/placement.h"
+
+namespace baobab {
+
+/** Returns how many tasks of the step fit into `room` of one worker at once, up
+ * to `max_tasks`. */
+int TasksThatFit(const StepSpec& step, const Resources& room, int max_tasks);
+
+/** Room of the workers of one pool once their finite runs have ended: a task
+ * that does not fit then waits in vain. It is counted by worker and resource,
+ * since the cores of one worker and the memory of another are of no use to a
+ * task. */
+class PoolRoom {
+ public:
+  /** Returns whether a run ends without being stopped. */
+  using EndsByItself = std::function<bool(const TaskId&)>;
+
+  /** `workers` must outlive this object and not change. */
+  PoolRoom(const Workers& workers,
+           const ServiceId& service,
+           EndsByItself ends_by_itself);
+
+  /** Returns how many tasks of the step fit at once, up to `max_tasks`. */
+  int CountTasks(const StepSpec& step, int max_tasks);
+  /** Returns whether all tasks of the finite step fit: one after the other, or
+   * at once for a gang. */
+  bool Holds(const StepSpec& step);
+
+ private:
+  Resources RoomOf(const Worker& worker) const;
+
+  EndsByItself ends_by_itself_;
+  /** Workers with their room, which is computed on first use. */
+  std::vector<std::pair<const Worker*, std::optional<Resources>>> workers_;
+};
+
+}  // namespace baobab
+
+#endif  // SRC_LIBJOBS_POOL_ROOM_H_
--- a/src/libjobs/pool_usage.cc
+++ b/src/libjobs/pool_usage.cc
@@ -11,6 +11,7 @@
   waiting_late += other.waiting_late;
   refused += other.refused;
   missing_hosts += other.missing_hosts;
+  missing_hosts_late += other.missing_hosts_late;
   arriving += other.arriving;
   return *this;
 }
--- a/src/libjobs/pool_usage.h
+++ b/src/libjobs/pool_usage.h
@@ -29,8 +29,11 @@
   /** Needed by recently refused jobs, each counted with its widest step. */
   double refused = 0;
   /** Number of hosts needed for long-running tasks that wait or must leave a
-   * reserved host, and that no worker of the pool can take. */
+   * reserved host and that no worker of the cell can take, and for other
+   * waiting tasks that none could take even if all its finite runs ended. */
   int missing_hosts = 0;
+  /** Number of hosts needed for such tasks of late jobs. */
+  int missing_hosts_late = 0;
   /** New jobs. */
   ArrivingWork arriving;
 
--- a/src/libjobs/worker.cc
+++ b/src/libjobs/worker.cc
@@ -7,6 +7,10 @@
 
 namespace {
 
+/** Unanswered polls in a row after which a worker counts as out of reach for
+ * longer; they take about as long as its removal from the platform's list. */
+constexpr int kMaxBriefMissedPolls = 3;
+
 std::int64_t Milliseconds(Duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
       .count();
@@ -48,6 +52,11 @@
          !reserved && missed_polls == 0 && now >= avoid_until;
 }
 
+bool Worker::IsUsableSoon() const {
+  return listed && !superseded && !entry.draining && !reserved &&
+         missed_polls <= kMaxBriefMissedPolls;
+}
+
 Resources Worker::Free() const {
   Resources free = entry.capacity;
   free -= used;
--- a/src/libjobs/worker.h
+++ b/src/libjobs/worker.h
@@ -32,6 +32,9 @@
   bool HasLabel(std::string_view label) const;
   /** Returns whether the worker may be given new runs. */
   bool IsUsable(Time now) const;
+  /** Returns whether the worker may be given new runs, or is only out of reach
+   * or avoided for a short time. */
+  bool IsUsableSoon() const;
   /** Returns the free capacity. */
   Resources Free() const;
   /** Returns whether the worker runs a task under which several workers have
--- a/tests/host_planner_test.cc
+++ b/tests/host_planner_test.cc
@@ -12,6 +12,8 @@
 using std::chrono::milliseconds;
 
 const ShardId kCell{1};
+/** Second cell of pools that are divided. */
+const ShardId kOtherCell{2};
 constexpr std::int64_t kWallMs = 1'700'000'000'000;
 
 /** Runs a planner with hosts of three pools, whose owners follow its plans at
@@ -45,15 +47,16 @@
     Apply(PlannerPolicies{policies});
     auto division = std::make_shared<PoolDivision>();
     for (const auto& [id, service] : policies->services) {
-      division->Add(id, {kCell});
+      division->Add(id, cells);
     }
     Apply(PlannerDivision{division});
   }
 
   bool IsReserved(const HostId& host) const {
     const auto plans = planner.Plans(now);
-    const auto it = plans.find(kCell);
-    return it != plans.end() && it->second.reserved.contains(host);
+    return std::any_of(plans.begin(), plans.end(), [&](const auto& it) {
+      return it.second.reserved.contains(host);
+    });
   }
 
   /** Advances by 100 ms: reports the usage of all pools, then sends a tick. */
@@ -97,6 +100,9 @@
       usage.hosts.push_back(host);
     }
     Apply(PoolUsageRead{kCell, usage});
+    if (cells.size() > 1) {
+      Apply(PoolUsageRead{kOtherCell, {{other_cell}, {}}});
+    }
     Apply(PlannerTick{});
   }
 
@@ -185,6 +191,10 @@
   /** Cores that waiting tasks of late jobs need, by pool. */
   std::map<std::string, double> waiting_late;
   std::map<std::string, std::string> records;
+  /** Cells of each pool; the owner of the first reports all hosts. */
+  std::vector<ShardId> cells = {kCell};
+  /** Usage of the other cell, if pools are divided. */
+  ServiceUsage other_cell;
   std::vector<std::pair<HostId, ServiceId>> moves;
   std::vector<HostId> maintained;
   std::vector<ReportWave> reports;
@@ -445,6 +455,58 @@
   EXPECT_EQ(world.moves[1].second, ServiceId("cold"));
 }
 
+struct MissingHostsCase {
+  const char* name;
+  int missing_hosts;
+  int missing_hosts_late;
+};
+
+class CellLacksHostsTest : public testing::TestWithParam<MissingHostsCase> {};
+
+// Tasks that no worker of their cell can take, with free cores in the cell.
+// Guards against hosts that join another cell of the pool, where they are of no
+// use to these tasks, and against ones that return to standby before the tasks
+// have them.
+TEST_P(CellLacksHostsTest, GetsHostsThatJoinTheCell) {
+  PlannerWorld world;
+  world.cells = {kCell, kOtherCell};
+  PoolDivision division;
+  division.Add(ServiceId("hot"), world.cells);
+  const auto joins_other_cell = [&](const HostId& id) {
+    return division.CellOfHost(ServiceId("hot"), id) == kOtherCell;
+  };
+  // All standby hosts would join the cell that lacks none.
+  for (int i = 0; i < 48; ++i) {
+    const HostId id("h" + std::to_string(i));
+    world.AddHost(id.value(), joins_other_cell(id) ? "cold" : "off");
+  }
+  world.other_cell.service = ServiceId("hot");
+  world.other_cell.cores = 640;
+  world.other_cell.used = 100;
+  world.other_cell.waiting_late = 10;
+  world.other_cell.missing_hosts = GetParam().missing_hosts;
+  world.other_cell.missing_hosts_late = GetParam().missing_hosts_late;
+  world.Start();
+  world.Rounds(10);
+  ASSERT_EQ(world.moves.size(), 2u);
+  for (const auto& [host, pool] : world.moves) {
+    EXPECT_EQ(pool, ServiceId("hot"));
+    EXPECT_TRUE(joins_other_cell(host)) << host.value();
+  }
+  const std::set<HostId> moved = {world.moves[0].first, world.moves[1].first};
+  world.Rounds(70);
+  for (const auto& [host, pool] : world.moves) {
+    EXPECT_FALSE(pool == ServiceId("off") && moved.contains(host))
+        << host.value();
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Lateness,
+                         CellLacksHostsTest,
+                         testing::Values(MissingHostsCase{"InTime", 2, 0},
+                                         MissingHostsCase{"Late", 0, 2}),
+                         [](const auto& it) { return it.param.name; });
+
 // The store does not answer while demand rises. Guards against hosts that are
 // kept free of work for orders which cannot be given.
 TEST(HostPlannerTest, ReservesNoHostsWhileTheStoreIsAway) {
--- a/tests/pool_engine_delegation_test.cc
+++ b/tests/pool_engine_delegation_test.cc
@@ -174,5 +174,57 @@
   EXPECT_EQ(world.verdicts.at(JobId("j1")), SubmitVerdict::kDelegated);
 }
 
+struct HeldMemoryCase {
+  const char* name;
+  double free_cores_elsewhere;
+  SubmitVerdict verdict;
+};
+
+class HeldMemoryTest : public DelegationTest,
+                       public testing::WithParamInterface<HeldMemoryCase> {};
+
+// Long-running tasks hold the memory of a cell, but few of its cores. Guards
+// against a job that is kept in a cell where no worker can ever take its tasks
+// while another cell has room, and against one that is turned away although a
+// host can be brought.
+TEST_P(HeldMemoryTest, DelegatesJobsThatNoWorkerCanTake) {
+  auto holder = Work(1, 8, 1000);
+  holder.steps[0].long_running = true;
+  holder.steps[0].need.mem_mb = 200'000;
+  world.Submit("holder", holder);
+  world.Advance(milliseconds(200));
+  world.PlanCell(kOtherCell, GetParam().free_cores_elsewhere);
+  auto spec = Work(2, 8, 600);
+  spec.steps.push_back(JobWorld::Step(2, 8, 600));
+  spec.steps[1].need.mem_mb = 80'000;
+  spec.steps[1].after = {0};
+  world.Submit("j1", spec);
+  world.Advance(milliseconds(50));
+  EXPECT_EQ(world.verdicts.at(JobId("j1")), GetParam().verdict);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Loads,
+    HeldMemoryTest,
+    testing::Values(
+        HeldMemoryCase{"FreeElsewhere", 640, SubmitVerdict::kDelegated},
+        HeldMemoryCase{"FullElsewhere", 4, SubmitVerdict::kAccepted}),
+    [](const auto& it) { return it.param.name; });
+
+// Guards against work that is sent away although it only has to wait for the
+// end of other runs.
+TEST_F(DelegationTest, KeepsJobsWhoseMemoryIsHeldByFiniteRuns) {
+  auto holder = Work(1, 8, 300);
+  holder.steps[0].need.mem_mb = 200'000;
+  world.Submit("holder", holder);
+  world.Advance(milliseconds(100));
+  world.PlanCell(kOtherCell, 640);
+  auto spec = Work(2, 8, 600);
+  spec.steps[0].need.mem_mb = 80'000;
+  world.Submit("j1", spec);
+  world.Advance(milliseconds(50));
+  EXPECT_EQ(world.verdicts.at(JobId("j1")), SubmitVerdict::kAccepted);
+}
+
 }  // namespace
 }  // namespace baobab
