libjobs: hold room for long-running tasks that wait

What callers saw: under load a long-running task that had failed stayed away although its worker had the capacity for it. Cause: long-running steps are placed first, but only where they fit at that moment. While the task backs off after a failure, and then each time a finite run ends, finite tasks take the part of the room that is free, so the whole room is never free on one worker. Change: a waiting long-running task holds its room on the worker that will have it first once the finite runs there have ended. Steps that come later get what is left. Test: LongRunningRestartTest.StartsAgainUnderFiniteLoad/CoresTakenByLongerTasks failed before: no run 3 s after the failure (0, expected 1). The other three loads passed before as well. Conclusion: within one cell the wait now ends with the finite runs of one worker.

--- a/src/libjobs/placement.cc
+++ b/src/libjobs/placement.cc
@@ -25,6 +25,22 @@
   return n;
 }
 
+/** Returns by how much the need exceeds the free capacity, as the sum of the
+ * shares of the capacity. */
+double ShortageOf(const Resources& need,
+                  const Resources& free,
+                  const Resources& capacity) {
+  const auto share = [](std::int64_t lacking, std::int64_t all) {
+    return lacking <= 0
+               ? 0.0
+               : static_cast<double>(lacking) /
+                     static_cast<double>(std::max<std::int64_t>(1, all));
+  };
+  return share(need.cpu_milli - free.cpu_milli, capacity.cpu_milli) +
+         share(need.mem_mb - free.mem_mb, capacity.mem_mb) +
+         share(need.gpus - free.gpus, capacity.gpus);
+}
+
 }  // namespace
 
 Resources ResourcesOf(const StepSpec& step) {
@@ -52,12 +68,65 @@
                             static_cast<std::ptrdiff_t>(workers_.size());
 }
 
+Resources Placement::FreeOf(const Worker& worker) const {
+  Resources free = worker.Free();
+  const auto held = held_.find(worker.entry.id);
+  if (held != held_.end()) {
+    free -= held->second.room;
+  }
+  return free;
+}
+
+bool Placement::Hold(const Job& job,
+                     int occurrence,
+                     int step,
+                     const EndsByItself& ends_by_itself) {
+  const auto& spec = job.Step(step);
+  const auto need = ResourcesOf(spec);
+  const StepId id{job.id, occurrence, step};
+  const Worker* best = nullptr;
+  double best_shortage = 0;
+  for (const auto* it : workers_) {
+    const auto held = held_.find(it->entry.id);
+    int tasks = RunsOfStep(*it, job.id, occurrence, step);
+    if (held != held_.end() && held->second.tasks.contains(id)) {
+      tasks += held->second.tasks.at(id);
+    }
+    if (it->IsOnTrial() || (!spec.label.empty() && !it->HasLabel(spec.label)) ||
+        (spec.max_per_worker > 0 && tasks >= spec.max_per_worker)) {
+      continue;
+    }
+    const Resources free = FreeOf(*it);
+    Resources without_finite = free;
+    for (const auto& [task, room] : it->runs) {
+      if (ends_by_itself(task)) {
+        without_finite += room;
+      }
+    }
+    if (!need.FitsIn(without_finite)) {
+      continue;
+    }
+    const double shortage = ShortageOf(need, free, it->entry.capacity);
+    if (!best || shortage < best_shortage) {
+      best = it;
+      best_shortage = shortage;
+    }
+  }
+  if (!best) {
+    return false;
+  }
+  auto& held = held_[best->entry.id];
+  held.room += need;
+  ++held.tasks[id];
+  return true;
+}
+
 bool Placement::Allows(const Worker& worker,
                        const Job& job,
                        int occurrence,
                        int step) const {
   const auto& spec = job.Step(step);
-  if (!ResourcesOf(spec).FitsIn(worker.Free()) || worker.IsOnTrial()) {
+  if (!ResourcesOf(spec).FitsIn(FreeOf(worker)) || worker.IsOnTrial()) {
     return false;
   }
   if (!spec.label.empty() && !worker.HasLabel(spec.label)) {
--- a/src/libjobs/placement.h
+++ b/src/libjobs/placement.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "libjobs/advice_cache.h"
 #include "libjobs/job.h"
 #include "libjobs/worker.h"
 
@@ -26,6 +27,9 @@
   /** Additional condition on a worker; an empty one allows all. */
   using Filter = std::function<bool(const WorkerId&)>;
 
+  /** Returns whether the run of a task ends by itself. */
+  using EndsByItself = std::function<bool(const TaskId&)>;
+
   /** Considers the workers of `service` that are usable at `now`, which must
    * outlive this object. */
   Placement(const Workers& workers, const ServiceId& service, Time now);
@@ -42,6 +46,15 @@
                        const std::string& rack,
                        const Filter& filter = {}) const;
 
+  /** Keeps the room of one task of the step free on the worker that will have
+   * it first, once the runs there that end by themselves are gone. Tasks of
+   * later steps cannot take that room. Returns false if no worker will have
+   * it. */
+  bool Hold(const Job& job,
+            int occurrence,
+            int step,
+            const EndsByItself& ends_by_itself);
+
   /** Numbers of usable workers that meet one condition each for a task of a
    * step, and of those that meet all. */
   struct Room {
@@ -65,6 +78,9 @@
               int occurrence,
               int step) const;
 
+  /** Returns the free capacity of the worker that is not held. */
+  Resources FreeOf(const Worker& worker) const;
+
   /** Returns whether one more worker may be left to a task that may crash it.
    */
   bool MayBeginTrial() const;
@@ -74,6 +90,12 @@
   /** Upper bound of the free CPU of any worker, in thousandths of a core;
    * lowered by each search. */
   mutable std::int64_t max_free_cpu_;
+
+  struct Held {
+    Resources room;
+    std::map<StepId, int> tasks;
+  };
+  std::map<WorkerId, Held> held_;
 };
 
 }  // namespace baobab
--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -297,9 +297,12 @@
   /** Places waiting tasks of the step. `allowance` is the number of cores that
    * they may take, and is lowered by those taken. */
   void PlaceStep(const ServiceId& service,
-                 const Placement& placement,
+                 Placement& placement,
                  const ReadyStep& ready,
                  double& allowance);
+  /** Holds room for the waiting tasks of a long-running step. Finite tasks
+   * would otherwise take each part of it as it becomes free. */
+  void HoldRoom(Placement& placement, const ReadyStep& ready) const;
   /** Requests advice on workers with free capacity for the step. */
   void RequestAdvice(const Placement& placement,
                      const Job& job,
--- a/src/libjobs/pool_engine_tasks.cc
+++ b/src/libjobs/pool_engine_tasks.cc
@@ -134,7 +134,7 @@
     for (const auto& it : steps) {
       by_lateness[LatenessOf(it, now_)].push_back(it);
     }
-    const Placement placement(workers_, service, now_);
+    Placement placement(workers_, service, now_);
     double allowance = std::numeric_limits<double>::max();
     int misfits = 0;
     for (const int lateness : {0, 1, kDeferred}) {
@@ -172,7 +172,7 @@
 }
 
 void PoolEngine::PlaceStep(const ServiceId& service,
-                           const Placement& placement,
+                           Placement& placement,
                            const ReadyStep& ready,
                            double& allowance) {
   Job& job = jobs_.at(ready.job);
@@ -230,6 +230,24 @@
   }
   if (all) {
     ready_.Remove(service, ready);
+  } else if (spec.long_running) {
+    HoldRoom(placement, ready);
+  }
+}
+
+void PoolEngine::HoldRoom(Placement& placement, const ReadyStep& ready) const {
+  const Job& job = jobs_.at(ready.job);
+  const auto& tasks = job.occurrences.at(ready.occurrence)
+                          .steps[static_cast<std::size_t>(ready.step)];
+  const auto is_finite = [this](const TaskId& it) {
+    const auto found = jobs_.find(it.job);
+    return found != jobs_.end() && !found->second.Step(it.step).long_running;
+  };
+  for (const auto& it : tasks) {
+    if (it.phase == TaskPhase::kWaiting &&
+        !placement.Hold(job, ready.occurrence, ready.step, is_finite)) {
+      return;
+    }
   }
 }
 
--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -226,6 +226,18 @@
     }
   }
 
+  /** Makes the present run of the task fail. */
+  void FailRun(const TaskId& id) {
+    for (auto& [worker_id, worker] : workers) {
+      const auto run = worker.runs.find(id);
+      if (run != worker.runs.end()) {
+        run->second.long_running = false;
+        run->second.fails = true;
+        run->second.ends_at = now;
+      }
+    }
+  }
+
   /** Crashes a worker that is back after `down_for`. */
   void CrashFor(const WorkerId& id, Duration down_for, bool new_id = false) {
     Crash(id);
--- /dev/null
+++ b/tests/long_running_test.cc
@@ -0,0 +1,106 @@
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <string>
+
+#include "job_world.h"
+
+namespace baobab {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/** Time from the end of a long-running task until it must run again, if its
+ * workers have the capacity for it. */
+constexpr Duration kMaxAway = seconds(3);
+
+struct RestartCase {
+  const char* name;
+  /** Needs of the long-running task. */
+  std::int64_t cores;
+  std::int64_t mem_mb;
+  /** Needs and duration of the finite tasks that arrive meanwhile. */
+  std::int64_t finite_cores;
+  std::int64_t finite_mem_mb;
+  int finite_ms;
+  /** The worker crashes; otherwise only the run fails. */
+  bool worker_crashes;
+};
+
+class LongRunningRestartTest : public testing::TestWithParam<RestartCase> {
+ protected:
+  void SetUp() override {
+    world.AddWorker("w1");
+    world.AddWorker("w2");
+    world.TakeOver();
+    world.Advance(milliseconds(300));
+  }
+
+  void TearDown() override {
+    for (const auto& it : world.violations) {
+      ADD_FAILURE() << it;
+    }
+  }
+
+  /** Submits a finite job each 50 ms for `duration`. */
+  void AdvanceUnderLoad(Duration duration) {
+    const Time end = world.now + duration;
+    while (world.now < end) {
+      JobSpec spec;
+      spec.payload = "work";
+      spec.steps = {
+          JobWorld::Step(4, GetParam().finite_cores, GetParam().finite_ms)};
+      spec.steps[0].need.mem_mb = GetParam().finite_mem_mb;
+      world.Submit("finite" + std::to_string(++jobs_), spec);
+      world.Advance(milliseconds(50));
+    }
+  }
+
+  JobWorld world;
+
+ private:
+  int jobs_ = 0;
+};
+
+// Guards against a long-running task that finite tasks keep from starting again
+// by taking each part of its worker's room as it becomes free.
+TEST_P(LongRunningRestartTest, StartsAgainUnderFiniteLoad) {
+  JobSpec spec;
+  spec.payload = "serve";
+  spec.steps = {JobWorld::Step(2, GetParam().cores, 1000)};
+  spec.steps[0].need.mem_mb = GetParam().mem_mb;
+  spec.steps[0].long_running = true;
+  spec.steps[0].max_per_worker = 1;
+  spec.steps[0].max_unavailable = 1;
+  world.Submit("serving", spec);
+  world.Advance(milliseconds(500));
+  const TaskId task{JobId("serving"), 0, 0, 0};
+  ASSERT_EQ(world.RunsOf(task), 1);
+  AdvanceUnderLoad(seconds(3));
+  if (GetParam().worker_crashes) {
+    for (const auto& [id, worker] : world.workers) {
+      if (worker.runs.contains(task)) {
+        world.CrashFor(id, milliseconds(500));
+        break;
+      }
+    }
+  } else {
+    world.FailRun(task);
+  }
+  AdvanceUnderLoad(kMaxAway);
+  EXPECT_EQ(world.RunsOf(task), 1);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Loads,
+    LongRunningRestartTest,
+    testing::Values(
+        RestartCase{"CoresTakenBySmallTasks", 40, 100, 4, 100, 700, false},
+        RestartCase{"MemoryTakenBySmallTasks", 8, 200000, 4, 30000, 700, false},
+        RestartCase{"CoresTakenByLongerTasks", 40, 100, 8, 100, 1500, false},
+        RestartCase{"WorkerCrashes", 40, 100, 4, 100, 700, true}),
+    [](const auto& it) { return it.param.name; });
+
+}  // namespace
+}  // namespace baobab
