libjobs: keep spread long-running jobs in cells with enough hosts

Cause: a step whose tasks each need a host of their own lives in one cell. The log shows 38 tasks in a cell of 20 to 35 hosts, later 17, none of which may take one more (`below_limit=0`). The cells of a fleet of small nodes have 12 hosts each, so that no cell of the pool could hold the step, and a job was delegated by free cores only, to a cell that lacked hosts as well, or to none without a fresh plan. Change: cell loads contain the number of workers, and a long-running job goes only to a cell with as many as its widest step needs. Where the owners are so small that a cell has few hosts, one cell of the pool gets several shares of the hosts, 48 hosts at most and a third of the pool; jobs are still spread evenly over the cells. A long-running job that lacks room goes there without a plan, since the planner can bring more hosts to it. The room of a cell for such a job is counted by worker and resource, as for others. Divisions without a wide cell keep their form, and earlier releases skip pools that have one. Tests: with the old decisions in place of the new ones WidestCellTest failed for SmallOwners, SmallestOwners (17 hosts, expected 38) and MiddleOwners (26, 30), and SpreadJobTest for TooFewHostsElsewhere and WiderCellWithoutPlan. SpreadJobTest replaces DelegatesLongRunningJobsThatLackHosts, whose case is EnoughHostsElsewhere, now with the number of hosts of the other cell. Conclusion: whether a job has room is decided by hosts where its tasks exclude each other. Tasks that were accepted stay in their cell, as before.

--- a/src/libfleet/planner_codec.cc
+++ b/src/libfleet/planner_codec.cc
@@ -33,8 +33,8 @@
   }
   Json cells = Json::array();
   for (const auto& it : plan.cells) {
-    cells.push_back(
-        Json::array({it.service.value(), it.cell.value(), it.free_cores}));
+    cells.push_back(Json::array(
+        {it.service.value(), it.cell.value(), it.free_cores, it.workers}));
   }
   return Json::array({reserved, arriving, cells, plan.planner.value()});
 }
@@ -51,8 +51,8 @@
   }
   for (const auto& it : json.at(2)) {
     plan.cells.push_back({ServiceId(it.at(0).get<std::string>()),
-                          ShardId(it.at(1).get<int>()),
-                          it.at(2).get<double>()});
+                          ShardId(it.at(1).get<int>()), it.at(2).get<double>(),
+                          it.size() > 3 ? it.at(3).get<int>() : 0});
   }
   // Planners of earlier versions send no token.
   if (json.size() > 3) {
@@ -67,7 +67,8 @@
     services.push_back(Json::array(
         {it.service.value(), it.cores, it.used, it.late, it.long_running,
          it.waiting, it.refused, it.missing_hosts, it.arriving.ExpectedCores(),
-         it.waiting_late, ArrivingToJson(it.arriving), it.missing_hosts_late}));
+         it.waiting_late, ArrivingToJson(it.arriving), it.missing_hosts_late,
+         it.workers}));
   }
   Json hosts = Json::array();
   for (const auto& it : usage.hosts) {
@@ -100,6 +101,9 @@
     if (it.size() > 11) {
       service.missing_hosts_late = it.at(11).get<int>();
     }
+    if (it.size() > 12) {
+      service.workers = it.at(12).get<int>();
+    }
     usage.services.push_back(std::move(service));
   }
   for (const auto& it : json.at(1)) {
--- a/src/libjobs/host_planner.cc
+++ b/src/libjobs/host_planner.cc
@@ -97,7 +97,7 @@
     std::vector<CellLoad> loads;
     for (const auto& [shard, it] : cells) {
       if (now - it.at <= tuning_.max_usage_age) {
-        loads.push_back({pool, shard, it.usage.FreeCores()});
+        loads.push_back({pool, shard, it.usage.FreeCores(), it.usage.workers});
       }
     }
     for (const auto& [shard, it] : cells) {
--- a/src/libjobs/pool_division.cc
+++ b/src/libjobs/pool_division.cc
@@ -22,36 +22,87 @@
 constexpr int kMinHostsPerCell = 12;
 constexpr int kMaxHostsPerCell = 32;
 
+/** Maximum hosts of a wide cell. */
+constexpr int kMaxHostsOfWideCell = 48;
+
+/** A wide cell gets at most this fraction of the hosts of its pool. */
+constexpr int kMaxWideFraction = 3;
+
 std::size_t IndexOf(std::string_view text, std::size_t cells) {
   return XXH64(text.data(), text.size(), 0) % cells;
 }
 
+int HostsPerCell(const DivisionInput& input) {
+  return input.owner_milli_cores <= 0
+             ? kMaxHostsPerCell
+             : std::clamp(static_cast<int>(kHostsPerOwnerCore *
+                                           input.owner_milli_cores / 1000.0),
+                          kMinHostsPerCell, kMaxHostsPerCell);
+}
+
 int CellCount(const DivisionInput& input) {
-  const int per_cell =
-      input.owner_milli_cores <= 0
-          ? kMaxHostsPerCell
-          : std::clamp(static_cast<int>(kHostsPerOwnerCore *
-                                        input.owner_milli_cores / 1000.0),
-                       kMinHostsPerCell, kMaxHostsPerCell);
+  const int per_cell = HostsPerCell(input);
   const int usable_shards = std::max(1, input.shards - 1);
   return std::clamp((input.hosts_per_pool + per_cell / 2) / per_cell, 1,
                     usable_shards);
 }
 
+/** Returns the shares of the hosts that the wide cell gets if the hosts are
+ * divided into `shares`; 1 if there is no wide cell. */
+int WideCellShares(const DivisionInput& input, int shares) {
+  const int per_share = std::max(1, input.hosts_per_pool / shares);
+  return std::max(
+      1, std::min(kMaxHostsOfWideCell / per_share, shares / kMaxWideFraction));
+}
+
+std::optional<std::vector<ShardId>> ParseShards(const Json& json) {
+  if (!json.is_array() ||
+      !std::all_of(json.begin(), json.end(), [](const auto& it) {
+        return it.is_number_integer() && it.template get<int>() >= 0;
+      })) {
+    return std::nullopt;
+  }
+  std::vector<ShardId> shards;
+  for (const auto& it : json) {
+    shards.emplace_back(it.get<int>());
+  }
+  return shards;
+}
+
 }  // namespace
 
-void PoolDivision::Add(const ServiceId& pool, std::vector<ShardId> cells) {
-  if (cells.empty() || Contains(pool)) {
+void PoolDivision::Add(const ServiceId& pool,
+                       std::vector<ShardId> cells,
+                       std::vector<ShardId> host_shares) {
+  if (cells.empty() || host_shares.empty() || Contains(pool)) {
     return;
   }
   used_.insert(cells.begin(), cells.end());
-  pools_.emplace(pool, std::move(cells));
+  used_.insert(host_shares.begin(), host_shares.end());
+  pools_.emplace(pool, Cells{std::move(cells), std::move(host_shares)});
 }
 
 const std::vector<ShardId>& PoolDivision::CellsOf(const ServiceId& pool) const {
   static const std::vector<ShardId> none;
   const auto it = pools_.find(pool);
-  return it == pools_.end() ? none : it->second;
+  return it == pools_.end() ? none : it->second.of_jobs;
+}
+
+std::optional<ShardId> PoolDivision::WiderCell(const ServiceId& pool,
+                                               ShardId cell) const {
+  const auto it = pools_.find(pool);
+  if (it == pools_.end()) {
+    return std::nullopt;
+  }
+  const auto& hosts = it->second.of_hosts;
+  const auto shares = [&](ShardId of) {
+    return std::count(hosts.begin(), hosts.end(), of);
+  };
+  const auto& cells = it->second.of_jobs;
+  const auto widest = *std::max_element(
+      cells.begin(), cells.end(),
+      [&](const auto& a, const auto& b) { return shares(a) < shares(b); });
+  return shares(widest) > shares(cell) ? std::optional(widest) : std::nullopt;
 }
 
 std::optional<ShardId> PoolDivision::CellOfJob(const ServiceId& pool,
@@ -65,11 +116,12 @@
 
 std::optional<ShardId> PoolDivision::CellOfHost(const ServiceId& pool,
                                                 const HostId& host) const {
-  const auto& cells = CellsOf(pool);
-  if (cells.empty()) {
+  const auto it = pools_.find(pool);
+  if (it == pools_.end()) {
     return std::nullopt;
   }
-  return cells[IndexOf(host.value(), cells.size())];
+  const auto& shares = it->second.of_hosts;
+  return shares[IndexOf(host.value(), shares.size())];
 }
 
 std::vector<StoredRecord> DividePools(const PoolDivision& current,
@@ -83,17 +135,28 @@
     }
   }
   std::vector<StoredRecord> records;
-  const int cells = CellCount(input);
+  const int shares = CellCount(input);
+  const int wide = WideCellShares(input, shares);
   for (const auto& pool : input.pools) {
     if (current.Contains(pool)) {
       continue;
     }
-    auto shards = Json::array();
-    for (int i = 0; i < cells; ++i) {
-      shards.push_back(first + next++ % (input.shards - first));
+    auto cells = Json::array();
+    for (int i = wide; i <= shares; ++i) {
+      cells.push_back(first + next++ % (input.shards - first));
+    }
+    // Earlier releases know no wide cells and skip a pool that has one, since
+    // they would look for its jobs in other cells.
+    auto record = cells;
+    if (wide > 1) {
+      auto host_shares = cells;
+      for (int i = 1; i < wide; ++i) {
+        host_shares.push_back(cells.front());
+      }
+      record = Json::array({cells, host_shares});
     }
     std::string value;
-    Json::to_msgpack(shards, value);
+    Json::to_msgpack(record, value);
     records.push_back({pool.value(), std::move(value)});
   }
   return records;
@@ -103,17 +166,19 @@
   PoolDivision division;
   for (const auto& it : records) {
     const auto json = ParseMessagePack(it.value);
-    if (!json || !json->is_array() ||
-        !std::all_of(json->begin(), json->end(), [](const auto& shard) {
-          return shard.is_number_integer() && shard.template get<int>() >= 0;
-        })) {
+    if (!json) {
       continue;
     }
-    std::vector<ShardId> cells;
-    for (const auto& shard : *json) {
-      cells.emplace_back(shard.get<int>());
+    const ServiceId pool(it.key);
+    if (const auto cells = ParseShards(*json)) {
+      division.Add(pool, *cells);
+    } else if (json->is_array() && json->size() == 2) {
+      const auto of_jobs = ParseShards(json->at(0));
+      const auto of_hosts = ParseShards(json->at(1));
+      if (of_jobs && of_hosts) {
+        division.Add(pool, *of_jobs, *of_hosts);
+      }
     }
-    division.Add(ServiceId(it.key), std::move(cells));
   }
   return division;
 }
--- a/src/libjobs/pool_division.h
+++ b/src/libjobs/pool_division.h
@@ -21,12 +21,22 @@
  * copy may lack a pool but never disagree on the cell of a host or a job. */
 class PoolDivision {
  public:
-  /** Adds the cells of a pool, unless the pool is divided already. */
-  void Add(const ServiceId& pool, std::vector<ShardId> cells);
+  /** Adds the cells of a pool, unless the pool is divided already. Jobs are
+   * spread evenly over `cells`; a cell gets as many shares of the hosts as it
+   * occurs in `host_shares`. */
+  void Add(const ServiceId& pool,
+           std::vector<ShardId> cells,
+           std::vector<ShardId> host_shares);
+  /** Same as above, with one share of the hosts for each cell. */
+  void Add(const ServiceId& pool, const std::vector<ShardId>& cells) {
+    Add(pool, cells, cells);
+  }
 
   bool Contains(const ServiceId& pool) const { return pools_.contains(pool); }
   /** Returns the shards of the pool's cells; empty if it is not divided. */
   const std::vector<ShardId>& CellsOf(const ServiceId& pool) const;
+  /** Returns the cell with the most hosts, if it has more than `cell`. */
+  std::optional<ShardId> WiderCell(const ServiceId& pool, ShardId cell) const;
   /** Returns whether any cell belongs to the shard. */
   bool Uses(ShardId shard) const { return used_.contains(shard); }
 
@@ -39,7 +49,11 @@
                                     const HostId& host) const;
 
  private:
-  std::map<ServiceId, std::vector<ShardId>> pools_;
+  struct Cells {
+    std::vector<ShardId> of_jobs;
+    std::vector<ShardId> of_hosts;
+  };
+  std::map<ServiceId, Cells> pools_;
   std::set<ShardId> used_;
 };
 
@@ -57,7 +71,9 @@
 
 /** Returns the records that divide the pools, given the current division. The
  * cells of a pool get consecutive shards, since stores deal shards to owners in
- * turn and all cells of a pool are busy at the same time. */
+ * turn and all cells of a pool are busy at the same time. If the owners are so
+ * small that a cell has few hosts, one cell is wide: it has hosts for
+ * long-running steps that need a host for each task. */
 std::vector<StoredRecord> DividePools(const PoolDivision& current,
                                       const DivisionInput& input);
 
--- a/src/libjobs/pool_engine_delegation.cc
+++ b/src/libjobs/pool_engine_delegation.cc
@@ -23,6 +23,19 @@
   return static_cast<double>(ResourcesOf(step).cpu_milli) / 1000.0 * step.count;
 }
 
+/** Returns the number of workers that the tasks of the job need at the same
+ * time since they exclude each other; 0 if it is not long-running. */
+int WorkersAtOnce(const Job& job) {
+  int workers = 0;
+  for (const auto& it : job.spec.steps) {
+    if (it.long_running && it.max_per_worker > 0) {
+      workers = std::max(
+          workers, (it.count + it.max_per_worker - 1) / it.max_per_worker);
+    }
+  }
+  return workers;
+}
+
 /** Returns the cores that the job needs at the same time: those of its widest
  * step, or of all steps if they are long-running. */
 double CoresAtOnce(const Job& job) {
@@ -45,24 +58,21 @@
 }
 
 bool PoolEngine::LacksRoomFor(const Job& job) const {
+  auto room = RoomOf(job.service);
+  if (!std::all_of(job.spec.steps.begin(), job.spec.steps.end(),
+                   [&](const auto& it) { return room.Holds(it); })) {
+    return true;
+  }
   if (!job.IsLongRunning()) {
-    auto room = RoomOf(job.service);
-    return !std::all_of(job.spec.steps.begin(), job.spec.steps.end(),
-                        [&](const auto& it) { return room.Holds(it); });
+    return false;
   }
   double free = 0;
-  int hosts = 0;
   for (const auto& [id, worker] : workers_) {
     if (worker.entry.service == job.service && worker.IsUsable(now_)) {
       free += static_cast<double>(worker.Free().cpu_milli) / 1000.0;
-      ++hosts;
     }
   }
-  const bool enough_hosts = std::all_of(
-      job.spec.steps.begin(), job.spec.steps.end(), [&](const auto& it) {
-        return it.max_per_worker == 0 || it.count <= it.max_per_worker * hosts;
-      });
-  return !enough_hosts || free < CoresAtOnce(job);
+  return free < CoresAtOnce(job);
 }
 
 CellLoad* PoolEngine::ChooseCell(const Job& job, double cores) {
@@ -73,7 +83,7 @@
   double sum = 0;
   for (auto& it : plan_.cells) {
     if (it.service == job.service && it.cell != shard_ &&
-        it.free_cores >= cores) {
+        it.free_cores >= cores && it.workers >= WorkersAtOnce(job)) {
       cells.push_back(&it);
       sum += it.free_cores;
     }
@@ -98,15 +108,26 @@
 bool PoolEngine::Delegate(const Job& job, const ReplyId& reply) {
   const double cores = CoresAtOnce(job);
   CellLoad* chosen = ChooseCell(job, cores);
-  if (!chosen) {
+  std::optional<ShardId> cell;
+  if (chosen) {
+    cell = chosen->cell;
+  } else if (job.IsLongRunning() && division_) {
+    // The planner can bring more hosts to a wider cell.
+    cell = division_->WiderCell(job.service, shard_);
+  }
+  if (!cell) {
     return false;
   }
   Log("delegate-job", job.id,
-      fmt::format("queue={} service={} cell={} free_cores={:.0f} cores={:.0f}",
-                  job.queue.value(), job.service.value(), chosen->cell.value(),
-                  chosen->free_cores, cores));
-  chosen->free_cores -= cores;
-  delegated_[job.id] = {chosen->cell, wall_ms_, job.submitted_wall_ms, false};
+      fmt::format("queue={} service={} cell={} free_cores={:.0f} cores={:.0f} "
+                  "workers={}",
+                  job.queue.value(), job.service.value(), cell->value(),
+                  chosen ? chosen->free_cores : 0.0, cores,
+                  WorkersAtOnce(job)));
+  if (chosen) {
+    chosen->free_cores -= cores;
+  }
+  delegated_[job.id] = {*cell, wall_ms_, job.submitted_wall_ms, false};
   delegated_at_.emplace(wall_ms_, job.id);
   demand_.ForgetJob(job.id);
   AnswerDelegated(reply, job.id);
--- a/src/libjobs/pool_engine_demand.cc
+++ b/src/libjobs/pool_engine_demand.cc
@@ -41,6 +41,7 @@
       AddRun(task, room, now, service, host);
     }
     if (worker.IsUsable(now)) {
+      ++service.workers;
       service.cores +=
           static_cast<double>(worker.entry.capacity.cpu_milli) / 1000.0;
     }
--- a/src/libjobs/pool_room.cc
+++ b/src/libjobs/pool_room.cc
@@ -52,7 +52,8 @@
 }
 
 bool PoolRoom::Holds(const StepSpec& step) {
-  const int tasks = step.gang ? step.count : std::min(step.count, 1);
+  const int tasks =
+      step.gang || step.long_running ? step.count : std::min(step.count, 1);
   return CountTasks(step, tasks) >= tasks;
 }
 
--- a/src/libjobs/pool_room.h
+++ b/src/libjobs/pool_room.h
@@ -30,8 +30,8 @@
 
   /** Returns how many tasks of the step fit at once, up to `max_tasks`. */
   int CountTasks(const StepSpec& step, int max_tasks);
-  /** Returns whether all tasks of the finite step fit: one after the other, or
-   * at once for a gang. */
+  /** Returns whether all tasks of the step fit: one after the other, or at once
+   * for a gang and for long-running tasks. */
   bool Holds(const StepSpec& step);
 
  private:
--- a/src/libjobs/pool_usage.cc
+++ b/src/libjobs/pool_usage.cc
@@ -9,6 +9,7 @@
   long_running += other.long_running;
   waiting += other.waiting;
   waiting_late += other.waiting_late;
+  workers += other.workers;
   refused += other.refused;
   missing_hosts += other.missing_hosts;
   missing_hosts_late += other.missing_hosts_late;
--- a/src/libjobs/pool_usage.h
+++ b/src/libjobs/pool_usage.h
@@ -26,6 +26,8 @@
   double waiting = 0;
   /** Needed by waiting tasks of late jobs. */
   double waiting_late = 0;
+  /** Workers that accept new runs. */
+  int workers = 0;
   /** Needed by recently refused jobs, each counted with its widest step. */
   double refused = 0;
   /** Number of hosts needed for long-running tasks that wait or must leave a
@@ -76,6 +78,8 @@
   ServiceId service;
   ShardId cell{};
   double free_cores = 0;
+  /** Workers that accept new runs. */
+  int workers = 0;
 };
 
 /** Instructions of the planner to the owner of a shard, valid until the next
--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -128,7 +128,8 @@
     }
     store_token = token;
     Post(engine, token, ShardLoaded{records});
-    Post(engine, token, DivisionChanged{WholePool(service)});
+    Post(engine, token,
+         DivisionChanged{division ? division : WholePool(service)});
     List();
   }
 
@@ -168,9 +169,9 @@
   void Plan(const HostPlan& plan) { Post(engine, token, HostsPlanned{plan}); }
 
   /** Reports the free cores of another cell of the pool to the owner. */
-  void PlanCell(ShardId cell, double free_cores) {
+  void PlanCell(ShardId cell, double free_cores, int free_workers = 64) {
     HostPlan plan;
-    plan.cells = {{service, cell, free_cores}};
+    plan.cells = {{service, cell, free_cores, free_workers}};
     Plan(plan);
   }
 
@@ -384,6 +385,8 @@
   SimFaults faults;
   PoolTuning tuning;
   ServiceId service{"service"};
+  /** Null if the pool is one cell. */
+  std::shared_ptr<const PoolDivision> division;
   int max_attempts = 3;
   bool store_up = true;
   Duration commit_delay = std::chrono::milliseconds(6);
--- a/tests/pool_division_test.cc
+++ b/tests/pool_division_test.cc
@@ -62,6 +62,52 @@
                     SizeCase{"NoHosts", 0, 250, 32, 1, 1}),
     [](const auto& info) { return info.param.name; });
 
+struct WidestCellCase {
+  const char* name;
+  int hosts_per_pool;
+  int owner_milli_cores;
+  /** Tasks of a long-running step, each on a host of its own. */
+  int tasks;
+};
+
+class WidestCellTest : public testing::TestWithParam<WidestCellCase> {};
+
+// Guards against a pool with hosts enough for a spread long-running step none
+// of whose cells can hold it.
+TEST_P(WidestCellTest, HoldsASpreadStep) {
+  const auto& it = GetParam();
+  const ServiceId pool("pool");
+  const auto division = DecodeDivision(DividePools(
+      {}, InputOf({pool}, it.hosts_per_pool, it.owner_milli_cores, 64)));
+  std::map<ShardId, int> hosts;
+  for (int i = 0; i < it.hosts_per_pool; ++i) {
+    ++hosts[*division.CellOfHost(pool, HostId("h" + std::to_string(i)))];
+  }
+  int widest = 0;
+  for (const auto& [cell, n] : hosts) {
+    widest = std::max(widest, n);
+  }
+  EXPECT_GE(widest, it.tasks);
+  const auto& cells = division.CellsOf(pool);
+  EXPECT_EQ(std::set<ShardId>(cells.begin(), cells.end()).size(), cells.size());
+  const auto wide = division.WiderCell(pool, cells.back());
+  if (wide) {
+    EXPECT_EQ(hosts.at(*wide), widest);
+    EXPECT_EQ(division.WiderCell(pool, *wide), std::nullopt);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Pools,
+    WidestCellTest,
+    testing::Values(WidestCellCase{"SmallOwners", 220, 200, 38},
+                    WidestCellCase{"SmallestOwners", 220, 120, 38},
+                    WidestCellCase{"MiddleOwners", 220, 300, 30},
+                    WidestCellCase{"LargeOwners", 220, 500, 30},
+                    WidestCellCase{"MediumPool", 70, 500, 30},
+                    WidestCellCase{"OneCell", 12, 120, 12}),
+    [](const auto& it) { return it.param.name; });
+
 // Guards against two busy cells on one owner while another has none: the store
 // deals shards to owners in turn, and all cells of a pool are busy at once.
 TEST(PoolDivisionTest, CellsSpreadOverOwners) {
--- a/tests/pool_engine_delegation_test.cc
+++ b/tests/pool_engine_delegation_test.cc
@@ -162,18 +162,64 @@
   EXPECT_FALSE(world.store.contains(DelegationKey(JobId("j1"))));
 }
 
+struct SpreadCase {
+  const char* name;
+  /** Workers of the other cell in the newest plan; 0 without a plan. */
+  int workers_elsewhere;
+  /** Shares of the hosts that the other cell has; this one has one. */
+  int shares_elsewhere;
+  bool delegated_before;
+  SubmitVerdict verdict;
+};
+
+class SpreadJobTest : public DelegationTest,
+                      public testing::WithParamInterface<SpreadCase> {};
+
 // Guards against long-running tasks that wait for ever in a cell with too few
-// hosts while another cell has enough.
-TEST_F(DelegationTest, DelegatesLongRunningJobsThatLackHosts) {
-  auto spec = Work(3, 8, 1000);
+// hosts while another cell has enough, and against a cell that is chosen by its
+// free cores although it has too few hosts as well.
+TEST_P(SpreadJobTest, GoesToACellWithEnoughHosts) {
+  auto division = std::make_shared<PoolDivision>();
+  std::vector<ShardId> shares(
+      static_cast<std::size_t>(GetParam().shares_elsewhere), kOtherCell);
+  shares.push_back(kShard);
+  division->Add(world.service, {kShard, kOtherCell}, shares);
+  world.division = division;
+  world.AddWorker("w2");
+  world.AddWorker("w3");
+  world.TakeOver();
+  world.Advance(milliseconds(300));
+  if (GetParam().workers_elsewhere > 0) {
+    world.PlanCell(kOtherCell, 640, GetParam().workers_elsewhere);
+  }
+  auto spec = Work(6, 8, 1000);
   spec.steps[0].long_running = true;
   spec.steps[0].max_per_worker = 1;
-  world.PlanCell(kOtherCell, 200);
-  world.Submit("j1", spec);
+  if (GetParam().delegated_before) {
+    world.SubmitDelegated("j1", spec, milliseconds(10));
+  } else {
+    world.Submit("j1", spec);
+  }
   world.Advance(milliseconds(50));
-  EXPECT_EQ(world.verdicts.at(JobId("j1")), SubmitVerdict::kDelegated);
+  EXPECT_EQ(world.verdicts.at(JobId("j1")), GetParam().verdict);
 }
 
+INSTANTIATE_TEST_SUITE_P(
+    Cells,
+    SpreadJobTest,
+    testing::Values(
+        SpreadCase{"EnoughHostsElsewhere", 6, 1, false,
+                   SubmitVerdict::kDelegated},
+        SpreadCase{"TooFewHostsElsewhere", 5, 1, false,
+                   SubmitVerdict::kAccepted},
+        SpreadCase{"WiderCellWithoutPlan", 0, 4, false,
+                   SubmitVerdict::kDelegated},
+        SpreadCase{"WiderCellThatLacksHosts", 5, 4, false,
+                   SubmitVerdict::kDelegated},
+        SpreadCase{"NoWiderCell", 0, 1, false, SubmitVerdict::kAccepted},
+        SpreadCase{"DelegatedBefore", 6, 4, true, SubmitVerdict::kAccepted}),
+    [](const auto& it) { return it.param.name; });
+
 struct HeldMemoryCase {
   const char* name;
   double free_cores_elsewhere;
