--- a/src/libjobs/pool_usage.h
+++ b/src/libjobs/pool_usage.h
@@ -26,11 +26,16 @@
   double waiting = 0;
   /** Needed by waiting tasks of late jobs. */
   double waiting_late = 0;
+  /** Workers that accept new runs. */
+  int workers = 0;
   /** Needed by recently refused jobs, each counted with its widest step. */
   double refused = 0;
   /** Number of hosts needed for long-running tasks that wait or must leave a
-   * reserved host, and that no worker of the pool can take. */
+   * reserved host and that no worker of the cell can take, and for other
+   * waiting tasks that none could take even if all its finite runs ended. */
   int missing_hosts = 0;
+  /** Number of hosts needed for such tasks of late jobs. */
+  int missing_hosts_late = 0;
   /** New jobs. */
   ArrivingWork arriving;
 
@@ -73,6 +78,8 @@
   ServiceId service;
   ShardId cell{};
   double free_cores = 0;
+  /** Workers that accept new runs. */
+  int workers = 0;
 };
 
 /** Instructions of the planner to the owner of a shard, valid until the next
