libjobs: give up no job for starts at workers that were already down

Cause: an idle worker is not polled, so the owner takes it for usable after it has crashed. A start there gets no answer; once the worker is back in a new incarnation it counted as a doubtful crash, and four of these failed the job. Losses of unknown fate became doubtful crashes with each new owner as well. Change: doubtful crashes never fail a job. The next start of such a task is stored and sent only when its worker has answered a poll, so a crash before the worker's next report counts. A gang waits for all of its workers. A start that the worker's next report shows not to have arrived is no evidence. Runs lost with a worker of unknown fate are stored with its host and incarnation, for the next owner. A third crash fails a gang, whose members never run alone. A start is not sent to another incarnation than that of the placement. Conclusion: the starts that are counted went to workers known to be up.

--- a/src/libjobs/job.h
+++ b/src/libjobs/job.h
@@ -55,6 +55,16 @@
     return Suspicion() >= kCrashesForTrial &&
            now - waiting_since < kMaxTrialWait;
   }
+  /** Returns whether starts of the task may have gone to workers that were
+   * already down. */
+  bool HasDoubtfulStarts() const {
+    return doubtful_crashes + unexplained_losses > 0;
+  }
+  /** Returns whether the worker of the newest run was up when the run was to
+   * start, so that its crash counts against the task. */
+  bool WasStartedOnLiveWorker() const {
+    return confirmed || started_after_poll;
+  }
 
   TaskPhase phase = TaskPhase::kWaiting;
   /** Number of the newest run; 0 before the first. */
@@ -66,9 +76,9 @@
   /** Worker of the last run that failed or during which its worker crashed; the
    * next run avoids it. */
   WorkerId failed_on;
-  /** Number of runs in a row during which their worker crashed: those that the
-   * worker had confirmed, and those of which it is unknown whether their start
-   * had arrived. */
+  /** Number of runs in a row during which their worker crashed: those on a
+   * worker that was up when they were to start, and those of which it is
+   * unknown whether the worker had crashed before. */
   int crashes = 0;
   int doubtful_crashes = 0;
   /** Number of runs that were lost with a worker of which nothing was heard
@@ -90,6 +100,11 @@
   Time not_before;
   /** Whether the worker has confirmed the newest run. */
   bool confirmed = false;
+  /** The placement is stored once its worker has answered another poll. */
+  bool awaits_poll = false;
+  /** Whether the worker answered a poll shortly before the newest start was
+   * sent. */
+  bool started_after_poll = false;
   /** Whether the worker has answered the last stop. */
   bool stop_answered = false;
   /** When the stop was last sent. */
--- a/src/libjobs/lost_runs.cc
+++ b/src/libjobs/lost_runs.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 
 namespace baobab {
 
@@ -29,11 +30,18 @@
   if (task.incarnation == 0) {
     return false;
   }
-  runs_.push_back(
-      {id, task.worker, task.host, task.incarnation, task.confirmed, now});
+  runs_.push_back({id, task.worker, task.host, task.incarnation,
+                   task.WasStartedOnLiveWorker(), now});
   return true;
 }
 
+std::vector<LostRuns::Run> LostRuns::Of(const TaskId& task) const {
+  std::vector<Run> runs;
+  std::copy_if(runs_.begin(), runs_.end(), std::back_inserter(runs),
+               [&](const auto& it) { return it.task == task; });
+  return runs;
+}
+
 std::vector<LostRuns::Run> LostRuns::TakeAlive(const WorkerId& worker,
                                                std::int64_t incarnation) {
   return TakeIf([&](const auto& it) {
--- a/src/libjobs/lost_runs.h
+++ b/src/libjobs/lost_runs.h
@@ -20,14 +20,18 @@
     WorkerId worker;
     HostId host;
     std::int64_t incarnation = 0;
-    /** Whether the worker had confirmed the run. */
-    bool confirmed = false;
+    /** Whether the worker was up when the run was to start. */
+    bool started_on_live_worker = false;
     Time lost_at;
   };
 
   /** Adds the newest run of the task, which was lost at `now`. Returns false if
    * nothing is known of its worker's incarnation. */
   bool Add(const TaskId& id, const Task& task, Time now);
+  /** Adds a run that a former owner has lost. */
+  void Add(const Run& run) { runs_.push_back(run); }
+  /** Returns the runs of the task. */
+  std::vector<Run> Of(const TaskId& task) const;
   /** Returns and forgets the runs of a worker that answers in this incarnation:
    * it was only cut off. */
   std::vector<Run> TakeAlive(const WorkerId& worker, std::int64_t incarnation);
--- a/src/libjobs/pool_engine.cc
+++ b/src/libjobs/pool_engine.cc
@@ -122,6 +122,10 @@
   loaded_at_ = now_;
   jobs_ = std::move(loaded.jobs);
   delegated_ = std::move(loaded.delegations);
+  for (auto& it : loaded.lost_runs) {
+    it.lost_at = now_;
+    lost_runs_.Add(it);
+  }
   for (const auto& [id, it] : delegated_) {
     delegated_at_.emplace(it.decided_wall_ms, id);
   }
@@ -488,7 +492,7 @@
   for (const auto& id : staged_.dirty) {
     const auto it = jobs_.find(id);
     if (it != jobs_.end()) {
-      add(ProgressKey(id), EncodeProgress(it->second));
+      add(ProgressKey(id), EncodeProgress(it->second, lost_runs_));
     }
   }
   in_flight_ = std::exchange(staged_, {});
--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -228,6 +228,12 @@
   /** Treats all runs of the worker as ended without a result; their tasks wait
    * to be placed again. */
   void LoseRuns(Worker& worker, const std::string& why, WorkerFate fate);
+  /** Stores the placements that awaited an answer of the worker. */
+  void StoreAwaitingPlacements(Worker& worker);
+  /** Undoes the placements that await an answer of the worker. */
+  void UndoAwaitingPlacements(Worker& worker);
+  /** Makes a placed task wait again, and its gang, if that is not started. */
+  void UndoPlacement(Job& job, const TaskId& id, Task& task);
   /** Counts a crash of the worker under the newest run of the task, once. */
   void RecordCrash(const TaskId& id, Task& task);
   /** Returns whether the task is not placed until it is known whether the
@@ -290,8 +296,13 @@
                      const ReadyStep& ready);
   /** Places all tasks of a gang or none; returns whether it placed them. */
   bool PlaceGang(const Placement& placement, Job& job, const ReadyStep& ready);
-  /** Assigns the task to the worker; its start is sent once that is stored. */
-  void Place(Job& job, const TaskId& id, Task& task, const WorkerId& worker);
+  /** Assigns the task to the worker; its start is sent once that is stored.
+   * With `await_poll`, the worker must answer a poll before that. */
+  void Place(Job& job,
+             const TaskId& id,
+             Task& task,
+             const WorkerId& worker,
+             bool await_poll);
   /** Sends the start of a stored placement; undoes the placement if the worker
    * can no longer take the run. */
   void SendStart(const TaskId& id, RunNumber run);
--- a/src/libjobs/pool_engine_crashes.cc
+++ b/src/libjobs/pool_engine_crashes.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -38,6 +39,10 @@
     ids.push_back(id);
   }
   for (const auto& id : ids) {
+    if (!worker.runs.contains(id)) {
+      // Undone with another member of its gang.
+      continue;
+    }
     const auto found = jobs_.find(id.job);
     Task* task = found == jobs_.end() ? nullptr : found->second.Find(id);
     if (!task || task->worker != worker.entry.id) {
@@ -45,8 +50,7 @@
       continue;
     }
     if (task->phase == TaskPhase::kPlaced) {
-      ReleaseResources(id, *task);
-      ReturnToWaiting(found->second, id, *task);
+      UndoPlacement(found->second, id, *task);
       continue;
     }
     Log("run-lost", id.job,
@@ -64,12 +68,81 @@
   }
 }
 
+void PoolEngine::StoreAwaitingPlacements(Worker& worker) {
+  if (!std::exchange(worker.answer_awaited, false)) {
+    return;
+  }
+  for (const auto& [id, resources] : worker.runs) {
+    const auto found = jobs_.find(id.job);
+    Task* task = found == jobs_.end() ? nullptr : found->second.Find(id);
+    if (!task || task->worker != worker.entry.id || !task->awaits_poll) {
+      continue;
+    }
+    task->awaits_poll = false;
+    task->started_after_poll = true;
+    task->incarnation = worker.incarnation;
+    staged_.dirty.insert(id.job);
+    if (!found->second.Step(id.step).gang) {
+      staged_.placed.emplace_back(id, task->run);
+      continue;
+    }
+    // The members of a gang start together.
+    const auto& members = found->second.occurrences.at(id.occurrence)
+                              .steps[static_cast<std::size_t>(id.step)];
+    if (std::any_of(members.begin(), members.end(),
+                    [](const auto& it) { return it.awaits_poll; })) {
+      continue;
+    }
+    for (int i = 0; i < static_cast<int>(members.size()); ++i) {
+      staged_.placed.emplace_back(TaskId{id.job, id.occurrence, id.step, i},
+                                  task->run);
+    }
+  }
+}
+
+void PoolEngine::UndoAwaitingPlacements(Worker& worker) {
+  if (!std::exchange(worker.answer_awaited, false)) {
+    return;
+  }
+  std::vector<TaskId> ids;
+  for (const auto& [id, resources] : worker.runs) {
+    ids.push_back(id);
+  }
+  for (const auto& id : ids) {
+    const auto found = jobs_.find(id.job);
+    Task* task = found == jobs_.end() ? nullptr : found->second.Find(id);
+    if (task && task->worker == worker.entry.id && task->awaits_poll) {
+      UndoPlacement(found->second, id, *task);
+    }
+  }
+}
+
+void PoolEngine::UndoPlacement(Job& job, const TaskId& id, Task& task) {
+  const bool awaits_poll = std::exchange(task.awaits_poll, false);
+  ReleaseResources(id, task);
+  ReturnToWaiting(job, id, task);
+  if (!awaits_poll || !job.Step(id.step).gang) {
+    return;
+  }
+  auto& members = job.occurrences.at(id.occurrence)
+                      .steps[static_cast<std::size_t>(id.step)];
+  for (int i = 0; i < static_cast<int>(members.size()); ++i) {
+    Task& member = members[static_cast<std::size_t>(i)];
+    if (member.phase == TaskPhase::kPlaced) {
+      const TaskId member_id{id.job, id.occurrence, id.step, i};
+      member.awaits_poll = false;
+      ReleaseResources(member_id, member);
+      ReturnToWaiting(job, member_id, member);
+    }
+  }
+}
+
 void PoolEngine::RecordCrash(const TaskId& id, Task& task) {
   if (task.incarnation == 0) {
     return;
   }
   task.incarnation = 0;
-  ++(task.confirmed ? task.crashes : task.doubtful_crashes);
+  ++(task.WasStartedOnLiveWorker() ? task.crashes : task.doubtful_crashes);
   task.failed_on = task.worker;
   staged_.dirty.insert(id.job);
   LogRun("run-crashed", id,
@@ -79,8 +152,10 @@
 }
 
 bool PoolEngine::FailsForCrashes(Job& job, const TaskId& id, const Task& task) {
-  if ((task.crashes < tuning_.max_crashes || !task.on_trial) &&
-      task.crashes + task.doubtful_crashes < tuning_.max_all_crashes) {
+  // A member of a gang never runs alone.
+  const bool decided = task.on_trial || job.Step(id.step).gang;
+  if (task.crashes <
+      (decided ? tuning_.max_crashes : tuning_.max_all_crashes)) {
     return false;
   }
   EndJob(job, JobEnd::kFailed,
@@ -104,7 +179,7 @@
       continue;
     }
     task->unexplained_losses = std::max(0, task->unexplained_losses - 1);
-    ++(it.confirmed ? task->crashes : task->doubtful_crashes);
+    ++(it.started_on_live_worker ? task->crashes : task->doubtful_crashes);
     staged_.dirty.insert(it.task.job);
     LogRun("run-crashed", it.task,
            fmt::format("task={} host={} crashes={} doubtful={} learnt=late",
--- a/src/libjobs/pool_engine_tasks.cc
+++ b/src/libjobs/pool_engine_tasks.cc
@@ -226,7 +226,7 @@
     }
     allowance -= cores;
     Place(job, {job.id, ready.occurrence, ready.step, i}, task,
-          worker->entry.id);
+          worker->entry.id, task.HasDoubtfulStarts());
   }
   if (all) {
     ready_.Remove(service, ready);
@@ -297,10 +297,13 @@
   if (chosen.size() < tasks.size()) {
     return false;
   }
+  const bool await_poll =
+      std::any_of(tasks.begin(), tasks.end(),
+                  [](const auto& it) { return it.HasDoubtfulStarts(); });
   for (std::size_t i = 0; i < tasks.size(); ++i) {
     tasks[i].run = run;
     Place(job, {job.id, ready.occurrence, ready.step, static_cast<int>(i)},
-          tasks[i], chosen[i]);
+          tasks[i], chosen[i], await_poll);
   }
   return true;
 }
@@ -308,12 +311,15 @@
 void PoolEngine::Place(Job& job,
                        const TaskId& id,
                        Task& task,
-                       const WorkerId& worker) {
+                       const WorkerId& worker,
+                       bool await_poll) {
   task.phase = TaskPhase::kPlaced;
   task.placed_at = now_;
   task.run = RunNumber(task.run.value() + 1);
   task.worker = worker;
   task.confirmed = false;
+  task.awaits_poll = await_poll;
+  task.started_after_poll = false;
   task.stop_answered = false;
   task.inherited_at.reset();
   task.speed_percent = 100;
@@ -324,6 +330,12 @@
   chosen.AddRun(
       id, ResourcesOf(job.Step(id.step)),
       task.on_trial ? task.Suspicion() : std::min(task.Suspicion(), 1));
+  if (await_poll) {
+    chosen.answer_awaited = true;
+    chosen.next_poll_at = now_;
+    MaybePollWorker(chosen);
+    return;
+  }
   staged_.dirty.insert(job.id);
   staged_.placed.emplace_back(id, task.run);
 }
@@ -341,14 +353,20 @@
     ticket =
         advice_.TicketFor({id.job, id.occurrence, id.step}, task->worker, now_);
   }
-  if (!worker.IsUsable(now_) || !worker.used.FitsIn(worker.entry.capacity) ||
+  if (!worker.IsUsable(now_) || worker.incarnation != task->incarnation ||
+      !worker.used.FitsIn(worker.entry.capacity) ||
       (job.needs_advice && ticket.empty())) {
-    // Meanwhile the worker became unusable or lost capacity, or the ticket
-    // expired.
+    // Meanwhile the worker became unusable, restarted or lost capacity, or the
+    // ticket expired.
     ReleaseResources(id, *task);
     ReturnToWaiting(job, id, *task);
     return;
   }
+  if (task->started_after_poll &&
+      now_ - worker.answered_at > tuning_.max_answer_age) {
+    task->started_after_poll = false;
+    staged_.dirty.insert(id.job);
+  }
   task->phase = TaskPhase::kStarting;
   task->answered_at = Time::max();
   task->started_at = now_;
--- a/src/libjobs/pool_engine_workers.cc
+++ b/src/libjobs/pool_engine_workers.cc
@@ -136,7 +136,9 @@
       worker.missed_polls = 0;
       worker.next_poll_at =
           load_.IsBusy() ? now_ + tuning_.busy_poll_interval : now_;
+      worker.answered_at = now_;
       ApplyReport(worker, event);
+      StoreAwaitingPlacements(worker);
       break;
     case OrderResult::kWrongIncarnation:
       LoseRuns(worker, "address-reused", WorkerFate::kCrashed);
@@ -145,6 +147,7 @@
       break;
     default:
       ++worker.missed_polls;
+      UndoAwaitingPlacements(worker);
       worker.connected = false;
       worker.acknowledged_ends =
           std::min(worker.acknowledged_ends, worker.stored_ends - 1);
@@ -341,6 +344,9 @@
         break;
       case TaskPhase::kStarting:
         if (answered) {
+          // The start had not arrived.
+          task->started_after_poll = false;
+          staged_.dirty.insert(id.job);
           OrderStop(id, *task);
         }
         break;
@@ -392,7 +398,8 @@
     poll.lease_until_ms = worker.ClockAt(now_) + tuning_.lease.count() / 1000;
     worker.lease_sent_ms = std::max(worker.lease_sent_ms, *poll.lease_until_ms);
   }
-  if (responsive && !worker.runs.empty() && !worker.ends_pending) {
+  if (responsive && !worker.runs.empty() && !worker.ends_pending &&
+      !worker.answer_awaited) {
     poll.wait = tuning_.poll_wait;
   }
   worker.acknowledged_ends =
--- a/src/libjobs/pool_tuning.h
+++ b/src/libjobs/pool_tuning.h
@@ -52,10 +52,13 @@
   /** Consecutive failed runs on a worker that put it into quarantine. */
   int quarantine_failures = 2;
   /** Number of workers in a row that crashed under a task, after which its job
-   * fails: if the last one ran only this task, and otherwise, with those where
-   * the start may not have arrived. */
+   * fails: if the last one ran only this task, and otherwise. Those that may
+   * have been down before the start do not count. */
   int max_crashes = 3;
   int max_all_crashes = 4;
+  /** Maximum age of a worker's answer that shows that it was up when a start
+   * was sent. */
+  Duration max_answer_age = std::chrono::milliseconds(1500);
   /** Time at work after which a long-running task counts as harmless to its
    * worker. */
   Duration crash_trial = std::chrono::milliseconds(5000);
--- a/src/libjobs/stored_job.cc
+++ b/src/libjobs/stored_job.cc
@@ -85,7 +85,9 @@
 }
 
 /** Applies a row of the progress record to its task. */
-void ApplyTaskRow(Job& job, const Json& row) {
+void ApplyTaskRow(Job& job,
+                  const Json& row,
+                  std::vector<LostRuns::Run>& lost_runs) {
   const TaskId id{job.id, row.at(0).get<int>(), row.at(1).get<int>(),
                   row.at(2).get<int>()};
   Task* task = job.Find(id);
@@ -106,6 +108,18 @@
     task->host = HostId(row.at(10).get<std::string>());
     task->incarnation = row.at(11).get<std::int64_t>();
   }
+  // Absent in records of earlier releases, and for tasks to which neither
+  // applies.
+  if (row.size() > 13) {
+    task->started_after_poll = row.at(12).get<bool>();
+    for (const auto& it : row.at(13)) {
+      lost_runs.push_back({id, WorkerId(it.at(0).get<std::string>()),
+                           HostId(it.at(1).get<std::string>()),
+                           it.at(2).get<std::int64_t>(), it.at(3).get<bool>(),
+                           Time()});
+      ++task->unexplained_losses;
+    }
+  }
 }
 
 /** Returns the numbers of the open occurrences, which are below `created`. */
@@ -130,7 +144,9 @@
   return open;
 }
 
-void ApplyProgress(Job& job, const Json& json) {
+void ApplyProgress(Job& job,
+                   const Json& json,
+                   std::vector<LostRuns::Run>& lost_runs) {
   const int end = json.at(1).get<int>();
   if (end < 0 || end > static_cast<int>(JobEnd::kCancelled)) {
     throw std::out_of_range("progress has an unknown end");
@@ -151,7 +167,7 @@
   job.created = created;
   job.finished = created - static_cast<int>(open.size());
   for (const auto& it : json.at(6)) {
-    ApplyTaskRow(job, it);
+    ApplyTaskRow(job, it, lost_runs);
   }
 }
 
@@ -187,7 +203,7 @@
        job.spec.first_due_wall_ms, job.spec.interval_ms, job.needs_advice}));
 }
 
-std::string EncodeProgress(const Job& job) {
+std::string EncodeProgress(const Job& job, const LostRuns& lost_runs) {
   Json open = Json::array();
   Json rows = Json::array();
   for (const auto& [number, occurrence] : job.occurrences) {
@@ -207,10 +223,22 @@
              it.phase == TaskPhase::kDone ? "" : it.checkpoint});
         if (open_run || it.Suspicion() > 0) {
           row.push_back(it.crashes);
-          row.push_back(it.doubtful_crashes + it.unexplained_losses);
+          row.push_back(it.doubtful_crashes);
           row.push_back(open_run ? it.host.value() : "");
           row.push_back(open_run ? it.incarnation : 0);
         }
+        const bool after_poll = open_run && it.started_after_poll;
+        if (after_poll || it.unexplained_losses > 0) {
+          row.push_back(after_poll);
+          Json lost = Json::array();
+          for (const auto& run :
+               lost_runs.Of({job.id, number, static_cast<int>(step),
+                             static_cast<int>(i)})) {
+            lost.push_back({run.worker.value(), run.host.value(),
+                            run.incarnation, run.started_on_live_worker});
+          }
+          row.push_back(std::move(lost));
+        }
         rows.push_back(std::move(row));
       }
     }
@@ -240,7 +268,7 @@
   decode('p', [&](const JobId& id, const Json& json) {
     const auto it = loaded.jobs.find(id);
     if (it != loaded.jobs.end()) {
-      ApplyProgress(it->second, json);
+      ApplyProgress(it->second, json, loaded.lost_runs);
     }
   });
   decode('d', [&](const JobId& id, const Json& json) {
--- a/src/libjobs/stored_job.h
+++ b/src/libjobs/stored_job.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "libjobs/job.h"
+#include "libjobs/lost_runs.h"
 
 namespace baobab {
 
@@ -41,14 +42,18 @@
 std::string AcceptanceKey(const JobId& id);
 std::string ProgressKey(const JobId& id);
 
-/** Encode the two records as MessagePack. */
+/** Encode the two records as MessagePack. `lost_runs` may have runs of other
+ * jobs. */
 std::string EncodeAcceptance(const Job& job);
-std::string EncodeProgress(const Job& job);
+std::string EncodeProgress(const Job& job, const LostRuns& lost_runs = {});
 
 /** The jobs decoded from the records of a shard. */
 struct LoadedJobs {
   std::map<JobId, Job> jobs;
   std::map<JobId, Delegation> delegations;
+  /** Runs of the jobs that were lost with workers of unknown fate; the time
+   * when they were lost is not stored. */
+  std::vector<LostRuns::Run> lost_runs;
   /** Records that could not be decoded, as "key: reason". */
   std::vector<std::string> faults;
 };
--- a/src/libjobs/worker.h
+++ b/src/libjobs/worker.h
@@ -87,6 +87,10 @@
   Time next_poll_at;
   /** Consecutive polls without an answer. */
   int missed_polls = 0;
+  /** When a poll was last answered. */
+  Time answered_at;
+  /** Placements await the answer to a poll. */
+  bool answer_awaited = false;
   /** A poll was answered on the current connection. */
   bool connected = false;
   /** Reported ends are not stored yet; a waiting poll would return at once. */
--- a/tests/crashing_task_test.cc
+++ b/tests/crashing_task_test.cc
@@ -356,6 +356,77 @@
                     FlappingCase{"ByChanceRefused", 1, 4, true, true}),
     [](const auto& it) { return it.param.name; });
 
+struct IdleCrashCase {
+  const char* name;
+  JobSpec spec;
+  /** Time from the crash of a worker to that of the other one. */
+  Duration interval;
+  /** Time until a worker is up again. */
+  Duration down_for;
+  bool new_id;
+  bool takeovers;
+};
+
+void PrintTo(const IdleCrashCase& it, std::ostream* os) {
+  *os << it.name;
+}
+
+class IdleCrashTest : public CrashingTaskTest,
+                      public testing::WithParamInterface<IdleCrashCase> {};
+
+// Guards against a job that is given up because its starts went to workers that
+// had crashed before.
+TEST_P(IdleCrashTest, StartAtADeadWorkerIsNoCrashUnderTheTask) {
+  constexpr int kCrashes = 8;
+  const auto& param = GetParam();
+  Begin(2);
+  const Time begin = world.now;
+  int crashes = 0;
+  std::size_t seen = 0;
+  const auto step = [&] {
+    if (crashes < kCrashes && world.StartsOf(JobId("job")) == 0 &&
+        world.now >= begin + param.interval * crashes) {
+      const WorkerId worker("w" + std::to_string(crashes++ % 2));
+      world.CrashFor(world.NewestOf(worker), param.down_for, param.new_id);
+    }
+    bool counted = false;
+    for (; seen < world.decisions.size(); ++seen) {
+      counted |= world.decisions[seen].decision == "run-lost";
+    }
+    if (param.takeovers && counted) {
+      world.TakeOver();
+    }
+  };
+  step();
+  world.Submit("job", param.spec);
+  Run(param.interval * kCrashes + seconds(30), step);
+  EXPECT_EQ(world.CrashesUnder(JobId("job")), 0);
+  if (param.spec.steps[0].long_running) {
+    EXPECT_EQ(world.State("job"), JobState::kRunning);
+  } else {
+    ExpectCompleted({"job"});
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Kinds,
+    IdleCrashTest,
+    testing::Values(IdleCrashCase{"SameIdSoon", Work(1, 100),
+                                  milliseconds(2400), seconds(3), false, false},
+                    IdleCrashCase{"NewIdSoon", Work(1, 100), milliseconds(1900),
+                                  seconds(2), true, false},
+                    IdleCrashCase{"SameIdAfterTheLease", Work(1, 100),
+                                  seconds(4), seconds(6), false, false},
+                    IdleCrashCase{"NewIdAfterTheLease", Work(1, 100),
+                                  seconds(4), seconds(6), true, false},
+                    IdleCrashCase{"Takeovers", Work(1, 100), milliseconds(1900),
+                                  seconds(2), true, true},
+                    IdleCrashCase{"LongRunning", Service(1), seconds(4),
+                                  seconds(6), false, false},
+                    IdleCrashCase{"Gang", Gang(1), seconds(4), seconds(6),
+                                  false, false}),
+    [](const auto& it) { return it.param.name; });
+
 struct KindCase {
   const char* name;
   JobSpec spec;
--- a/tests/stored_job_test.cc
+++ b/tests/stored_job_test.cc
@@ -57,6 +57,43 @@
   EXPECT_EQ(got.occurrences.at(0).steps[0][0].phase, TaskPhase::kWaiting);
 }
 
+// Guards against crashes under a task that a new owner cannot tell from starts
+// at workers that were already down.
+TEST(StoredJobTest, NewOwnerLoadsWhatIsKnownOfLostRuns) {
+  Job job = MakeJob();
+  const TaskId lost{job.id, 0, 0, 0};
+  auto& tasks = job.occurrences.at(0).steps[0];
+  tasks[0].run = RunNumber(2);
+  tasks[0].worker = WorkerId("w1");
+  tasks[0].host = HostId("h1");
+  tasks[0].incarnation = 100;
+  tasks[0].confirmed = true;
+  tasks[0].doubtful_crashes = 1;
+  tasks[0].unexplained_losses = 1;
+  tasks[1].phase = TaskPhase::kStarting;
+  tasks[1].run = RunNumber(3);
+  tasks[1].started_after_poll = true;
+  LostRuns lost_runs;
+  lost_runs.Add(lost, tasks[0], Time());
+  lost_runs.Add({JobId("other"), 0, 0, 0}, tasks[0], Time());
+  const auto loaded =
+      DecodeJobs({{AcceptanceKey(job.id), EncodeAcceptance(job)},
+                  {ProgressKey(job.id), EncodeProgress(job, lost_runs)}});
+  ASSERT_TRUE(loaded.faults.empty());
+  const auto& got = loaded.jobs.at(job.id).occurrences.at(0).steps[0];
+  EXPECT_EQ(got[0].doubtful_crashes, 1);
+  EXPECT_EQ(got[0].unexplained_losses, 1);
+  EXPECT_FALSE(got[0].started_after_poll);
+  EXPECT_TRUE(got[1].started_after_poll);
+  ASSERT_EQ(loaded.lost_runs.size(), 1u);
+  const auto& run = loaded.lost_runs[0];
+  EXPECT_EQ(run.task, lost);
+  EXPECT_EQ(run.worker, WorkerId("w1"));
+  EXPECT_EQ(run.host, HostId("h1"));
+  EXPECT_EQ(run.incarnation, 100);
+  EXPECT_TRUE(run.started_on_live_worker);
+}
+
 // Guards against one damaged record that keeps a whole shard from loading.
 TEST(StoredJobTest, SkipsRecordsThatCannotBeRead) {
   const Job job = MakeJob();
