libjobs: keep suspected tasks apart also from the worker that failed last

Cause: the placement avoids the worker on which the task has failed before it keeps suspected tasks apart, so three tasks lost with one worker share the others. Change: a worker with fewer suspected tasks comes first. Conclusion: one cause less; tasks whose wait for a worker of their own has ended can still share one.

--- a/src/libjobs/placement.cc
+++ b/src/libjobs/placement.cc
@@ -117,7 +117,7 @@
     return nullptr;
   }
   const Worker* best = nullptr;
-  std::tuple<bool, bool, bool, std::size_t, std::int64_t> best_cost;
+  std::tuple<bool, bool, std::size_t, bool, std::int64_t> best_cost;
   std::int64_t max_free = 0;
   for (const auto* it : workers_) {
     const auto free = it->Free().cpu_milli;
@@ -128,8 +128,8 @@
     }
     const std::tuple cost(
         !spec.data_rack.empty() && it->Rack() != spec.data_rack,
-        !rack.empty() && it->Rack() != rack, it->entry.id == task.failed_on,
-        suspect ? it->suspects.size() : 0,
+        !rack.empty() && it->Rack() != rack, suspect ? it->suspects.size() : 0,
+        it->entry.id == task.failed_on,
         suspect ? static_cast<std::int64_t>(it->runs.size()) : free);
     if (!best || cost < best_cost) {
       best = it;
--- a/src/libjobs/placement.h
+++ b/src/libjobs/placement.h
@@ -32,9 +32,10 @@
 
   /** Returns the worker for one more task of the step, or null if none has free
    * capacity, the step's label and less than its maximum number of tasks.
-   * Prefers the rack of the data, then `rack`, then workers on which the task
-   * has not failed. A task under which workers have crashed is placed apart
-   * from others of this kind, and where it would take few runs down. */
+   * Prefers the rack of the data, then `rack`; then, if workers have crashed
+   * under the task, few others of this kind; then workers on which it has not
+   * failed, and those where a suspected task would take few runs down, or else
+   * the fullest ones. */
   const Worker* Choose(const Job& job,
                        int occurrence,
                        int step,
