libjobs: let steps without room hold up no others

A job that could run would stay queued for good, or until the jobs ahead of it had started.

Cause: a placement pass stops after 24 steps that keep waiting tasks, whatever the reason. Steps that lack a host, and tasks that wait for the time of their restart or for the fate of their former workers, use up this limit in each pass; long-running ones come first, so 24 of them hold up all other work of their pool and cell.

Change: only a step of which a task found no worker counts towards the limit. With more than 24 ready steps, those that no worker can take even if all finite runs ended are tried apart from the others, with a limit of their own. PoolRoom counts the long-running tasks of a step on a worker towards its limit per worker. StepId moves to ids.h, as more than the advice cache uses it.

Tests failed before: MissingHosts.JobsThatLackAHostHoldUpNoOthers and MissingHosts.TasksThatWaitForARestartHoldUpNoOthers: j1 is queued, expected completed. pool_engine_property, host_planner, admission, pool_engine_delegation, crashing_task, pool_engine and pool_engine_room tests pass.

Conclusion: steps that cannot be placed cost a bounded part of a pass and delay no step that can.

--- a/src/libjobs/advice_cache.h
+++ b/src/libjobs/advice_cache.h
@@ -11,15 +11,6 @@
 
 namespace baobab {
 
-/** Identifies a step of one occurrence of a job. */
-struct StepId {
-  JobId job;
-  int occurrence = 0;
-  int step = 0;
-
-  auto operator<=>(const StepId&) const = default;
-};
-
 /** Caches the advice service's decisions on which workers may run each step.
  * Limits the workers in one request, since the service takes time for each of
  * them. */
--- a/src/libjobs/ids.h
+++ b/src/libjobs/ids.h
@@ -43,6 +43,15 @@
   auto operator<=>(const TaskId&) const = default;
 };
 
+/** Identifies a step of one occurrence of a job. */
+struct StepId {
+  JobId job;
+  int occurrence = 0;
+  int step = 0;
+
+  auto operator<=>(const StepId&) const = default;
+};
+
 /** Returns "job.occurrence.step.index", for logs. */
 inline std::string ToString(const TaskId& id) {
   return id.job.value() + "." + std::to_string(id.occurrence) + "." +
--- a/src/libjobs/placement.cc
+++ b/src/libjobs/placement.cc
@@ -11,22 +11,20 @@
 /** Number of usable workers for each one that is left to a suspected task. */
 constexpr std::ptrdiff_t kMinUsablePerTrial = 2;
 
-int RunsOfStep(const Worker& worker,
-               const JobId& job,
-               int occurrence,
-               int step) {
+}  // namespace
+
+int RunsOfStep(const Worker& worker, const StepId& step) {
   int n = 0;
-  for (auto it = worker.runs.lower_bound(TaskId{job, occurrence, step, 0});
-       it != worker.runs.end() && it->first.job == job &&
-       it->first.occurrence == occurrence && it->first.step == step;
+  for (auto it = worker.runs.lower_bound(
+           TaskId{step.job, step.occurrence, step.step, 0});
+       it != worker.runs.end() && it->first.job == step.job &&
+       it->first.occurrence == step.occurrence && it->first.step == step.step;
        ++it) {
     ++n;
   }
   return n;
 }
 
-}  // namespace
-
 Resources ResourcesOf(const StepSpec& step) {
   Resources resources = step.need;
   if (step.background) {
@@ -64,7 +62,7 @@
     return false;
   }
   return spec.max_per_worker == 0 ||
-         RunsOfStep(worker, job.id, occurrence, step) < spec.max_per_worker;
+         RunsOfStep(worker, {job.id, occurrence, step}) < spec.max_per_worker;
 }
 
 Placement::Room Placement::RoomFor(const Job& job,
@@ -79,11 +77,11 @@
     room.cpu += need.cpu_milli <= free.cpu_milli ? 1 : 0;
     room.memory += need.mem_mb <= free.mem_mb ? 1 : 0;
     room.label += spec.label.empty() || it->HasLabel(spec.label) ? 1 : 0;
-    room.below_limit +=
-        spec.max_per_worker == 0 ||
-                RunsOfStep(*it, job.id, occurrence, step) < spec.max_per_worker
-            ? 1
-            : 0;
+    room.below_limit += spec.max_per_worker == 0 ||
+                                RunsOfStep(*it, {job.id, occurrence, step}) <
+                                    spec.max_per_worker
+                            ? 1
+                            : 0;
     room.all += Allows(*it, job, occurrence, step) ? 1 : 0;
   }
   return room;
--- a/src/libjobs/placement.h
+++ b/src/libjobs/placement.h
@@ -18,6 +18,9 @@
  * occupies no CPU. */
 Resources ResourcesOf(const StepSpec& step);
 
+/** Returns the number of runs of the step on the worker. */
+int RunsOfStep(const Worker& worker, const StepId& step);
+
 /** Chooses workers of one service for tasks. Packs runs onto the fullest worker
  * with enough free capacity, so that whole workers stay free for large tasks
  * among many small ones, for moves and for maintenance. */
--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
@@ -147,6 +148,9 @@
     int late = 0;
   };
   std::map<ServiceId, MissingHosts> CountMissingHosts() const;
+  /** Returns the ready steps of which no worker of the cell can take a task
+   * even if all its finite runs ended. */
+  const std::set<StepId>& StepsLackingHosts(const ServiceId& service);
   /** Returns the room of the cell's workers without their finite runs. */
   PoolRoom RoomOf(const ServiceId& service) const;
   /** Returns whether the run of the task ends without being stopped. */
@@ -294,9 +298,15 @@
   /** Returns the lateness class: 0 for steps that can be in time, 1 for late
    * ones, 2 for those deferred or too late to have any utility. */
   int LatenessOf(const ReadyStep& ready, Time now) const;
-  /** Places waiting tasks of the step. `allowance` is the number of cores that
-   * they may take, and is lowered by those taken. */
-  void PlaceStep(const ServiceId& service,
+  /** Places waiting tasks of the steps, which are given by lateness class,
+   * until too many steps found no worker. */
+  void PlaceSteps(const ServiceId& service,
+                  const Placement& placement,
+                  std::span<const std::vector<ReadyStep>> steps);
+  /** Places waiting tasks of the step; returns false if one found no worker.
+   * `allowance` is the number of cores that they may take, and is lowered by
+   * those taken. */
+  bool PlaceStep(const ServiceId& service,
                  const Placement& placement,
                  const ReadyStep& ready,
                  double& allowance);
@@ -366,6 +376,12 @@
     double cores = 0;
   };
   std::map<ServiceId, LateWorkCores> late_work_cores_;
+  /** Result of StepsLackingHosts, cached by service for the same reason. */
+  struct LackingHosts {
+    Time at;
+    std::set<StepId> steps;
+  };
+  std::map<ServiceId, LackingHosts> lacking_hosts_;
   /** When the last line on the wait of a step was written. */
   std::map<StepId, Time> waits_logged_;
   /** Jobs that other cells decide on, and their ids by time of the decision. */
--- a/src/libjobs/pool_engine_delegation.cc
+++ b/src/libjobs/pool_engine_delegation.cc
@@ -48,7 +48,9 @@
   if (!job.IsLongRunning()) {
     auto room = RoomOf(job.service);
     return !std::all_of(job.spec.steps.begin(), job.spec.steps.end(),
-                        [&](const auto& it) { return room.Holds(it); });
+                        [&](const auto& it) {
+                          return room.Holds(it, StepId{job.id, 0, 0});
+                        });
   }
   double free = 0;
   int hosts = 0;
--- a/src/libjobs/pool_engine_room.cc
+++ b/src/libjobs/pool_engine_room.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include "libjobs/pool_engine.h"
@@ -8,6 +9,13 @@
 
 namespace baobab {
 
+namespace {
+
+/** How long the steps found to lack a host are reused. */
+constexpr Duration kLackingHostsTtl = std::chrono::milliseconds(100);
+
+}  // namespace
+
 PoolRoom PoolEngine::RoomOf(const ServiceId& service) const {
   return {workers_, service,
           [this](const TaskId& id) { return EndsByItself(id); }};
@@ -39,6 +47,7 @@
     for (const auto& it : steps) {
       const Job& job = jobs_.at(it.job);
       const auto& spec = job.Step(it.step);
+      const StepId id{it.job, it.occurrence, it.step};
       const auto& all = job.occurrences.at(it.occurrence)
                             .steps[static_cast<std::size_t>(it.step)];
       const auto waiting = static_cast<int>(
@@ -47,12 +56,11 @@
           }));
       const bool lacks_host =
           waiting > 0 &&
-          (spec.long_running ? !CanPlace(job, {it.job, it.occurrence, it.step})
-                             : !room.Holds(spec));
+          (spec.long_running ? !CanPlace(job, id) : !room.Holds(spec, id));
       if (lacks_host) {
-        tasks[{it.job, it.occurrence, it.step}] =
-            spec.long_running ? waiting
-                              : waiting - room.CountTasks(spec, waiting);
+        tasks[id] = spec.long_running
+                        ? waiting
+                        : waiting - room.CountTasks(spec, id, waiting);
       }
     }
   }
@@ -81,4 +89,21 @@
   return missing;
 }
 
+const std::set<StepId>& PoolEngine::StepsLackingHosts(
+    const ServiceId& service) {
+  auto& known = lacking_hosts_[service];
+  if (now_ - known.at < kLackingHostsTtl) {
+    return known.steps;
+  }
+  known = {now_, {}};
+  auto room = RoomOf(service);
+  for (const auto& it : ready_.by_service().at(service)) {
+    const StepId id{it.job, it.occurrence, it.step};
+    if (!room.Holds(jobs_.at(it.job).Step(it.step), id)) {
+      known.steps.insert(id);
+    }
+  }
+  return known.steps;
+}
+
 }  // namespace baobab
--- a/src/libjobs/pool_engine_tasks.cc
+++ b/src/libjobs/pool_engine_tasks.cc
@@ -11,9 +11,9 @@
 
 namespace {
 
-/** Maximum number of steps per pass that could not be placed completely; limits
- * the cost of a pass when far more work waits than there is free capacity. */
-constexpr int kMaxMisfits = 24;
+/** Maximum number of steps per pass of which a task found no worker; limits the
+ * cost of a pass when far more work waits than there is free capacity. */
+constexpr std::size_t kMaxMisfits = 24;
 
 /** Lateness class of work that only takes capacity left by all other work. */
 constexpr int kDeferred = 2;
@@ -131,25 +131,38 @@
     // that is too late to have any utility goes last. The steps are copied,
     // since placing one changes the set.
     std::vector<ReadyStep> by_lateness[kDeferred + 1];
+    // Tried apart, so that no number of them holds up steps which have room.
+    std::vector<ReadyStep> without_host[kDeferred + 1];
+    const auto* lacking =
+        steps.size() > kMaxMisfits ? &StepsLackingHosts(service) : nullptr;
     for (const auto& it : steps) {
-      by_lateness[LatenessOf(it, now_)].push_back(it);
+      const bool lacks =
+          lacking && lacking->contains({it.job, it.occurrence, it.step});
+      (lacks ? without_host : by_lateness)[LatenessOf(it, now_)].push_back(it);
     }
     const Placement placement(workers_, service, now_);
-    double allowance = std::numeric_limits<double>::max();
-    int misfits = 0;
-    for (const int lateness : {0, 1, kDeferred}) {
-      if (lateness == kDeferred && !by_lateness[kDeferred].empty()) {
-        allowance = CoresForLateWork(service);
+    PlaceSteps(service, placement, by_lateness);
+    PlaceSteps(service, placement, without_host);
+  }
+}
+
+void PoolEngine::PlaceSteps(const ServiceId& service,
+                            const Placement& placement,
+                            std::span<const std::vector<ReadyStep>> steps) {
+  double allowance = std::numeric_limits<double>::max();
+  std::size_t misfits = 0;
+  for (const int lateness : {0, 1, kDeferred}) {
+    const auto& late = steps[static_cast<std::size_t>(lateness)];
+    if (lateness == kDeferred && !late.empty()) {
+      allowance = CoresForLateWork(service);
+    }
+    for (const auto& it : late) {
+      if (misfits >= kMaxMisfits || allowance <= 0) {
+        return;
       }
-      for (const auto& it : by_lateness[lateness]) {
-        if (misfits >= kMaxMisfits || allowance <= 0) {
-          break;
-        }
-        PlaceStep(service, placement, it, allowance);
-        if (lateness == kDeferred) {
-          late_work_cores_[service].cores = allowance;
-        }
-        misfits += steps.contains(it) ? 1 : 0;
+      misfits += PlaceStep(service, placement, it, allowance) ? 0 : 1;
+      if (lateness == kDeferred) {
+        late_work_cores_[service].cores = allowance;
       }
     }
   }
@@ -171,7 +184,7 @@
   return now < due + job.Objective() * kMaxLateFactor ? 1 : kDeferred;
 }
 
-void PoolEngine::PlaceStep(const ServiceId& service,
+bool PoolEngine::PlaceStep(const ServiceId& service,
                            const Placement& placement,
                            const ReadyStep& ready,
                            double& allowance) {
@@ -180,10 +193,11 @@
   auto& tasks = job.occurrences.at(ready.occurrence)
                     .steps[static_cast<std::size_t>(ready.step)];
   if (spec.gang) {
-    if (PlaceGang(placement, job, ready)) {
+    const bool placed = PlaceGang(placement, job, ready);
+    if (placed) {
       ready_.Remove(service, ready);
     }
-    return;
+    return placed;
   }
   const StepId advised{job.id, ready.occurrence, ready.step};
   Placement::Filter filter;
@@ -196,6 +210,7 @@
   const double cores =
       static_cast<double>(ResourcesOf(spec).cpu_milli) / 1000.0;
   bool all = true;
+  bool fits = true;
   for (int i = 0; i < static_cast<int>(tasks.size()); ++i) {
     Task& task = tasks[static_cast<std::size_t>(i)];
     if (task.phase != TaskPhase::kWaiting) {
@@ -210,12 +225,14 @@
     }
     if (allowance < cores) {
       all = false;
+      fits = false;
       break;
     }
     const Worker* worker =
         placement.Choose(job, ready.occurrence, ready.step, task, rack, filter);
     if (!worker) {
       all = false;
+      fits = false;
       if (job.needs_advice) {
         RequestAdvice(placement, job, ready);
       }
@@ -231,6 +248,7 @@
   if (all) {
     ready_.Remove(service, ready);
   }
+  return fits;
 }
 
 void PoolEngine::RequestAdvice(const Placement& placement,
--- a/src/libjobs/pool_room.cc
+++ b/src/libjobs/pool_room.cc
@@ -34,7 +34,9 @@
   }
 }
 
-int PoolRoom::CountTasks(const StepSpec& step, int max_tasks) {
+int PoolRoom::CountTasks(const StepSpec& step,
+                         const StepId& id,
+                         int max_tasks) {
   int n = 0;
   for (auto& [worker, room] : workers_) {
     if (n >= max_tasks) {
@@ -46,14 +48,18 @@
     if (!room) {
       room = RoomOf(*worker);
     }
-    n += TasksThatFit(step, *room, max_tasks - n);
+    int limit = max_tasks - n;
+    if (step.long_running && step.max_per_worker > 0) {
+      limit = std::min(limit, step.max_per_worker - RunsOfStep(*worker, id));
+    }
+    n += std::max(0, TasksThatFit(step, *room, limit));
   }
   return n;
 }
 
-bool PoolRoom::Holds(const StepSpec& step) {
-  const int tasks = step.gang ? step.count : std::min(step.count, 1);
-  return CountTasks(step, tasks) >= tasks;
+bool PoolRoom::Holds(const StepSpec& step, const StepId& id) {
+  const int tasks = step.gang ? step.count : 1;
+  return CountTasks(step, id, tasks) >= tasks;
 }
 
 Resources PoolRoom::RoomOf(const Worker& worker) const {
--- a/src/libjobs/pool_room.h
+++ b/src/libjobs/pool_room.h
@@ -29,10 +29,11 @@
            EndsByItself ends_by_itself);
 
   /** Returns how many tasks of the step fit at once, up to `max_tasks`. */
-  int CountTasks(const StepSpec& step, int max_tasks);
+  int CountTasks(const StepSpec& step, const StepId& id, int max_tasks);
   /** Returns whether all tasks of the finite step fit: one after the other, or
-   * at once for a gang. */
-  bool Holds(const StepSpec& step);
+   * at once for a gang. For a long-running step, returns whether one more fits.
+   */
+  bool Holds(const StepSpec& step, const StepId& id);
 
  private:
   Resources RoomOf(const Worker& worker) const;
--- a/tests/pool_engine_room_test.cc
+++ b/tests/pool_engine_room_test.cc
@@ -150,5 +150,53 @@
   }
 }
 
+// Guards against a job that is never started although there is room, since the
+// search stops at the many long-running jobs ahead of it that lack a host.
+TEST(MissingHosts, JobsThatLackAHostHoldUpNoOthers) {
+  JobWorld world;
+  world.AddWorker("w1");
+  world.TakeOver();
+  world.Advance(milliseconds(300));
+  world.Submit("holder", JobOf(LongRunning(StepOf(1, 8, 200'000))));
+  world.Advance(milliseconds(100));
+  for (int i = 0; i < 30; ++i) {
+    world.Submit("service" + std::to_string(i),
+                 JobOf(LongRunning(StepOf(1, 1, 80'000))));
+  }
+  // Cannot start a second time on the same worker.
+  for (int i = 0; i < 30; ++i) {
+    world.Submit("pair" + std::to_string(i),
+                 JobOf(LongRunning(Limited(StepOf(2, 1, 10), 1))));
+  }
+  world.Advance(milliseconds(200));
+  world.Submit("j1", JobOf(StepOf(1, 1, 100)));
+  world.Advance(seconds(2));
+  EXPECT_EQ(world.State("j1"), JobState::kCompleted);
+  EXPECT_TRUE(world.violations.empty());
+}
+
+// Guards against the same hold-up by long-running tasks that wait for the time
+// of their restart.
+TEST(MissingHosts, TasksThatWaitForARestartHoldUpNoOthers) {
+  JobWorld world;
+  world.tuning.restart_backoff = seconds(20);
+  world.AddWorker("w1");
+  world.TakeOver();
+  world.Advance(milliseconds(300));
+  for (int i = 0; i < 30; ++i) {
+    world.Submit("service" + std::to_string(i),
+                 JobOf(LongRunning(StepOf(1, 1, 100))));
+  }
+  world.Advance(seconds(1));
+  world.drops_crashed = true;
+  world.Crash(WorkerId("w1"));
+  world.AddWorker("w2");
+  world.Advance(seconds(9));
+  world.Submit("j1", JobOf(StepOf(1, 1, 100)));
+  world.Advance(seconds(2));
+  EXPECT_EQ(world.State("j1"), JobState::kCompleted);
+  EXPECT_TRUE(world.violations.empty());
+}
+
 }  // namespace
 }  // namespace baobab
