--- a/src/libjobs/pool_engine_delegation.cc
+++ b/src/libjobs/pool_engine_delegation.cc
@@ -59,8 +59,13 @@
 
 bool PoolEngine::LacksRoomFor(const Job& job) const {
   auto room = RoomOf(job.service);
-  if (!std::all_of(job.spec.steps.begin(), job.spec.steps.end(),
-                   [&](const auto& it) { return room.Holds(it); })) {
+  const bool fits = std::all_of(
+      job.spec.steps.begin(), job.spec.steps.end(), [&](const auto& it) {
+        const StepId id{job.id, 0, 0};
+        return it.long_running ? room.CountTasks(it, id, it.count) >= it.count
+                               : room.Holds(it, id);
+      });
+  if (!fits) {
     return true;
   }
   if (!job.IsLongRunning()) {
