libjobs: stop a task for a move only if its room elsewhere is unclaimed

Change: the room of each task that is stopped, or that waits, is claimed first; a task is stopped only if room is left for it too. Test: EvacuationTest failed before (1 run, expected at least 2). Measured: tests only. Conclusion: hosts that are to be vacated keep their tasks until there is room for each.

--- a/src/libjobs/placement.h
+++ b/src/libjobs/placement.h
@@ -53,7 +53,7 @@
   /** Keeps the room of one task of the step free on the worker that will have
    * it first, once the runs there that end by themselves are gone. Tasks of
    * later steps cannot take that room. Returns false if no worker will have
-   * it. */
+   * it, and keeps none. */
   bool Hold(const Job& job,
             int occurrence,
             int step,
--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -220,6 +220,9 @@
   void ExpireLeases();
   /** Returns whether all runs on the worker have ended, even if it is alive. */
   bool LeaseHasExpired(const Worker& worker) const;
+  /** Returns the free room of the service without that of long-running tasks
+   * which wait or are being stopped. */
+  Placement RoomForMoves(const ServiceId& service) const;
   /** Stops long-running tasks on draining workers, and on reserved ones if
    * another worker can take them. */
   void EvacuateWorkers();
--- a/src/libjobs/pool_engine_workers.cc
+++ b/src/libjobs/pool_engine_workers.cc
@@ -464,7 +464,51 @@
          nullptr;
 }
 
+Placement PoolEngine::RoomForMoves(const ServiceId& service) const {
+  Placement room(workers_, service, now_);
+  const auto claim = [&](const Job& job, const StepId& id) {
+    room.Hold(job, id.occurrence, id.step, [](const auto&) { return false; });
+  };
+  const auto steps = ready_.by_service().find(service);
+  if (steps != ready_.by_service().end()) {
+    for (const auto& it : steps->second) {
+      const Job& job = jobs_.at(it.job);
+      const auto& tasks = job.occurrences.at(it.occurrence)
+                              .steps[static_cast<std::size_t>(it.step)];
+      const auto waiting = std::count_if(
+          tasks.begin(), tasks.end(),
+          [](const auto& task) { return task.phase == TaskPhase::kWaiting; });
+      for (auto n = it.finite ? 0 : waiting; n > 0; --n) {
+        claim(job, {it.job, it.occurrence, it.step});
+      }
+    }
+  }
+  for (const auto& [worker_id, worker] : workers_) {
+    for (const auto& [id, resources] : worker.runs) {
+      const auto job = jobs_.find(id.job);
+      const Task* task = job == jobs_.end() ? nullptr : job->second.Find(id);
+      if (task && task->phase == TaskPhase::kStopping &&
+          job->second.service == service && job->second.end == JobEnd::kOpen &&
+          job->second.Step(id.step).long_running) {
+        claim(job->second, {id.job, id.occurrence, id.step});
+      }
+    }
+  }
+  return room;
+}
+
 void PoolEngine::EvacuateWorkers() {
+  std::map<ServiceId, Placement> rooms;
+  // Claims the room of one task on another worker, so that no second task is
+  // stopped for it.
+  const auto claim_room = [&](const Job& job, const StepId& id) {
+    auto room = rooms.find(job.service);
+    if (room == rooms.end()) {
+      room = rooms.emplace(job.service, RoomForMoves(job.service)).first;
+    }
+    return room->second.Hold(job, id.occurrence, id.step,
+                             [](const auto&) { return false; });
+  };
   for (auto& [worker_id, worker] : workers_) {
     if (!worker.reserved && !worker.entry.draining) {
       continue;
@@ -484,7 +528,8 @@
       // another worker can take it.
       if (worker.entry.draining ||
           (CanPlace(found->second, {id.job, id.occurrence, id.step}) &&
-           MayStopLongRunning(found->second, id))) {
+           MayStopLongRunning(found->second, id) &&
+           claim_room(found->second, {id.job, id.occurrence, id.step}))) {
         OrderStop(id, *task);
       }
     }
--- a/tests/long_running_test.cc
+++ b/tests/long_running_test.cc
@@ -102,5 +102,38 @@
         RestartCase{"WorkerCrashes", 40, 100, 4, 100, 700, true}),
     [](const auto& it) { return it.param.name; });
 
+// Three hosts are to be vacated and one is free. Guards against tasks that are
+// stopped for the same free room, so that all but one of them wait.
+TEST(EvacuationTest, StopsNoMoreTasksThanOtherWorkersCanTake) {
+  JobWorld world;
+  HostPlan plan;
+  for (const char* it : {"w1", "w2", "w3"}) {
+    world.AddWorker(it);
+    plan.reserved.insert(world.workers.at(WorkerId(it)).entry.host);
+  }
+  world.TakeOver();
+  world.Advance(milliseconds(300));
+  JobSpec spec;
+  spec.payload = "serve";
+  spec.steps = {JobWorld::Step(3, 40, 1000)};
+  spec.steps[0].long_running = true;
+  spec.steps[0].max_unavailable = 3;
+  world.Submit("serving", spec);
+  world.Advance(milliseconds(500));
+  world.AddWorker("w4");
+  world.Advance(milliseconds(500));
+  for (int i = 0; i < 30; ++i) {
+    world.Plan(plan);
+    world.Advance(milliseconds(100));
+    int runs = 0;
+    for (int task = 0; task < 3; ++task) {
+      runs += world.RunsOf({JobId("serving"), 0, 0, task});
+    }
+    EXPECT_GE(runs, 2) << i;
+  }
+  EXPECT_EQ(world.workers.at(WorkerId("w4")).runs.size(), 1u);
+  EXPECT_TRUE(world.violations.empty());
+}
+
 }  // namespace
 }  // namespace baobab
