tests: a task whose workers are cut off in turn waits for 15 s (known red)

Seen: a finite task that was lost with three workers of unknown fate is not placed until its losses are forgotten, although other workers have room.

--- a/tests/long_running_test.cc
+++ b/tests/long_running_test.cc
@@ -135,5 +135,38 @@
   EXPECT_TRUE(world.violations.empty());
 }
 
+// The workers of a task are cut off one after the other, and nobody learns
+// whether they have crashed. Guards against a task that waits until its losses
+// are forgotten although other workers have room.
+TEST(UnexplainedLossTest, TaskStartsAgainWithinTheTrialWait) {
+  JobWorld world;
+  for (const char* it : {"w1", "w2", "w3", "w4", "w5"}) {
+    world.AddWorker(it);
+  }
+  world.TakeOver();
+  world.Advance(milliseconds(300));
+  JobSpec spec;
+  spec.payload = "work";
+  spec.steps = {JobWorld::Step(1, 4, 60000)};
+  world.Submit("j1", spec);
+  const TaskId task{JobId("j1"), 0, 0, 0};
+  for (int i = 0; i < 3; ++i) {
+    world.Advance(milliseconds(500));
+    ASSERT_EQ(world.RunsOf(task), 1) << i;
+    for (auto& [id, worker] : world.workers) {
+      worker.reachable = worker.reachable && !worker.runs.contains(task);
+    }
+    while (world.RunsOf(task) > 0) {
+      world.Advance(milliseconds(50));
+    }
+    const Time lost_at = world.now;
+    while (world.RunsOf(task) == 0 && world.now - lost_at < seconds(5)) {
+      world.Advance(milliseconds(50));
+    }
+    EXPECT_EQ(world.RunsOf(task), 1) << i;
+  }
+  EXPECT_TRUE(world.violations.empty());
+}
+
 }  // namespace
 }  // namespace baobab
