libjobs: keep the search for members of a gang from hiding free workers

Cause: members of a gang are placed tentatively during the search. The last search lowers the bound of free cores for the whole pass by these placements, and the bound stays low when they are undone, so later steps are not tried. Change: the search uses a copy of the placement. Test: WaitingGangTest.HoldsUpNoOtherWork failed before (queued, expected completed). Conclusion: a gang that waits holds up no other work by its search.

--- a/src/libjobs/pool_engine_tasks.cc
+++ b/src/libjobs/pool_engine_tasks.cc
@@ -310,12 +310,15 @@
   const auto resources = ResourcesOf(job.Step(ready.step));
   std::vector<WorkerId> chosen;
   std::string rack;
+  // A copy, since the search lowers the bound of free cores by members that are
+  // placed only for the search.
+  const Placement search = placement;
   for (const auto& it : tasks) {
     // Members can't be spread to find out which one crashes its worker.
     Task unsuspected;
     unsuspected.failed_on = it.failed_on;
     const Worker* worker =
-        placement.Choose(job, ready.occurrence, ready.step, unsuspected, rack);
+        search.Choose(job, ready.occurrence, ready.step, unsuspected, rack);
     if (!worker) {
       break;
     }
--- a/tests/pool_engine_room_test.cc
+++ b/tests/pool_engine_room_test.cc
@@ -198,5 +198,36 @@
   EXPECT_TRUE(world.violations.empty());
 }
 
+// A gang waits since one of its workers is taken for good. Guards against a
+// search for its members that leaves all other work unplaced although workers
+// are free.
+TEST(WaitingGangTest, HoldsUpNoOtherWork) {
+  JobWorld world;
+  for (const char* it : {"w1", "w2", "w3", "w4"}) {
+    world.AddWorker(it, 32);
+  }
+  world.TakeOver();
+  world.Advance(milliseconds(300));
+  JobSpec serving;
+  serving.payload = "serve";
+  serving.steps = {JobWorld::Step(1, 16, 1000)};
+  serving.steps[0].long_running = true;
+  world.Submit("serving", serving);
+  JobSpec gang;
+  gang.payload = "gang";
+  gang.steps = {JobWorld::Step(4, 30, 600)};
+  gang.steps[0].gang = true;
+  world.Submit("gang", gang);
+  world.Advance(milliseconds(200));
+  ASSERT_EQ(world.State("gang"), JobState::kQueued);
+  JobSpec work;
+  work.payload = "work";
+  work.steps = {JobWorld::Step(1, 20, 300)};
+  world.Submit("work", work);
+  world.Advance(seconds(1));
+  EXPECT_EQ(world.State("work"), JobState::kCompleted);
+  EXPECT_TRUE(world.violations.empty());
+}
+
 }  // namespace
 }  // namespace baobab
