--- a/src/libjobs/pool_engine_tasks.cc
+++ b/src/libjobs/pool_engine_tasks.cc
@@ -131,7 +131,7 @@
     // that is too late to have any utility goes last. The steps are copied,
     // since placing one changes the set.
     std::vector<ReadyStep> by_lateness[kDeferred + 1];
-    // Tried apart, so that no number of them holds up steps which have room.
+    // Tried last, so that they do not use up the tries of steps with room.
     std::vector<ReadyStep> without_host[kDeferred + 1];
     const auto* lacking =
         steps.size() > kMaxMisfits ? &StepsLackingHosts(service) : nullptr;
--- a/src/libjobs/pool_room.h
+++ b/src/libjobs/pool_room.h
@@ -15,9 +15,8 @@
 int TasksThatFit(const StepSpec& step, const Resources& room, int max_tasks);
 
 /** Room of the workers of one pool once their finite runs have ended: a task
- * that does not fit then waits in vain. It is counted by worker and resource,
- * since the cores of one worker and the memory of another are of no use to a
- * task. */
+ * that does not fit then can never start. Counted by worker and resource, since
+ * a task needs all its resources on one worker. */
 class PoolRoom {
  public:
   /** Returns whether a run ends without being stopped. */
@@ -30,7 +29,7 @@
 
   /** Returns how many tasks of the step fit at once, up to `max_tasks`. */
   int CountTasks(const StepSpec& step, const StepId& id, int max_tasks);
-  /** Returns whether all tasks of the finite step fit: one after the other, or
+  /** Returns whether all tasks of the finite step fit: sequentially, or
    * at once for a gang. For a long-running step, returns whether one more fits.
    */
   bool Holds(const StepSpec& step, const StepId& id);
--- a/tests/long_running_test.cc
+++ b/tests/long_running_test.cc
@@ -135,7 +135,7 @@
   EXPECT_TRUE(world.violations.empty());
 }
 
-// The workers of a task are cut off one after the other, and nobody learns
+// The workers of a task are cut off in turn, and nobody learns
 // whether they have crashed. Guards against a task that waits until its losses
 // are forgotten although other workers have room.
 TEST(UnexplainedLossTest, TaskStartsAgainWithinTheTrialWait) {
--- a/tests/pool_engine_room_test.cc
+++ b/tests/pool_engine_room_test.cc
@@ -131,7 +131,7 @@
                  StepOf(10, 8, 80'000), 0}),
     [](const auto& it) { return it.param.name; });
 
-// Guards against hosts that are brought one after the other for a task that
+// Guards against hosts that are brought in turn for a task that
 // fits on none.
 TEST(MissingHosts, AsksForNoHostsThatCannotTakeTheTask) {
   for (const auto& step :
