--- a/src/libjobs/placement.cc
+++ b/src/libjobs/placement.cc
@@ -134,26 +134,26 @@
          RunsOfStep(worker, {job.id, occurrence, step}) < spec.max_per_worker;
 }
 
-Placement::Room Placement::RoomFor(const Job& job,
-                                   int occurrence,
-                                   int step) const {
+Placement::FitCounts Placement::CountFits(const Job& job,
+                                          int occurrence,
+                                          int step) const {
   const auto& spec = job.Step(step);
   const auto need = ResourcesOf(spec);
-  Room room;
+  FitCounts counts;
   for (const auto* it : workers_) {
     const auto free = it->Free();
-    ++room.usable;
-    room.cpu += need.cpu_milli <= free.cpu_milli ? 1 : 0;
-    room.memory += need.mem_mb <= free.mem_mb ? 1 : 0;
-    room.label += spec.label.empty() || it->HasLabel(spec.label) ? 1 : 0;
-    room.below_limit += spec.max_per_worker == 0 ||
-                                RunsOfStep(*it, {job.id, occurrence, step}) <
-                                    spec.max_per_worker
-                            ? 1
-                            : 0;
-    room.all += Allows(*it, job, occurrence, step) ? 1 : 0;
+    ++counts.usable;
+    counts.cpu += need.cpu_milli <= free.cpu_milli ? 1 : 0;
+    counts.memory += need.mem_mb <= free.mem_mb ? 1 : 0;
+    counts.label += spec.label.empty() || it->HasLabel(spec.label) ? 1 : 0;
+    counts.below_limit += spec.max_per_worker == 0 ||
+                                  RunsOfStep(*it, {job.id, occurrence, step}) <
+                                      spec.max_per_worker
+                              ? 1
+                              : 0;
+    counts.all += Allows(*it, job, occurrence, step) ? 1 : 0;
   }
-  return room;
+  return counts;
 }
 
 std::vector<WorkerId> Placement::Candidates(const Job& job,
--- a/src/libjobs/placement.h
+++ b/src/libjobs/placement.h
@@ -7,7 +7,6 @@
 #include <string>
 #include <vector>
 
-#include "libjobs/advice_cache.h"
 #include "libjobs/job.h"
 #include "libjobs/worker.h"
 
@@ -61,7 +60,7 @@
 
   /** Numbers of usable workers that meet one condition each for a task of a
    * step, and of those that meet all. */
-  struct Room {
+  struct FitCounts {
     int usable = 0;
     int cpu = 0;
     int memory = 0;
@@ -69,7 +68,7 @@
     int below_limit = 0;
     int all = 0;
   };
-  Room RoomFor(const Job& job, int occurrence, int step) const;
+  FitCounts CountFits(const Job& job, int occurrence, int step) const;
 
   /** Returns all workers that could run a task of the step. */
   std::vector<WorkerId> Candidates(const Job& job,
--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -222,7 +222,7 @@
   bool LeaseHasExpired(const Worker& worker) const;
   /** Returns the free room of the service without that of long-running tasks
    * which wait or are being stopped. */
-  Placement RoomForMoves(const ServiceId& service) const;
+  Placement PlacementForMoves(const ServiceId& service) const;
   /** Stops long-running tasks on draining workers, and on reserved ones if
    * another worker can take them. */
   void EvacuateWorkers();
--- a/src/libjobs/pool_engine_waits.cc
+++ b/src/libjobs/pool_engine_waits.cc
@@ -77,15 +77,15 @@
               : 0;
     }
   }
-  const auto room = placement.RoomFor(job, ready.occurrence, ready.step);
+  const auto counts = placement.CountFits(job, ready.occurrence, ready.step);
   const auto late = late_work_cores_.find(job.service);
   return fmt::format(
       "backing_off={} on_hold={} usable={} cpu={} memory={} label={} "
       "below_limit={} fitting={} cpu_milli={} mem_mb={} late_cores={:.0f} "
       "commit_ms={}",
-      backing_off, on_hold, room.usable, room.cpu, room.memory, room.label,
-      room.below_limit, room.all, job.Step(ready.step).need.cpu_milli,
-      job.Step(ready.step).need.mem_mb,
+      backing_off, on_hold, counts.usable, counts.cpu, counts.memory,
+      counts.label, counts.below_limit, counts.all,
+      job.Step(ready.step).need.cpu_milli, job.Step(ready.step).need.mem_mb,
       late == late_work_cores_.end() ? 0.0 : late->second.cores,
       in_flight_ ? (now_ - commit_sent_at_).count() / 1000 : 0);
 }
--- a/src/libjobs/pool_engine_workers.cc
+++ b/src/libjobs/pool_engine_workers.cc
@@ -464,7 +464,7 @@
          nullptr;
 }
 
-Placement PoolEngine::RoomForMoves(const ServiceId& service) const {
+Placement PoolEngine::PlacementForMoves(const ServiceId& service) const {
   Placement room(workers_, service, now_);
   const auto claim = [&](const Job& job, const StepId& id) {
     room.Hold(job, id.occurrence, id.step, [](const auto&) { return false; });
@@ -504,7 +504,7 @@
   const auto claim_room = [&](const Job& job, const StepId& id) {
     auto room = rooms.find(job.service);
     if (room == rooms.end()) {
-      room = rooms.emplace(job.service, RoomForMoves(job.service)).first;
+      room = rooms.emplace(job.service, PlacementForMoves(job.service)).first;
     }
     return room->second.Hold(job, id.occurrence, id.step,
                              [](const auto&) { return false; });
