--- a/src/libjobs/pool_engine_tasks.cc
+++ b/src/libjobs/pool_engine_tasks.cc
@@ -310,8 +310,9 @@
   const auto resources = ResourcesOf(job.Step(ready.step));
   std::vector<WorkerId> chosen;
   std::string rack;
-  // A copy, since the search lowers the bound of free cores by members that are
-  // placed only for the search.
+  // A copy, since the search lowers its mutable bound of free cores by members
+  // that are placed only for the search.
+  // NOLINTNEXTLINE(performance-unnecessary-copy-initialization)
   const Placement search = placement;
   for (const auto& it : tasks) {
     // Members can't be spread to find out which one crashes its worker.
