--- a/tests/long_running_test.cc
+++ b/tests/long_running_test.cc
@@ -102,5 +102,71 @@
         RestartCase{"WorkerCrashes", 40, 100, 4, 100, 700, true}),
     [](const auto& it) { return it.param.name; });
 
+// Three hosts are to be vacated and one is free. Guards against tasks that are
+// stopped for the same free room, so that all but one of them wait.
+TEST(EvacuationTest, StopsNoMoreTasksThanOtherWorkersCanTake) {
+  JobWorld world;
+  HostPlan plan;
+  for (const char* it : {"w1", "w2", "w3"}) {
+    world.AddWorker(it);
+    plan.reserved.insert(world.workers.at(WorkerId(it)).entry.host);
+  }
+  world.TakeOver();
+  world.Advance(milliseconds(300));
+  JobSpec spec;
+  spec.payload = "serve";
+  spec.steps = {JobWorld::Step(3, 40, 1000)};
+  spec.steps[0].long_running = true;
+  spec.steps[0].max_unavailable = 3;
+  world.Submit("serving", spec);
+  world.Advance(milliseconds(500));
+  world.AddWorker("w4");
+  world.Advance(milliseconds(500));
+  for (int i = 0; i < 30; ++i) {
+    world.Plan(plan);
+    world.Advance(milliseconds(100));
+    int runs = 0;
+    for (int task = 0; task < 3; ++task) {
+      runs += world.RunsOf({JobId("serving"), 0, 0, task});
+    }
+    EXPECT_GE(runs, 2) << i;
+  }
+  EXPECT_EQ(world.workers.at(WorkerId("w4")).runs.size(), 1u);
+  EXPECT_TRUE(world.violations.empty());
+}
+
+// The workers of a task are cut off one after the other, and nobody learns
+// whether they have crashed. Guards against a task that waits until its losses
+// are forgotten although other workers have room.
+TEST(UnexplainedLossTest, TaskStartsAgainWithinTheTrialWait) {
+  JobWorld world;
+  for (const char* it : {"w1", "w2", "w3", "w4", "w5"}) {
+    world.AddWorker(it);
+  }
+  world.TakeOver();
+  world.Advance(milliseconds(300));
+  JobSpec spec;
+  spec.payload = "work";
+  spec.steps = {JobWorld::Step(1, 4, 60000)};
+  world.Submit("j1", spec);
+  const TaskId task{JobId("j1"), 0, 0, 0};
+  for (int i = 0; i < 3; ++i) {
+    world.Advance(milliseconds(500));
+    ASSERT_EQ(world.RunsOf(task), 1) << i;
+    for (auto& [id, worker] : world.workers) {
+      worker.reachable = worker.reachable && !worker.runs.contains(task);
+    }
+    while (world.RunsOf(task) > 0) {
+      world.Advance(milliseconds(50));
+    }
+    const Time lost_at = world.now;
+    while (world.RunsOf(task) == 0 && world.now - lost_at < seconds(5)) {
+      world.Advance(milliseconds(50));
+    }
+    EXPECT_EQ(world.RunsOf(task), 1) << i;
+  }
+  EXPECT_TRUE(world.violations.empty());
+}
+
 }  // namespace
 }  // namespace baobab
