--- a/review/standin/deployment.hpp
+++ b/review/standin/deployment.hpp
@@ -173,12 +173,15 @@
     std::snprintf(name, sizeof(name), "m-%05zx", 0x10a0 + n);
     return name;
   }
-  void AddMinions(const std::string& service, int count, int cpu_milli) {
+  void AddMinions(const std::string& service,
+                  int count,
+                  int cpu_milli,
+                  const std::set<int>& of_kind_b = {}) {
     for (int i = 0; i < count; ++i) {
       const auto n = minions.size();
-      minions.push_back(
-          std::make_unique<Minion>(record, runs, store, MachineName(n), service,
-                                   cpu_milli, "r" + std::to_string(n / 4)));
+      minions.push_back(std::make_unique<Minion>(
+          record, runs, store, MachineName(n), service, cpu_milli,
+          "r" + std::to_string(n / 4), of_kind_b.contains(i) ? "b" : "a"));
     }
   }
   void StartNodes(int count) {
--- a/review/standin/main.cpp
+++ b/review/standin/main.cpp
@@ -293,6 +293,104 @@
   return d.Verdict(state.body.find("completed") == std::string::npos, "LOST");
 }
 
+/** The minion of a job that needs a label is lost for good, while another
+ * minion of the service with the label is idle. */
+int LabelLost(Deployment& d) {
+  const std::vector<Route> routes = {{"audit", "/audit/", "fittings"}};
+  // The numbers of the two minions that have the label.
+  const std::set<int> of_kind_b = {0, 2};
+  d.AddMinions("fittings", 24, 64000, of_kind_b);
+  d.Configure(1, {"fittings"}, routes);
+  d.StartNodes(3);
+  if (!d.AwaitService(routes)) {
+    return d.Impossible("the deployment does not serve");
+  }
+  const auto body = [] {
+    Json step = {{"count", 1},          {"cpu", 4000},          {"mem_mb", 64},
+                 {"estimate_ms", 2500}, {"long_running", true}, {"may_miss", 1},
+                 {"requires", "b"}};
+    return Json{{"spec", "lasts"}, {"steps", Json::array({step})}}.dump();
+  }();
+  const auto minion_of = [&](const std::string& job) -> Minion* {
+    for (auto& it : d.minions) {
+      if (it->Has(job + ".0.0.0")) {
+        return it.get();
+      }
+    }
+    return nullptr;
+  };
+  const std::string job = "d000000000000004";
+  if (!d.Submit(0, routes[0].prefix + job, body, 10000)) {
+    return d.Impossible("the job was not accepted");
+  }
+  SleepMs(6000);
+  Minion* minion = minion_of(job);
+  if (!minion) {
+    return d.Impossible("the task does not run");
+  }
+  d.record.Line("the task runs on " + minion->id());
+  if (d.trouble) {
+    minion->Crash(-1);
+  }
+  SleepMs(30000);
+  // A new job of the same kind shows that there is room.
+  const std::string later = "d000000000000005";
+  d.Submit(1, routes[0].prefix + later, body, 5000);
+  SleepMs(4000);
+  d.Ask(0, "GET", routes[0].prefix + job);
+  Minion* now = minion_of(job);
+  Minion* other = minion_of(later);
+  d.record.Line("judge: the task " +
+                (now ? "runs on " + now->id() : "does not run") +
+                "; that of a new job with the same needs " +
+                (other ? "runs on " + other->id() : "does not run"));
+  return d.Verdict(!now, "LOST");
+}
+
+/** Jobs need a label that one minion of the service has. Without the disruption
+ * all minions have the label. */
+int LabelRare(Deployment& d) {
+  const std::vector<Route> routes = {{"audit", "/audit/", "fittings"}};
+  constexpr int kJobs = 16;
+  d.AddMinions("fittings", 40, 64000, {5});
+  d.Configure(1, {"fittings"}, routes);
+  d.StartNodes(3);
+  if (!d.AwaitService(routes)) {
+    return d.Impossible("the deployment does not serve");
+  }
+  Json step = {{"count", 1},
+               {"cpu", 2000},
+               {"mem_mb", 64},
+               {"estimate_ms", 1000},
+               {"requires", d.trouble ? "b" : "a"}};
+  const auto body =
+      Json{{"spec", "work 1000 1000"}, {"steps", Json::array({step})}}.dump();
+  std::vector<std::string> accepted;
+  for (int i = 0; i < kJobs; ++i) {
+    char id[17];
+    std::snprintf(id, sizeof(id), "c%015x", i * 7919);
+    accepted.push_back(routes[0].prefix + id);
+    if (!d.Submit(static_cast<std::size_t>(i), accepted.back(), body, 10000)) {
+      return d.Impossible("a job was not accepted");
+    }
+    SleepMs(200);
+  }
+  SleepMs(20000);
+  int open = 0;
+  for (const auto& it : accepted) {
+    open += d.Ask(0, "GET", it).body.find("completed") == std::string::npos;
+  }
+  std::size_t at_work = 0;
+  for (auto& it : d.minions) {
+    at_work += it->Running().size();
+  }
+  d.record.Line("judge: " + std::to_string(open) + " of " +
+                std::to_string(accepted.size()) +
+                " accepted jobs of 1 s are not completed after 20 s; " +
+                std::to_string(at_work) + " tasks are at work on all minions");
+  return d.Verdict(open > 0, "LOST");
+}
+
 int RunCase(const std::string& name, const std::string& record) {
   // Never destroyed: the threads of its servers use it until the process ends.
   auto& d = *new Deployment(record);
@@ -311,6 +409,10 @@
     status = WideJob(d);
   } else if (name == "crashes") {
     status = Crashes(d);
+  } else if (name == "label-lost") {
+    status = LabelLost(d);
+  } else if (name == "label-rare") {
+    status = LabelRare(d);
   } else if (name == "advised-gang") {
     status = AdvisedGang(d);
   }
--- a/review/standin/minion.hpp
+++ b/review/standin/minion.hpp
@@ -124,14 +124,16 @@
          std::string machine,
          std::string service,
          int cpu_milli,
-         std::string rack)
+         std::string rack,
+         std::string kind)
       : record_(record),
         runs_(runs),
         store_(store),
         machine_(std::move(machine)),
         service_(std::move(service)),
         cpu_milli_(cpu_milli),
-        rack_(std::move(rack)) {
+        rack_(std::move(rack)),
+        kind_(std::move(kind)) {
     Begin();
     server_ = std::make_unique<Server>(
         [this](const Request& request) { return Serve(request); });
@@ -158,18 +160,24 @@
             {"pool", service_},
             {"state", up_ ? "up" : "down"},
             {"zone", "z1"},
-            {"labels", {"a", rack_}},
+            {"labels", {kind_, rack_}},
             {"capacity", Capacity()},
             {"id", id_}};
   }
 
-  /** The process crashes; after `down_ms` a new minion is there. */
+  /** The process crashes and sends nothing; the store drops its entry after
+   * three heartbeats of silence. After `down_ms` a new minion is there. With a
+   * negative time it is lost for good. */
   void Crash(std::int64_t down_ms, const std::string& pool = "") {
     {
       const std::lock_guard lock(mutex_);
       record_.Line("minion " + id_ + " of " + machine_ + " crashes with " +
                    std::to_string(running_.size()) + " runs");
       up_ = false;
+      std::thread([this, id = id_] {
+        SleepMs(3 * kBeatMs);
+        store_.Put("keyed.servers", id, "");
+      }).detach();
       for (auto& [task, it] : running_) {
         it.run->ended_at = Now();
         it.run->how = "gone";
@@ -177,6 +185,9 @@
       running_.clear();
       changed_.notify_all();
     }
+    if (down_ms < 0) {
+      return;
+    }
     std::thread([this, down_ms, pool] {
       SleepMs(down_ms);
       {
@@ -219,9 +230,6 @@
 
   void Begin() {
     const std::lock_guard lock(mutex_);
-    if (!id_.empty()) {
-      store_.Put("keyed.servers", id_, "");
-    }
     char id[16];
     std::snprintf(id, sizeof(id), "i-%s%05x", machine_.substr(2).c_str(),
                   ++lives_);
@@ -247,7 +255,7 @@
                     {"state", "ready"},
                     {"cold_left_ms", 0},
                     {"capacity", Capacity()},
-                    {"labels", {"a", rack_}},
+                    {"labels", {kind_, rack_}},
                     {"machine", machine_},
                     {"born", born_},
                     {"clock_ms", ClockMs()},
@@ -452,6 +460,7 @@
   std::string service_;
   const int cpu_milli_;
   const std::string rack_;
+  const std::string kind_;
   std::mutex mutex_;
   std::condition_variable changed_;
   std::string id_;
