libjobs: conclude nothing from a report that lists only a part of the run ends

Callers saw: tasks that had ended done ran a second time (TWICE) after an outage of the store during which over 500 runs had ended at a worker. Cause: a run that a report lists neither as running nor as ended was taken for lost. A worker lists at most 500 ends until they are acknowledged. Evidence: a line run-lost for each task that ran twice, none on an expired lease or a new owner; ends-in-part is new and shows such reports. The simulated worker lists 500 ends at most. Conclusion: each end is stored and acknowledged in turn before absence counts.

--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -209,10 +209,9 @@
   void ApplyRunning(Worker& worker, const ActiveRun& reported);
   /** Throttles background runs if serving tasks of the worker are too slow. */
   void ThrottleBackgroundRuns(Worker& worker, const WorkerReport& report);
-  /** Handles the runs of the worker that are not in its report. */
-  void ApplyAbsent(Worker& worker,
-                   const std::set<TaskId>& present,
-                   bool newly_confirmed);
+  /** Handles the runs of the worker that are neither at work nor among its
+   * ends, according to a report with all ends. */
+  void ApplyAbsent(Worker& worker, const std::set<TaskId>& present);
   void MaybePollWorkers();
   /** Sends a poll if one is due. */
   void MaybePollWorker(Worker& worker);
--- a/src/libjobs/pool_engine_workers.cc
+++ b/src/libjobs/pool_engine_workers.cc
@@ -185,7 +185,15 @@
     present.insert(it.task);
     ApplyRunning(worker, it);
   }
-  ApplyAbsent(worker, present, newly_confirmed);
+  if (report.has_more_ends) {
+    Log("ends-in-part", JobId(),
+        fmt::format("worker={} ends={} last={} stored={} runs={}",
+                    worker.entry.id.value(), report.ended.size(),
+                    worker.applied_ends, worker.stored_ends,
+                    worker.runs.size()));
+  } else {
+    ApplyAbsent(worker, present);
+  }
   ThrottleBackgroundRuns(worker, report);
   if (worker.applied_ends > worker.stored_ends) {
     worker.ends_pending = true;
@@ -314,9 +322,7 @@
   }
 }
 
-void PoolEngine::ApplyAbsent(Worker& worker,
-                             const std::set<TaskId>& present,
-                             bool newly_confirmed) {
+void PoolEngine::ApplyAbsent(Worker& worker, const std::set<TaskId>& present) {
   std::vector<TaskId> ids;
   for (const auto& [id, resources] : worker.runs) {
     if (!present.contains(id)) {
@@ -338,10 +344,8 @@
     const bool answered = task->answered_at < worker.poll_sent_at;
     switch (task->phase) {
       case TaskPhase::kInherited:
-        // The worker refuses orders of former owners from now on.
-        if (newly_confirmed) {
-          EndRun(found->second, id, *task, EndKind::kLeaseExpired, "");
-        }
+        // The worker has answered this owner and refuses orders of former ones.
+        EndRun(found->second, id, *task, EndKind::kLeaseExpired, "");
         break;
       case TaskPhase::kStarting:
         if (answered) {
--- a/src/libjobs/worker_report.h
+++ b/src/libjobs/worker_report.h
@@ -81,7 +81,11 @@
   /** Reading of the worker's clock when it answered. */
   std::int64_t clock_ms = 0;
   std::vector<ActiveRun> running;
+  /** The oldest unacknowledged ends, in the order of their numbers. */
   std::vector<EndedRun> ended;
+  /** Further ends may follow those in `ended`, so that a run which is listed
+   * nowhere may have ended. */
+  bool has_more_ends = false;
 };
 
 }  // namespace baobab
--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -546,7 +546,11 @@
       report.running.push_back({id, run.run, "", run.long_running ? 100 : 1,
                                 run.long_running ? serving_tail_ms : 0});
     }
-    report.ended = worker.ended;
+    const auto listed_ends = std::min(worker.ended.size(), kMaxListedEnds);
+    report.ended.assign(
+        worker.ended.begin(),
+        worker.ended.begin() + static_cast<std::ptrdiff_t>(listed_ends));
+    report.has_more_ends = listed_ends == kMaxListedEnds;
     After(std::chrono::milliseconds(2), [this, owner, fence_token, poll,
                                          report] {
       Post(owner, fence_token,
--- a/tests/platform_decode_test.cc
+++ b/tests/platform_decode_test.cc
@@ -112,6 +112,34 @@
   EXPECT_EQ(report->ended[0].kind, EndKind::kDone);
 }
 
+struct EndCountCase {
+  int ends;
+  bool has_more;
+};
+
+class EndCountTest : public testing::TestWithParam<EndCountCase> {};
+
+// Guards against a report with the most ends that one holds which passes for a
+// list of all ends.
+TEST_P(EndCountTest, TellsWhetherMoreEndsMayFollow) {
+  Json ended = Json::array();
+  for (int n = 1; n <= GetParam().ends; ++n) {
+    ended.push_back({n, "5c.0.0." + std::to_string(n), 1, "done", ""});
+  }
+  const auto report = DecodeReport(DumpJson({{"clock_ms", 5},
+                                             {"born", 3},
+                                             {"running", Json::array()},
+                                             {"ended", ended}}));
+  ASSERT_TRUE(report.has_value());
+  EXPECT_EQ(report->has_more_ends, GetParam().has_more);
+}
+
+INSTANTIATE_TEST_SUITE_P(Counts,
+                         EndCountTest,
+                         testing::Values(EndCountCase{0, false},
+                                         EndCountCase{499, false},
+                                         EndCountCase{500, true}));
+
 // Guards against input that crashes the process.
 RC_GTEST_PROP(DecodeProperty,
               AnyBytesAreDecodedOrRejected,
--- a/tests/sim_worker.h
+++ b/tests/sim_worker.h
@@ -10,6 +10,9 @@
 
 namespace baobab {
 
+/** Maximum number of ends that a worker lists in one answer. */
+inline constexpr std::size_t kMaxListedEnds = 500;
+
 /** Simulates a worker that follows the platform's contract. */
 class SimWorker {
  public:
