libjobs: do not count the time without lists of workers as a worker's absence

Cause: a worker missing from the list counts as gone 2.2 s after it was first missed, also if no list could be read in that time; entries that expired while the store was away come back up to 2 s after its return. For a new owner the lease does not hold this back. Change: the absence is counted anew after a second without lists. Before: UnlistedWorkerTest fails, 'concurrent runs: j1.0.0.0'.

--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -356,6 +356,8 @@
   /** The platform's list of all workers, also of other cells and pools. */
   std::shared_ptr<const std::vector<WorkerEntry>> listed_ =
       std::make_shared<const std::vector<WorkerEntry>>();
+  /** When that list arrived. */
+  Time listed_at_;
   ReadySteps ready_;
   /** Open jobs with further occurrences to create. */
   std::set<JobId> scheduled_jobs_;
--- a/src/libjobs/pool_engine_workers.cc
+++ b/src/libjobs/pool_engine_workers.cc
@@ -19,6 +19,10 @@
 /** Time from the end of a stopped run until its worker's report arrives. */
 constexpr Duration kStopReportDelay = std::chrono::milliseconds(150);
 
+/** Time without a list of workers from which a worker's absence from the lists
+ * is counted anew. */
+constexpr Duration kMaxListInterval = std::chrono::milliseconds(1000);
+
 constexpr int kFullSpeedPercent = 100;
 constexpr int kUnknownSpeedPercent = -1;
 
@@ -50,6 +54,8 @@
     return;
   }
   listed_ = event.workers;
+  const bool lists_resume = now_ - listed_at_ > kMaxListInterval;
+  listed_at_ = now_;
   std::set<WorkerId> listed;
   std::map<HostId, std::pair<std::int64_t, WorkerId>> newest;
   for (const auto& it : *event.workers) {
@@ -98,6 +104,11 @@
         Log("worker-unlisted", JobId(),
             fmt::format("worker={} runs={}", id.value(), worker.runs.size()));
       }
+      if (lists_resume) {
+        // The store may have been away, and entries that expired meanwhile
+        // return later than it.
+        worker.unlisted_at = now_;
+      }
       // A worker that is cut off from the platform's store only goes on with
       // its runs, which end with their lease at the earliest.
       if (loaded_ && now_ - worker.unlisted_at > tuning_.unlisted_timeout &&
--- a/tests/hidden_ends_test.cc
+++ b/tests/hidden_ends_test.cc
@@ -70,5 +70,33 @@
                        false}),
     [](const auto& it) { return std::string(it.param.name); });
 
+// The list of workers cannot be read for 3 s after a takeover, and an entry
+// that expired meanwhile is back 0.5 s later. Guards against counting the time
+// without lists as absence, and starting the worker's runs a second time.
+TEST(UnlistedWorkerTest, TimeWithoutListsIsNoAbsence) {
+  JobWorld world;
+  world.AddWorker("w1");
+  world.TakeOver();
+  world.Advance(milliseconds(300));
+  JobSpec spec;
+  spec.payload = "work";
+  spec.steps = {JobWorld::Step(1, 4, 9000)};
+  world.Submit("j1", spec);
+  world.Advance(milliseconds(300));
+  ASSERT_EQ(world.workers.at(WorkerId("w1")).runs.size(), 1u);
+  world.AddWorker("w2");
+  world.listed = {WorkerId("w2")};
+  world.TakeOver();
+  world.listing = false;
+  world.Advance(seconds(3));
+  world.List();
+  world.Advance(milliseconds(500));
+  world.listed.clear();
+  world.listing = true;
+  world.Advance(seconds(9));
+  EXPECT_TRUE(world.violations.empty()) << world.violations.front();
+  EXPECT_EQ(world.State("j1"), JobState::kCompleted);
+}
+
 }  // namespace
 }  // namespace baobab
