--- a/src/libfleet/fleet_node.cc
+++ b/src/libfleet/fleet_node.cc
@@ -234,6 +234,8 @@
     worker_timer_.Set(kWorkerListInterval, [this] { WorkerLoop(); });
   };
   if (shards_.empty()) {
+    // Shards that this node gets later must not begin with an old list.
+    worker_list_.reset();
     schedule_next();
     return;
   }
--- a/tests/store_client_test.cc
+++ b/tests/store_client_test.cc
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include <boost/beast/core/detail/base64.hpp>
+#include <boost/endian/conversion.hpp>
 
 #include "libnet/async_http_server.h"
 #include "platform/decode.h"
@@ -51,9 +52,10 @@
         DumpJson({{"items", items}, {"has_more", more}, {"end_offset", kEnd}}));
   }
 
-  void AddRead(const std::string& records) {
+  void AddRead(const std::string& records, std::uint64_t end = kEnd) {
     std::string body(16, '\0');
-    body[7] = kEnd;
+    boost::endian::store_big_u64(reinterpret_cast<unsigned char*>(body.data()),
+                                 end);
     answers.push_back(body + records);
   }
 
@@ -144,6 +146,38 @@
   EXPECT_EQ(targets.size(), 1u);
 }
 
+// Guards against a first page that passes for all records if the next one
+// cannot be asked for.
+TEST_F(StoreClientTest, RejectsAPageThatLeadsToNoNextOne) {
+  AddPage({Item("i1", kWorker)}, true);
+  AddPage({Item("i1", kWorker)}, true);
+  EXPECT_EQ(ReadWorkers(), std::nullopt);
+  AddPage({}, true);
+  EXPECT_EQ(ReadWorkers(), std::nullopt);
+}
+
+// Guards against a list of workers that is used before the records that one
+// answer could not hold are read: a worker that registered again seems gone.
+TEST_F(StoreClientTest, ReadsToTheEndOfTheTopic) {
+  AddPage({Item("i1", kWorker)}, false);
+  AddRead(EncodeRecords({{"i1", ""}}), kEnd + 2);
+  AddRead(EncodeRecords({{"i1", kWorker}}), kEnd + 2);
+  EXPECT_EQ(ReadWorkers(), Ids{"i1"});
+  EXPECT_EQ(ReadWorkers(), Ids{"i1"});
+  EXPECT_EQ(targets.size(), 3u);
+}
+
+// Guards against a reader that stays behind a topic which grows as fast as it
+// reads.
+TEST_F(StoreClientTest, ReadsTheNewestRecordsIfFarBehind) {
+  AddPage({Item("i1", kWorker)}, false);
+  AddRead(EncodeRecords({{"i1", ""}}), kEnd + 5000);
+  AddPage({Item("i2", kWorker)}, false);
+  EXPECT_EQ(ReadWorkers(), Ids{"i1"});
+  EXPECT_EQ(ReadWorkers(), Ids{"i2"});
+  EXPECT_NE(targets.back().find("log-newest"), std::string::npos);
+}
+
 // Guards against a record that is cut short, at whose offset a reader stays for
 // ever.
 TEST_F(StoreClientTest, StartsOverAfterARecordThatIsCutShort) {
