libfleet: find a job by its id wherever its queue is sent now

Callers saw: after a queue was removed and added for another service, a repeated request started its job a second time (TWICE), and a GET for an accepted job was answered 410 (LOST). Cause: the cell of a job followed from the service to which its queue is sent in the configuration of the asking node. Evidence: accept-job of one id by the cells of two services; the runs of the first go on. Change: a queue, known by host and path prefix, has a home pool, which the planner's node stores once with the division. A job is accepted and looked for in the cell that its id has there; if the queue is sent elsewhere, that cell delegates the job to a cell of the present pool. Searches and counts ask the cells of all pools of the queue. The division is followed, not read anew. PlannerDividesNewPoolsOnce expects the record of the queue beside that of the pool. Tests that capture the log print it if they fail: the messages of failed checks were lost with it. Conclusion: one cell decides whether an id is new, whatever the configuration.

--- a/src/libfleet/division_keeper.cc
+++ b/src/libfleet/division_keeper.cc
@@ -10,8 +10,8 @@
 
 namespace {
 
-/** Delay between two reads while pools lack cells; doubles with each read,
- * since all nodes read at the same time. */
+/** Delay between two reads while cells or homes are missing; doubles with each
+ * read, since all nodes read at the same time. */
 constexpr Duration kMinReadDelay = std::chrono::milliseconds(150);
 constexpr Duration kMaxReadDelay = std::chrono::milliseconds(1200);
 
@@ -45,7 +45,42 @@
   for (const auto& it : policies.queues) {
     pools_.insert(it.service);
   }
-  if (!reading_ && !MissingPools().empty()) {
+  queues_ = policies.queues;
+  for (const auto& it : queues_) {
+    seen_pools_[it.Key()].insert(it.service);
+  }
+  ReadIfIncomplete();
+}
+
+std::set<ServiceId> DivisionKeeper::PoolsOf(const QueuePolicy& queue) const {
+  const auto key = queue.Key();
+  const auto& stored = division_->PoolsOf(key);
+  std::set<ServiceId> pools(stored.begin(), stored.end());
+  if (const auto it = seen_pools_.find(key); it != seen_pools_.end()) {
+    pools.insert(it->second.begin(), it->second.end());
+  }
+  pools.insert(queue.service);
+  return pools;
+}
+
+void DivisionKeeper::SetPlannerOwned(bool owned) {
+  planner_owned_ = owned;
+  if (owned) {
+    ReadIfIncomplete();
+  }
+}
+
+bool DivisionKeeper::IsIncomplete() const {
+  return !MissingPools().empty() ||
+         std::any_of(queues_.begin(), queues_.end(),
+                     [this](const auto& it) {
+                       return division_->PoolsOf(it.Key()).empty();
+                     }) ||
+         (planner_owned_ && !RecordQueues(*division_, queues_).empty());
+}
+
+void DivisionKeeper::ReadIfIncomplete() {
+  if (!reading_ && IsIncomplete()) {
     read_delay_ = kMinReadDelay;
     Read();
   }
@@ -79,8 +114,8 @@
                                    still_missing.size()));
       ports_.on_change(division_);
     }
-    if (!still_missing.empty()) {
-      Divide(*stored);
+    if (IsIncomplete()) {
+      Extend(*stored);
     }
   };
   ports_.store.ReadDivision(guard_.Bind(on_read));
@@ -93,31 +128,44 @@
   read_delay_ = std::min(read_delay_ * 2, kMaxReadDelay);
 }
 
-void DivisionKeeper::Divide(const JobStore::StoredDivision& stored) {
+void DivisionKeeper::Extend(const JobStore::StoredDivision& stored) {
+  std::vector<StoredRecord> records;
+  DivisionInput input;
   if (planner_owned_) {
     read_delay_ = kMinReadDelay;
+    records = RecordQueues(*division_, queues_);
+    input.pools = MissingPools();
+  }
+  if (workers_ == 0 || SteadyNow() - workers_since_ < kWorkersSettleTime) {
+    input.pools.clear();
+  }
+  if (!input.pools.empty()) {
+    input.hosts_per_pool = workers_ / static_cast<int>(pools_.size());
+    input.owner_milli_cores = ports_.owner_milli_cores();
+    input.shards = shards_;
+    const auto cells = DividePools(*division_, input);
+    records.insert(records.end(), cells.begin(), cells.end());
   }
-  if (!planner_owned_ || workers_ == 0 ||
-      SteadyNow() - workers_since_ < kWorkersSettleTime) {
+  if (records.empty()) {
     ReadLater();
     return;
   }
-  DivisionInput input;
-  input.pools = MissingPools();
-  input.hosts_per_pool = workers_ / static_cast<int>(pools_.size());
-  input.owner_milli_cores = ports_.owner_milli_cores();
-  input.shards = shards_;
-  const auto records = DividePools(*division_, input);
   reading_ = true;
-  const auto on_stored = [this, input](AppendOutcome outcome) {
+  const auto on_stored = [this, input,
+                          n = records.size()](AppendOutcome outcome) {
     ports_.log.Write(
         "divide-pools", "",
-        fmt::format("pools={} hosts_per_pool={} owner_milli_cores={} stored={}",
-                    input.pools.size(), input.hosts_per_pool,
-                    input.owner_milli_cores,
+        fmt::format("pools={} queues={} hosts_per_pool={} owner_milli_cores={} "
+                    "stored={}",
+                    input.pools.size(), n - input.pools.size(),
+                    input.hosts_per_pool, input.owner_milli_cores,
                     outcome == AppendOutcome::kStored ? "yes" : "no"));
     // What is stored is used only after it is read, whoever wrote it.
-    Read();
+    if (outcome == AppendOutcome::kStored) {
+      Read();
+    } else {
+      ReadLater();
+    }
   };
   ports_.store.ExtendDivision(records, stored.end, guard_.Bind(on_stored));
 }
--- a/src/libfleet/division_keeper.h
+++ b/src/libfleet/division_keeper.h
@@ -2,6 +2,7 @@
 #define SRC_LIBFLEET_DIVISION_KEEPER_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <vector>
@@ -13,11 +14,12 @@
 namespace baobab {
 
 /** Knows the division of the pools on one node. Reads it until all pools of the
- * configuration have cells; the node of the planner divides new pools.
+ * configuration have cells and all queues have homes; the node of the planner
+ * divides new pools and records where queues are sent.
  *
- * The cells of a pool never change, so nothing is read while all pools have
- * some. Two planners that divide a pool at once cannot both succeed, since the
- * store accepts records only at the end that the writer has read. */
+ * Cells and homes never change, so nothing is read while none is missing. Two
+ * planners that divide a pool at once cannot both succeed, since the store
+ * accepts records only at the end that the writer has read. */
 class DivisionKeeper {
  public:
   struct Ports {
@@ -37,24 +39,36 @@
     return division_;
   }
   void SetPolicies(const PolicySet& policies);
+  /** Returns all pools that may have jobs of the queue. */
+  std::set<ServiceId> PoolsOf(const QueuePolicy& queue) const;
   /** Passes the list of workers, on nodes that read it. */
   void SetWorkers(const std::vector<WorkerEntry>& workers);
   /** Sets whether this node may divide new pools. */
-  void SetPlannerOwned(bool owned) { planner_owned_ = owned; }
+  void SetPlannerOwned(bool owned);
 
  private:
   /** Returns the pools of the configuration without cells. */
   std::set<ServiceId> MissingPools() const;
+  /** Returns whether records are missing that this node needs or has to
+   * write. */
+  bool IsIncomplete() const;
+  /** Reads the division if it is incomplete and not being read. */
+  void ReadIfIncomplete();
   void Read();
   void ReadLater();
-  /** Divides the missing pools if the number of workers is known. */
-  void Divide(const JobStore::StoredDivision& stored);
+  /** On the planner's node, stores the queues that are sent to new pools, and
+   * divides the missing pools if the number of workers is known. */
+  void Extend(const JobStore::StoredDivision& stored);
 
   const Ports ports_;
   const int shards_;
   LoopTimer timer_;
   std::shared_ptr<const PoolDivision> division_;
   std::set<ServiceId> pools_;
+  /** Queues of the configuration. */
+  std::vector<QueuePolicy> queues_;
+  /** Pools to which this node has seen a queue sent. */
+  std::map<QueueKey, std::set<ServiceId>> seen_pools_;
   bool planner_owned_ = false;
   bool reading_ = false;
   Duration read_delay_{0};
--- a/src/libfleet/fleet_node.h
+++ b/src/libfleet/fleet_node.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "libfleet/division_keeper.h"
 #include "libfleet/ownership_eligibility.h"
@@ -182,9 +183,12 @@
   /** Returns the median CPU share of the owners that state theirs, in
    * thousandths of a core. */
   int OwnerMilliCores() const;
-  /** Returns a function that looks up the shard of the job's cell. */
-  std::function<std::optional<ShardId>()> CellOfJob(const QueuePolicy& queue,
+  /** Returns a function that looks up the shard at which the job is submitted
+   * and looked for, wherever its queue is sent now. */
+  std::function<std::optional<ShardId>()> HomeOfJob(const QueuePolicy& queue,
                                                     const JobId& job) const;
+  /** Returns the shards that may have jobs of the queue. */
+  std::vector<ShardId> CellsWithJobsOf(const QueuePolicy& queue) const;
   /** Cell that knows a job, and the job's state. */
   struct Found {
     ShardId cell;
--- a/src/libfleet/fleet_node_calls.cc
+++ b/src/libfleet/fleet_node_calls.cc
@@ -133,7 +133,7 @@
     done(std::move(outcome));
   };
   auto forward = std::make_shared<Forward<T>>();
-  forward->find_shard = CellOfJob(queue, job);
+  forward->find_shard = HomeOfJob(queue, job);
   forward->deadline =
       SteadyNow() + std::min(OwnerTimeBudget(time_left), kOwnerSearchTimeout);
   forward->retry_until = SteadyNow() + kUnsentSubmitTimeout;
@@ -193,7 +193,7 @@
                        std::function<void(CallOutcome)> done) {
   const Time deadline = SteadyNow() + time_left;
   CancelInCell(
-      CellOfJob(queue, job), job, time_left,
+      HomeOfJob(queue, job), job, time_left,
       [this, job, queue, deadline, done = std::move(done)](
           tl::expected<CancelAnswer, PeerFault> answer, bool maybe_done) {
         if (!answer) {
@@ -258,7 +258,7 @@
     Duration time_left,
     std::function<void(CallOutcome, JobStateAnswer)> done) {
   const Time deadline = SteadyNow() + time_left;
-  StateInCell(CellOfJob(queue, job), job, time_left,
+  StateInCell(HomeOfJob(queue, job), job, time_left,
               [this, job, queue, deadline, done = std::move(done)](
                   tl::expected<JobStateAnswer, PeerFault> answer, bool) {
                 if (!answer || answer->state) {
@@ -316,8 +316,8 @@
     bool failed = false;
     std::optional<Found> found;
   };
-  auto cells = keeper_.division()->CellsOf(queue.service);
-  std::erase(cells, keeper_.division()->CellOfJob(queue.service, job));
+  auto cells = CellsWithJobsOf(queue);
+  std::erase(cells, keeper_.division()->HomeOfJob(queue.Key(), job));
   if (cells.empty()) {
     done(CallOutcome::kDone, std::nullopt);
     return;
@@ -350,7 +350,7 @@
     int pending = 0;
     bool failed = false;
   };
-  const auto& cells = keeper_.division()->CellsOf(queue.service);
+  const auto cells = CellsWithJobsOf(queue);
   if (cells.empty()) {
     done(CallOutcome::kNotDone, 0);
     return;
@@ -399,12 +399,22 @@
   StartAttempt<T>(forward);
 }
 
-std::function<std::optional<ShardId>()> FleetNode::CellOfJob(
+std::function<std::optional<ShardId>()> FleetNode::HomeOfJob(
     const QueuePolicy& queue,
     const JobId& job) const {
-  return [this, service = queue.service, job] {
-    return keeper_.division()->CellOfJob(service, job);
+  return [this, key = queue.Key(), job] {
+    return keeper_.division()->HomeOfJob(key, job);
   };
 }
 
+std::vector<ShardId> FleetNode::CellsWithJobsOf(
+    const QueuePolicy& queue) const {
+  std::set<ShardId> cells;
+  for (const auto& it : keeper_.PoolsOf(queue)) {
+    const auto& of_pool = keeper_.division()->CellsOf(it);
+    cells.insert(of_pool.begin(), of_pool.end());
+  }
+  return {cells.begin(), cells.end()};
+}
+
 }  // namespace baobab
--- a/src/libjobs/ids.h
+++ b/src/libjobs/ids.h
@@ -12,6 +12,10 @@
 /** Id of a job, chosen by the caller; never reused. */
 using JobId = StrongId<struct JobTag, std::string>;
 
+/** Identifies a queue by the callers' requests to it, whatever its name and
+ * settings are. */
+using QueueKey = StrongId<struct QueueKeyTag, std::string>;
+
 /** Id of a worker, a process that runs tasks. A worker may restart under the
  * same id as a new incarnation. */
 using WorkerId = StrongId<struct WorkerTag, std::string>;
--- a/src/libjobs/policies.cc
+++ b/src/libjobs/policies.cc
@@ -1,7 +1,16 @@
 #include "libjobs/policies.h"
 
+#include <fmt/format.h>
+#include <xxhash.h>
+
 namespace baobab {
 
+QueueKey QueuePolicy::Key() const {
+  // Keys of the store are short, and a prefix may be long.
+  const auto text = host + path_prefix;
+  return QueueKey(fmt::format("{:016x}", XXH64(text.data(), text.size(), 0)));
+}
+
 const QueuePolicy* PolicySet::Route(std::string_view host,
                                     std::string_view path) const {
   const QueuePolicy* best = nullptr;
--- a/src/libjobs/policies.h
+++ b/src/libjobs/policies.h
@@ -41,6 +41,9 @@
   Duration target{0};
   std::optional<AdvicePolicy> advice;
 
+  /** Returns a key that depends on host and path prefix only. */
+  QueueKey Key() const;
+
   bool operator==(const QueuePolicy&) const = default;
 };
 
--- a/src/libjobs/pool_division.cc
+++ b/src/libjobs/pool_division.cc
@@ -25,6 +25,9 @@
 /** Maximum hosts of a wide cell. */
 constexpr int kMaxHostsOfWideCell = 48;
 
+/** Prefix of the keys of queues; all other keys are names of pools. */
+constexpr std::string_view kQueuePrefix = "q/";
+
 /** A wide cell gets at most this fraction of the hosts of its pool. */
 constexpr int kMaxWideFraction = 3;
 
@@ -55,6 +58,24 @@
       1, std::min(kMaxHostsOfWideCell / per_share, shares / kMaxWideFraction));
 }
 
+/** Key of the record of a queue. */
+std::string QueueRecordKey(const QueueKey& queue) {
+  return std::string(kQueuePrefix) + queue.value();
+}
+
+std::optional<std::vector<ServiceId>> ParsePools(const Json& json) {
+  if (!json.is_array() || json.empty() ||
+      !std::all_of(json.begin(), json.end(),
+                   [](const auto& it) { return it.is_string(); })) {
+    return std::nullopt;
+  }
+  std::vector<ServiceId> pools;
+  for (const auto& it : json) {
+    pools.emplace_back(it.get<std::string>());
+  }
+  return pools;
+}
+
 std::optional<std::vector<ShardId>> ParseShards(const Json& json) {
   if (!json.is_array() ||
       !std::all_of(json.begin(), json.end(), [](const auto& it) {
@@ -82,6 +103,24 @@
   pools_.emplace(pool, Cells{std::move(cells), std::move(host_shares)});
 }
 
+void PoolDivision::AddQueue(const QueueKey& queue,
+                            std::vector<ServiceId> pools) {
+  queues_.insert_or_assign(queue, std::move(pools));
+}
+
+const std::vector<ServiceId>& PoolDivision::PoolsOf(
+    const QueueKey& queue) const {
+  static const std::vector<ServiceId> none;
+  const auto it = queues_.find(queue);
+  return it == queues_.end() ? none : it->second;
+}
+
+std::optional<ShardId> PoolDivision::HomeOfJob(const QueueKey& queue,
+                                               const JobId& job) const {
+  const auto& pools = PoolsOf(queue);
+  return pools.empty() ? std::nullopt : CellOfJob(pools.front(), job);
+}
+
 const std::vector<ShardId>& PoolDivision::CellsOf(const ServiceId& pool) const {
   static const std::vector<ShardId> none;
   const auto it = pools_.find(pool);
@@ -162,6 +201,32 @@
   return records;
 }
 
+std::vector<StoredRecord> RecordQueues(const PoolDivision& current,
+                                       const std::vector<QueuePolicy>& queues) {
+  std::map<QueueKey, std::vector<ServiceId>> changed;
+  for (const auto& it : queues) {
+    const auto key = it.Key();
+    const auto known = changed.find(key);
+    auto pools = known == changed.end() ? current.PoolsOf(key) : known->second;
+    if (current.Contains(it.service) &&
+        std::find(pools.begin(), pools.end(), it.service) == pools.end()) {
+      pools.push_back(it.service);
+      changed.insert_or_assign(key, std::move(pools));
+    }
+  }
+  std::vector<StoredRecord> records;
+  for (const auto& [key, pools] : changed) {
+    auto json = Json::array();
+    for (const auto& it : pools) {
+      json.push_back(it.value());
+    }
+    std::string value;
+    Json::to_msgpack(json, value);
+    records.push_back({QueueRecordKey(key), std::move(value)});
+  }
+  return records;
+}
+
 PoolDivision DecodeDivision(const std::vector<StoredRecord>& records) {
   PoolDivision division;
   for (const auto& it : records) {
@@ -169,6 +234,13 @@
     if (!json) {
       continue;
     }
+    if (it.key.starts_with(kQueuePrefix)) {
+      if (auto pools = ParsePools(*json)) {
+        division.AddQueue(QueueKey(it.key.substr(kQueuePrefix.size())),
+                          std::move(*pools));
+      }
+      continue;
+    }
     const ServiceId pool(it.key);
     if (const auto cells = ParseShards(*json)) {
       division.Add(pool, *cells);
--- a/src/libjobs/pool_division.h
+++ b/src/libjobs/pool_division.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "libjobs/ids.h"
+#include "libjobs/policies.h"
 #include "libjobs/stored_job.h"
 
 namespace baobab {
@@ -17,8 +18,13 @@
 /** Division of each pool into cells. A cell is a part of the hosts and of the
  * jobs of a pool; it belongs to one shard, whose owner alone decides on them.
  *
- * The cells of a pool never change once they are stored, so nodes with an older
- * copy may lack a pool but never disagree on the cell of a host or a job. */
+ * Each queue has a home pool, the first one to which it was sent. A job is
+ * accepted and looked for in the cell that its id has in the home pool of its
+ * queue, wherever the queue is sent now.
+ *
+ * The cells of a pool and the home of a queue never change once they are
+ * stored, so nodes with an older copy may lack a pool or a queue but never
+ * disagree on the cell of a host or a job. */
 class PoolDivision {
  public:
   /** Adds the cells of a pool, unless the pool is divided already. Jobs are
@@ -32,7 +38,13 @@
     Add(pool, cells, cells);
   }
 
+  /** Adds a queue with the pools to which it was sent, from its home on. */
+  void AddQueue(const QueueKey& queue, std::vector<ServiceId> pools);
+
   bool Contains(const ServiceId& pool) const { return pools_.contains(pool); }
+  /** Returns the pools to which the queue was sent, from its home on; empty if
+   * it has no home yet. */
+  const std::vector<ServiceId>& PoolsOf(const QueueKey& queue) const;
   /** Returns the shards of the pool's cells; empty if it is not divided. */
   const std::vector<ShardId>& CellsOf(const ServiceId& pool) const;
   /** Returns the cell with the most hosts, if it has more than `cell`. */
@@ -45,6 +57,10 @@
    * nodes and releases agree. */
   std::optional<ShardId> CellOfJob(const ServiceId& pool,
                                    const JobId& job) const;
+  /** Returns the shard at which a job of the queue is submitted and looked for;
+   * empty if the queue has no home yet. */
+  std::optional<ShardId> HomeOfJob(const QueueKey& queue,
+                                   const JobId& job) const;
   std::optional<ShardId> CellOfHost(const ServiceId& pool,
                                     const HostId& host) const;
 
@@ -54,6 +70,7 @@
     std::vector<ShardId> of_hosts;
   };
   std::map<ServiceId, Cells> pools_;
+  std::map<QueueKey, std::vector<ServiceId>> queues_;
   std::set<ShardId> used_;
 };
 
@@ -77,6 +94,11 @@
 std::vector<StoredRecord> DividePools(const PoolDivision& current,
                                       const DivisionInput& input);
 
+/** Returns the records that give the queues their homes and add the pools to
+ * which they are sent now. Leaves out queues whose pool is not divided. */
+std::vector<StoredRecord> RecordQueues(const PoolDivision& current,
+                                       const std::vector<QueuePolicy>& queues);
+
 /** Decodes a stored division; skips records that are malformed. */
 PoolDivision DecodeDivision(const std::vector<StoredRecord>& records);
 
--- a/src/libjobs/pool_engine.cc
+++ b/src/libjobs/pool_engine.cc
@@ -234,6 +234,12 @@
            fmt::format("owner-busy lag_ms={}", load_.lag().count() / 1000));
     return;
   }
+  if (!event.delegated && !DecidesOn(job.service)) {
+    if (!Delegate(job, event.reply)) {
+      refuse(SubmitVerdict::kRefused, FromMilliseconds(1000), "no-cell");
+    }
+    return;
+  }
   admission_.Observe(job);
   const auto verdict = Evaluate(job);
   const auto expected_ms = verdict.expected.count() / 1000;
--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -160,8 +160,11 @@
   int HostsFor(const StepSpec& step, int tasks) const;
 
   // Jobs of other cells (pool_engine_delegation.cc).
-  /** Delegates the job to a cell with free cores; returns false if there is
-   * none. */
+  /** Returns whether this cell decides on workers of the pool. It gets jobs of
+   * other pools if it is their home and their queue was sent elsewhere. */
+  bool DecidesOn(const ServiceId& service) const;
+  /** Delegates the job to a cell with free cores, or a job of another pool to
+   * any cell there; returns false if there is none. */
   bool Delegate(const Job& job, const ReplyId& reply);
   /** Returns the cell that should get a job which needs `cores`, or null. Jobs
    * are spread over cells in proportion to their free cores, since their load
--- a/src/libjobs/pool_engine_delegation.cc
+++ b/src/libjobs/pool_engine_delegation.cc
@@ -110,12 +110,22 @@
   return cells.back();
 }
 
+bool PoolEngine::DecidesOn(const ServiceId& service) const {
+  if (!division_) {
+    return true;
+  }
+  const auto& cells = division_->CellsOf(service);
+  return std::find(cells.begin(), cells.end(), shard_) != cells.end();
+}
+
 bool PoolEngine::Delegate(const Job& job, const ReplyId& reply) {
   const double cores = CoresAtOnce(job);
   CellLoad* chosen = ChooseCell(job, cores);
   std::optional<ShardId> cell;
   if (chosen) {
     cell = chosen->cell;
+  } else if (!DecidesOn(job.service)) {
+    cell = division_->CellOfJob(job.service, job.id);
   } else if (job.IsLongRunning() && division_) {
     // The planner can bring more hosts to a wider cell.
     cell = division_->WiderCell(job.service, shard_);
--- a/tests/fleet_fakes.h
+++ b/tests/fleet_fakes.h
@@ -28,7 +28,6 @@
   explicit FakePlatform(boost::asio::io_context& loop) : loop(loop) {
     auto set = std::make_shared<PolicySet>();
     set->version = 1;
-    QueuePolicy queue;
     queue.name = QueueId("queue");
     queue.host = "jobs.example";
     queue.path_prefix = "/q/";
@@ -41,8 +40,23 @@
     AddWorkers(3);
   }
 
-  /** Adds workers of the queue's service to the list. */
-  void AddWorkers(int n) {
+  /** Publishes a configuration in which the queue is sent to `service`, or in
+   * which there is no queue. */
+  void SendQueueTo(const std::optional<std::string>& service) {
+    auto set = std::make_shared<PolicySet>(*published.policies);
+    set->version += 3;
+    set->queues.clear();
+    if (service) {
+      auto moved = queue;
+      moved.service = ServiceId(*service);
+      set->queues = {moved};
+      set->services[moved.service].name = moved.service;
+    }
+    published.policies = set;
+  }
+
+  /** Adds workers of a service to the list. */
+  void AddWorkers(int n, const std::string& service = "service") {
     auto list = std::make_shared<std::vector<WorkerEntry>>();
     if (workers) {
       *list = *workers;
@@ -51,7 +65,7 @@
       const auto i = list->size();
       WorkerEntry entry;
       entry.id = WorkerId("w" + std::to_string(i));
-      entry.service = ServiceId("service");
+      entry.service = ServiceId(service);
       entry.host = HostId("h" + std::to_string(i));
       entry.address = "w" + std::to_string(i);
       entry.capacity = {64'000, 64'000, 0};
@@ -214,6 +228,8 @@
   /** Records of the division of pools, in the order in which they were
    * stored. */
   std::vector<StoredRecord> division;
+  /** The only queue, as first published. */
+  QueuePolicy queue;
   FleetFeed::PublishedConfig published;
   std::shared_ptr<const std::vector<WorkerEntry>> workers;
   std::map<WorkerId, SimWorker> sim_workers;
--- a/tests/fleet_node_test.cc
+++ b/tests/fleet_node_test.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <chrono>
+#include <iostream>
 #include <memory>
 #include <optional>
 #include <string>
@@ -36,7 +37,13 @@
     loop.run_for(milliseconds(700));
   }
 
-  void TearDown() override { testing::internal::GetCapturedStdout(); }
+  void TearDown() override {
+    // What is captured has the messages of failed checks too.
+    const auto text = testing::internal::GetCapturedStdout();
+    if (HasFailure()) {
+      std::cout << text;
+    }
+  }
 
   HttpResponse Call(TestNode& node,
                     const std::string& method,
@@ -408,6 +415,9 @@
   testing::internal::GetCapturedStdout();
 }
 
+/** The record of the cells of the pool, and that of the home of the queue. */
+constexpr std::size_t kDivisionRecords = 2;
+
 // Guards against a fleet whose pools nobody divides, against two nodes that
 // divide a pool differently, and against jobs that are lost when all nodes
 // restart.
@@ -430,7 +440,7 @@
                 .status,
             503);
   loop.run_for(milliseconds(2500));
-  ASSERT_EQ(platform.division.size(), 1u);
+  ASSERT_EQ(platform.division.size(), kDivisionRecords);
   EXPECT_EQ(
       DecodeDivision(platform.division).CellsOf(ServiceId("service")).size(),
       2u);
@@ -442,7 +452,7 @@
   }
   start();
   loop.run_for(milliseconds(2500));
-  EXPECT_EQ(platform.division.size(), 1u);
+  EXPECT_EQ(platform.division.size(), kDivisionRecords);
   for (int i = 0; i < 4; ++i) {
     EXPECT_EQ(
         CallNode(loop, *nodes[1], "GET", "/jobs/queue/j" + std::to_string(i))
