libjobs: delegate a job only to a cell whose workers can take its tasks

Cause: the cell that gets a job was chosen by a sum of free cores and a number of workers. A task needs its label, cores, memory and accelerators on one worker, and a gang all its members at once. Evidence: delegate-job lines to cells of which no worker has the label. Change: a cell is chosen only if its listed workers could take each step if nothing ran on them. If no cell with free cores is known and this one does not fit either, the job goes to one that fits. The simulated pool lists the workers of its other cell, and has hosts in the cell that the division gives them.

--- a/src/libjobs/job.cc
+++ b/src/libjobs/job.cc
@@ -60,6 +60,16 @@
       });
 }
 
+bool Job::IsStepDone(int step) const {
+  return created == OccurrenceCount() &&
+         std::all_of(occurrences.begin(), occurrences.end(), [&](auto& it) {
+           const auto& tasks = it.second.steps[static_cast<std::size_t>(step)];
+           return std::all_of(tasks.begin(), tasks.end(), [](auto& task) {
+             return task.phase == TaskPhase::kDone;
+           });
+         });
+}
+
 Duration Job::Objective() const {
   const auto& critical_paths = CriticalPaths();
   const auto longest =
--- a/src/libjobs/job.h
+++ b/src/libjobs/job.h
@@ -194,6 +194,8 @@
   /** Returns whether all steps that `step` depends on are done. */
   bool IsReady(const Occurrence& occurrence, int step) const;
   bool IsFinished(const Occurrence& occurrence) const;
+  /** Returns whether all tasks of the step are done in all occurrences. */
+  bool IsStepDone(int step) const;
   /** Returns the time after its due time from which an occurrence is late. */
   Duration Objective() const;
   /** Returns the latest start of `step` that meets the objective. */
--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -166,10 +166,22 @@
   /** Delegates the job to a cell with free cores, or a job of another pool to
    * any cell there; returns false if there is none. */
   bool Delegate(const Job& job, const ReplyId& reply);
+  /** Returns the cores that the job needs at the same time: those of its widest
+   * step, or of all steps if they are long-running. */
+  static double CoresAtOnce(const Job& job);
+  /** Returns one of the cells, of which there is at least one. */
+  static ShardId SpreadOver(const std::set<ShardId>& cells, const JobId& job);
   /** Returns the cell that should get a job which needs `cores`, or null. Jobs
    * are spread over cells in proportion to their free cores, since their load
    * is known with a delay. */
   CellLoad* ChooseCell(const Job& job, double cores);
+  /** Returns the cells of the pool whose listed workers could take each open
+   * step of the job if nothing ran on them. A sum over the workers does not
+   * show that, since a task needs its label and all its resources on one. */
+  std::set<ShardId> CellsThatFit(const Job& job) const;
+  /** Returns the listed workers of each cell of the pool that stay. */
+  std::map<ShardId, std::vector<const WorkerEntry*>> WorkersByCell(
+      const ServiceId& service) const;
   /** Returns whether this cell lacks the cores or hosts for all tasks of a
    * long-running job, or whether none of its workers can ever take a task of a
    * step of another one. */
--- a/src/libjobs/pool_engine_delegation.cc
+++ b/src/libjobs/pool_engine_delegation.cc
@@ -36,9 +36,9 @@
   return workers;
 }
 
-/** Returns the cores that the job needs at the same time: those of its widest
- * step, or of all steps if they are long-running. */
-double CoresAtOnce(const Job& job) {
+}  // namespace
+
+double PoolEngine::CoresAtOnce(const Job& job) {
   double widest = 0;
   double sum = 0;
   for (const auto& it : job.spec.steps) {
@@ -48,7 +48,13 @@
   return job.IsLongRunning() ? sum : widest;
 }
 
-}  // namespace
+ShardId PoolEngine::SpreadOver(const std::set<ShardId>& cells,
+                               const JobId& job) {
+  const auto hash =
+      XXH64(job.value().data(), job.value().size(), kCellChoiceSeed);
+  return *std::next(cells.begin(),
+                    static_cast<std::ptrdiff_t>(hash % cells.size()));
+}
 
 std::optional<ShardId> PoolEngine::DelegatedTo(const JobId& job) const {
   const auto it = delegated_.find(job);
@@ -80,22 +86,62 @@
   return free < CoresAtOnce(job);
 }
 
+std::map<ShardId, std::vector<const WorkerEntry*>> PoolEngine::WorkersByCell(
+    const ServiceId& service) const {
+  std::map<ShardId, std::vector<const WorkerEntry*>> workers;
+  if (!division_) {
+    return workers;
+  }
+  for (const auto& it : *listed_) {
+    if (it.service == service && !it.draining) {
+      if (const auto cell = division_->CellOfHost(service, it.host)) {
+        workers[*cell].push_back(&it);
+      }
+    }
+  }
+  return workers;
+}
+
+std::set<ShardId> PoolEngine::CellsThatFit(const Job& job) const {
+  std::set<ShardId> cells;
+  for (const auto& [cell, workers] : WorkersByCell(job.service)) {
+    bool fits = true;
+    for (std::size_t i = 0; fits && i < job.spec.steps.size(); ++i) {
+      const auto& step = job.spec.steps[i];
+      const int tasks = step.gang || step.long_running ? step.count : 1;
+      fits = job.IsStepDone(static_cast<int>(i)) ||
+             CountTasksOnEmpty(workers, step, tasks) >= tasks;
+    }
+    if (fits) {
+      cells.insert(cell);
+    }
+  }
+  return cells;
+}
+
 CellLoad* PoolEngine::ChooseCell(const Job& job, double cores) {
   if (now_ - planned_at_ > kMaxCellLoadAge) {
     return nullptr;
   }
   std::vector<CellLoad*> cells;
-  double sum = 0;
   for (auto& it : plan_.cells) {
     if (it.service == job.service && it.cell != shard_ &&
         it.free_cores >= cores && it.workers >= WorkersAtOnce(job)) {
       cells.push_back(&it);
-      sum += it.free_cores;
     }
   }
+  if (!cells.empty()) {
+    const auto fitting = CellsThatFit(job);
+    std::erase_if(cells,
+                  [&](const auto* it) { return !fitting.contains(it->cell); });
+  }
   if (cells.empty()) {
     return nullptr;
   }
+  double sum = 0;
+  for (const auto* it : cells) {
+    sum += it->free_cores;
+  }
   const auto hash =
       XXH64(job.id.value().data(), job.id.value().size(), kCellChoiceSeed);
   double left =
@@ -124,6 +170,9 @@
   std::optional<ShardId> cell;
   if (chosen) {
     cell = chosen->cell;
+  } else if (const auto fitting = CellsThatFit(job);
+             !fitting.empty() && !fitting.contains(shard_)) {
+    cell = SpreadOver(fitting, job.id);
   } else if (!DecidesOn(job.service)) {
     cell = division_->CellOfJob(job.service, job.id);
   } else if (job.IsLongRunning() && division_) {
--- a/src/libjobs/pool_engine_room.cc
+++ b/src/libjobs/pool_engine_room.cc
@@ -30,8 +30,7 @@
 int PoolEngine::HostsFor(const StepSpec& step, int tasks) const {
   int each = 0;
   for (const auto& it : *listed_) {
-    if (step.label.empty() || std::find(it.labels.begin(), it.labels.end(),
-                                        step.label) != it.labels.end()) {
+    if (step.label.empty() || it.HasLabel(step.label)) {
       each = std::max(each, TasksThatFit(step, it.capacity, tasks));
     }
   }
--- a/src/libjobs/pool_room.cc
+++ b/src/libjobs/pool_room.cc
@@ -23,6 +23,21 @@
   return static_cast<int>(n);
 }
 
+int CountTasksOnEmpty(const std::vector<const WorkerEntry*>& workers,
+                      const StepSpec& step,
+                      int max_tasks) {
+  int n = 0;
+  for (const auto* it : workers) {
+    if (n >= max_tasks) {
+      break;
+    }
+    if (step.label.empty() || it->HasLabel(step.label)) {
+      n += TasksThatFit(step, it->capacity, max_tasks - n);
+    }
+  }
+  return n;
+}
+
 PoolRoom::PoolRoom(const Workers& workers,
                    const ServiceId& service,
                    EndsByItself ends_by_itself)
--- a/src/libjobs/pool_room.h
+++ b/src/libjobs/pool_room.h
@@ -14,6 +14,12 @@
  * to `max_tasks`. */
 int TasksThatFit(const StepSpec& step, const Resources& room, int max_tasks);
 
+/** Returns how many tasks of the step the workers could take at once if nothing
+ * ran on them, up to `max_tasks`. */
+int CountTasksOnEmpty(const std::vector<const WorkerEntry*>& workers,
+                      const StepSpec& step,
+                      int max_tasks);
+
 /** Room of the workers of one pool once their finite runs have ended: a task
  * that does not fit then can never start. Counted by worker and resource, since
  * a task needs all its resources on one worker. */
--- a/src/libjobs/worker.cc
+++ b/src/libjobs/worker.cc
@@ -43,8 +43,7 @@
 }
 
 bool Worker::HasLabel(std::string_view label) const {
-  return std::find(entry.labels.begin(), entry.labels.end(), label) !=
-         entry.labels.end();
+  return entry.HasLabel(label);
 }
 
 bool Worker::IsUsable(Time now) const {
--- a/src/libjobs/worker_report.h
+++ b/src/libjobs/worker_report.h
@@ -1,8 +1,10 @@
 #ifndef SRC_LIBJOBS_WORKER_REPORT_H_
 #define SRC_LIBJOBS_WORKER_REPORT_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "libjobs/job_spec.h"
@@ -30,6 +32,10 @@
   /** Reading of the worker's clock when it wrote the entry. */
   std::int64_t clock_ms = 0;
 
+  bool HasLabel(std::string_view label) const {
+    return std::find(labels.begin(), labels.end(), label) != labels.end();
+  }
+
   bool operator==(const WorkerEntry&) const = default;
 };
 
--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -145,6 +145,7 @@
         list->push_back(worker.entry);
       }
     }
+    list->insert(list->end(), elsewhere.begin(), elsewhere.end());
     Post(engine, token, WorkersListed{list});
   }
 
@@ -168,8 +169,41 @@
 
   void Plan(const HostPlan& plan) { Post(engine, token, HostsPlanned{plan}); }
 
-  /** Reports the free cores of another cell of the pool to the owner. */
+  /** Returns the entry of a worker on a host of the cell. */
+  WorkerEntry EntryInCell(ShardId cell, const std::string& id) {
+    WorkerEntry entry;
+    entry.id = WorkerId(id);
+    entry.service = service;
+    entry.capacity = {64'000, 262144, 0};
+    entry.labels = {"a", "r1"};
+    entry.incarnation = ++incarnations_;
+    for (int n = 0; entry.host.value().empty(); ++n) {
+      const HostId host(id + "-host-" + std::to_string(n));
+      if (division->CellOfHost(service, host) == cell) {
+        entry.host = host;
+      }
+    }
+    return entry;
+  }
+
+  /** Lists workers of another cell of the pool, which no test starts, and
+   * reports its free cores to the owner. */
   void PlanCell(ShardId cell, double free_cores, int free_workers = 64) {
+    if (!division) {
+      // All hosts but those with one of 64 hashes are in kShard.
+      constexpr std::size_t kHostShares = 64;
+      std::vector<ShardId> shares(kHostShares, kShard);
+      shares.back() = cell;
+      auto cells = std::make_shared<PoolDivision>();
+      cells->Add(service, {kShard, cell}, shares);
+      division = cells;
+      Post(engine, token, DivisionChanged{division});
+    }
+    elsewhere.clear();
+    for (int i = 0; i < free_workers; ++i) {
+      elsewhere.push_back(EntryInCell(cell, "elsewhere-" + std::to_string(i)));
+    }
+    List();
     HostPlan plan;
     plan.cells = {{service, cell, free_cores, free_workers}};
     Plan(plan);
@@ -376,6 +410,8 @@
   std::map<WorkerId, SimWorker> workers;
   /** Workers in the list; empty for all. */
   std::set<WorkerId> listed;
+  /** Entries of workers of other cells. */
+  std::vector<WorkerEntry> elsewhere;
   bool listing = true;
   /** Hosts of crashed workers refuse connections at once; otherwise orders and
    * polls get no answer. */
--- a/tests/pool_engine_delegation_test.cc
+++ b/tests/pool_engine_delegation_test.cc
@@ -185,8 +185,10 @@
   shares.push_back(kShard);
   division->Add(world.service, {kShard, kOtherCell}, shares);
   world.division = division;
-  world.AddWorker("w2");
-  world.AddWorker("w3");
+  world.workers.clear();
+  for (const char* it : {"w1", "w2", "w3"}) {
+    world.AddWorker(it, 64, world.EntryInCell(kShard, it).host.value());
+  }
   world.TakeOver();
   world.Advance(milliseconds(300));
   if (GetParam().workers_elsewhere > 0) {
@@ -257,6 +259,84 @@
         HeldMemoryCase{"FullElsewhere", 4, SubmitVerdict::kAccepted}),
     [](const auto& it) { return it.param.name; });
 
+struct NeedCase {
+  const char* name;
+  /** Changes the only step of the job. */
+  void (*need)(StepSpec&);
+  /** Changes the only worker elsewhere. */
+  void (*offer)(WorkerEntry&);
+  SubmitVerdict verdict;
+};
+
+class UnevenCellTest : public DelegationTest,
+                       public testing::WithParamInterface<NeedCase> {};
+
+// No worker of the cell can take the tasks of a job. Guards against a cell
+// elsewhere that is chosen by its free cores although none of its workers can
+// take them either, where the job then waits for ever.
+TEST_P(UnevenCellTest, DelegatesToACellThatFits) {
+  world.PlanCell(kOtherCell, 640, 1);
+  GetParam().offer(world.elsewhere[0]);
+  world.List();
+  auto spec = Work(2, 8, 600);
+  GetParam().need(spec.steps[0]);
+  world.Submit("j1", spec);
+  world.Advance(milliseconds(50));
+  EXPECT_EQ(world.verdicts.at(JobId("j1")), GetParam().verdict);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Needs,
+    UnevenCellTest,
+    testing::Values(
+        NeedCase{"LabelElsewhere", [](auto& it) { it.label = "rare"; },
+                 [](auto& it) {
+                   it.labels = {"rare", "r1"};
+                 },
+                 SubmitVerdict::kDelegated},
+        NeedCase{"LabelNowhere", [](auto& it) { it.label = "rare"; },
+                 [](auto&) {}, SubmitVerdict::kAccepted},
+        NeedCase{"LabelOfADrainingWorker", [](auto& it) { it.label = "rare"; },
+                 [](auto& it) {
+                   it.labels = {"rare", "r1"};
+                   it.draining = true;
+                 },
+                 SubmitVerdict::kAccepted},
+        NeedCase{"GpuElsewhere", [](auto& it) { it.need.gpus = 1; },
+                 [](auto& it) { it.capacity.gpus = 2; },
+                 SubmitVerdict::kDelegated},
+        NeedCase{"GpuNowhere", [](auto& it) { it.need.gpus = 1; }, [](auto&) {},
+                 SubmitVerdict::kAccepted},
+        NeedCase{"MemoryNowhere", [](auto& it) { it.need.mem_mb = 300'000; },
+                 [](auto&) {}, SubmitVerdict::kAccepted},
+        NeedCase{"CoresOfTheLargestWorkerNowhere",
+                 [](auto& it) { it.need.cpu_milli = 96'000; }, [](auto&) {},
+                 SubmitVerdict::kAccepted},
+        NeedCase{"GangTooWideForTheLabelledWorker",
+                 [](auto& it) {
+                   it.label = "rare";
+                   it.gang = true;
+                   it.count = 9;
+                 },
+                 [](auto& it) {
+                   it.labels = {"rare", "r1"};
+                 },
+                 SubmitVerdict::kAccepted}),
+    [](const auto& it) { return it.param.name; });
+
+// Guards against a job that stays where it cannot run if the loads of other
+// cells are not known.
+TEST_F(DelegationTest, DelegatesToTheOnlyCellThatFitsWithoutAPlan) {
+  world.PlanCell(kOtherCell, 640, 1);
+  world.elsewhere[0].labels = {"rare", "r1"};
+  world.Advance(seconds(2));
+  auto spec = Work(1, 8, 600);
+  spec.steps[0].label = "rare";
+  world.Submit("j1", spec);
+  world.Advance(milliseconds(50));
+  EXPECT_EQ(world.verdicts.at(JobId("j1")), SubmitVerdict::kDelegated);
+}
+
 // Guards against work that is sent away although it only has to wait for the
 // end of other runs.
 TEST_F(DelegationTest, KeepsJobsWhoseMemoryIsHeldByFiniteRuns) {
