libjobs: hand an accepted job over to a cell that can run it

Cause: an accepted job stayed in its cell for good. The check for room at acceptance says nothing once the room has gone. Evidence: task-waits of the task with no worker of the cell that has the label. Change: a job without runs of which no worker of the cell could take a task is handed over: the cell stores a delegation beside the job's records, offers them until the other cell has stored them, then deletes its own. A number tells late offers from newer ones; requests follow the job; a cancel waits. Before: the job never left its cell. Conclusion: one decider a task and one record a job at each step; not for jobs with long-running tasks at work.

--- a/src/libfleet/fleet_node.cc
+++ b/src/libfleet/fleet_node.cc
@@ -34,6 +34,11 @@
 constexpr Duration kBusyBackoff = std::chrono::milliseconds(2500);
 /** Timeout of a plan exchange; an older usage report would not be used. */
 constexpr Duration kPlanTimeout = std::chrono::milliseconds(500);
+/** Timeout of offering a job to another node, which stores it. */
+constexpr Duration kOfferTimeout = std::chrono::milliseconds(900);
+/** Maximum size of a request from another node. An offered job has the records
+ * of up to kMaxOpenTasksPerJob tasks. */
+constexpr std::size_t kMaxPeerBodyBytes = 8u << 20;
 
 }  // namespace
 
@@ -68,7 +73,11 @@
       published_timer_(ports.loop),
       worker_timer_(ports.loop),
       owner_timer_(ports.loop),
-      tick_timer_(ports.loop) {}
+      tick_timer_(ports.loop) {
+  AsyncServerLimits limits;
+  limits.max_body_bytes = kMaxPeerBodyBytes;
+  peer_server_.SetLimits(limits);
+}
 
 FleetNode::~FleetNode() {
   guard_.Revoke();
@@ -229,6 +238,36 @@
                    guard_.Bind(on_usage));
 }
 
+void FleetNode::OfferJob(ShardId cell,
+                         JobOffer offer,
+                         std::function<void(bool)> done) {
+  // Posted, because the other cell may be one of this node, and its events must
+  // not begin while one of the offering cell is handled.
+  boost::asio::post(
+      ports_.loop, guard_.Bind([this, cell, offer = std::move(offer),
+                                done = std::move(done)]() mutable {
+        if (auto* owner = FindLoadedShard(cell)) {
+          owner->TakeJob(std::move(offer), std::move(done));
+          return;
+        }
+        const auto owner = owners_.find(cell);
+        if (owner == owners_.end() ||
+            owner->second.peer_address == config_.peer_address) {
+          RefreshOwners();
+          done(false);
+          return;
+        }
+        peers_.OfferJob(owner->second.peer_address, cell, offer, kOfferTimeout,
+                        guard_.Bind([this, done = std::move(done)](
+                                        tl::expected<bool, PeerFault> stored) {
+                          if (!stored) {
+                            RefreshOwners();
+                          }
+                          done(stored.value_or(false));
+                        }));
+      }));
+}
+
 void FleetNode::WorkerLoop() {
   const auto schedule_next = [this] {
     worker_timer_.Set(kWorkerListInterval, [this] { WorkerLoop(); });
--- a/src/libfleet/fleet_node.h
+++ b/src/libfleet/fleet_node.h
@@ -151,6 +151,9 @@
   void ExchangePlan(ShardId shard,
                     HostPlan plan,
                     std::function<void(PoolUsage)> done);
+  /** Offers a job to the owner of another cell, once; `done` gets true if that
+   * has stored it. */
+  void OfferJob(ShardId cell, JobOffer offer, std::function<void(bool)> done);
   /** Reads the worker list periodically while this node owns shards. */
   void WorkerLoop();
   /** Reads the list of owners periodically. */
--- a/src/libfleet/fleet_node_calls.cc
+++ b/src/libfleet/fleet_node_calls.cc
@@ -18,6 +18,10 @@
  * caller can do better than wait for a takeover of unknown length. */
 constexpr Duration kUnsentSubmitTimeout = std::chrono::milliseconds(250);
 
+/** Number of cells through which a request follows its job: the home, the cell
+ * to which that delegates it, and those to which it is handed over. */
+constexpr int kMaxDelegations = 8;
+
 /** Part of the caller's remaining time that is reserved for the answer. */
 constexpr Duration kAnswerMargin = std::chrono::milliseconds(150);
 
@@ -36,6 +40,8 @@
   std::function<std::optional<ShardId>(const T&)> delegated_to;
   /** Shard to ask instead, once an answer has delegated the job. */
   std::optional<ShardId> delegate;
+  /** Number of answers that have delegated the job. */
+  int delegations = 0;
   Time deadline;
   /** End of the retries while no attempt can have been carried out. */
   Time retry_until;
@@ -95,12 +101,16 @@
 template <typename T>
 void FleetNode::FinishAttempt(std::shared_ptr<Forward<T>> forward,
                               tl::expected<T, PeerFault> answer) {
-  if (answer && forward->delegated_to && !forward->delegate) {
-    forward->delegate = forward->delegated_to(*answer);
-    if (forward->delegate) {
-      StartAttempt<T>(forward);
-      return;
-    }
+  const auto delegate = answer && forward->delegated_to
+                            ? forward->delegated_to(*answer)
+                            : std::nullopt;
+  if (delegate && ++forward->delegations <= kMaxDelegations) {
+    forward->delegate = delegate;
+    StartAttempt<T>(forward);
+    return;
+  }
+  if (delegate) {
+    answer = tl::unexpected(PeerFault::kUnknown);
   }
   const bool failed = !answer;
   if (failed && answer.error() == PeerFault::kUnknown) {
--- a/src/libfleet/fleet_node_membership.cc
+++ b/src/libfleet/fleet_node_membership.cc
@@ -232,6 +232,9 @@
       MakeOrderCheck(),
       guard_.Bind(
           [this](ShardId it, AppendOutcome cause) { OnFenced(it, cause); }),
+      guard_.Bind([this](ShardId cell, JobOffer offer, auto done) {
+        OfferJob(cell, std::move(offer), std::move(done));
+      }),
       guard_.Bind([this](ShardId it) { OnFailed(it); })};
   SetPlannerOwned(held.contains(kPlannerShard) &&
                   !WouldReuseToken(kPlannerShard));
--- a/src/libfleet/peer_calls.cc
+++ b/src/libfleet/peer_calls.cc
@@ -131,6 +131,21 @@
   });
 }
 
+void ServeOffer(ShardOwner& owner,
+                const Json& body,
+                std::function<void(HttpResponse)> respond) {
+  JobOffer offer;
+  offer.job = JobId(body.at(1).get<std::string>());
+  offer.number = body.at(2).get<int>();
+  for (const auto& it : body.at(3)) {
+    offer.records.push_back(
+        {it.at(0).get<std::string>(), it.at(1).get<std::string>()});
+  }
+  owner.TakeJob(std::move(offer), [respond = std::move(respond)](bool stored) {
+    SendAnswer(respond, Json::array({stored}));
+  });
+}
+
 }  // namespace
 
 JobStateAnswer StateAt(const ShardOwner& owner, const JobId& job) {
@@ -216,6 +231,24 @@
       }));
 }
 
+void PeerCalls::OfferJob(const std::string& peer,
+                         ShardId shard,
+                         const JobOffer& offer,
+                         Duration timeout,
+                         Done<bool> done) {
+  auto records = Json::array();
+  for (const auto& it : offer.records) {
+    records.push_back({it.key, it.value});
+  }
+  client_.Call(
+      peer,
+      MakeRequest("/offer", Json::array({shard.value(), offer.job.value(),
+                                         offer.number, std::move(records)})),
+      timeout, DecodingCallback<bool>(std::move(done), [](const Json& json) {
+        return json.at(0).get<bool>();
+      }));
+}
+
 void PeerCalls::NotifyRebalanced(const std::string& peer) {
   // A node that misses this learns of it at its next membership renewal.
   client_.Call(peer, MakeRequest(kRebalancedTarget, Json::array()),
@@ -272,6 +305,8 @@
       ServeSubmit(*owner, body, respond);
     } else if (request.target == "/cancel") {
       ServeCancel(*owner, body, respond);
+    } else if (request.target == "/offer") {
+      ServeOffer(*owner, body, respond);
     } else if (request.target == "/ask") {
       const auto answer = StateAt(*owner, JobId(body.at(1).get<std::string>()));
       if (!answer.state && !answer.cell && !membership_is_valid()) {
--- a/src/libfleet/peer_calls.h
+++ b/src/libfleet/peer_calls.h
@@ -64,6 +64,13 @@
                const QueueId& queue,
                Duration timeout,
                Done<int> done);
+  /** Offers a job to the owner of a shard; `done` gets true if that has stored
+   * it. */
+  void OfferJob(const std::string& peer,
+                ShardId shard,
+                const JobOffer& offer,
+                Duration timeout,
+                Done<bool> done);
   /** Notifies a node that shards were rebalanced. */
   void NotifyRebalanced(const std::string& peer);
   /** Sends the host planner's plan to the owner of a shard, which answers with
--- a/src/libfleet/shard_owner.cc
+++ b/src/libfleet/shard_owner.cc
@@ -60,6 +60,9 @@
   for (auto& [reply, done] : std::exchange(cancels_, {})) {
     done(tl::unexpected(ShardMovedError(shard_)));
   }
+  for (auto& [reply, done] : std::exchange(offers_, {})) {
+    done(false);
+  }
 }
 
 void ShardOwner::Retry(void (ShardOwner::*step)(), Duration delay) {
@@ -139,6 +142,12 @@
   Post(CancelRequested{reply, job});
 }
 
+void ShardOwner::TakeJob(JobOffer offer, OfferDone done) {
+  const ReplyId reply(++last_reply_id_);
+  offers_.emplace(reply, std::move(done));
+  Post(JobOffered{reply, std::move(offer)});
+}
+
 void ShardOwner::SetPolicies(std::shared_ptr<const PolicySet> policies) {
   policies_ = std::move(policies);
   if (IsLoaded()) {
@@ -307,6 +316,18 @@
         node.mapped()(CancelAnswer{it.found, it.cell});
       }
     }
+    void operator()(OfferJob& it) {
+      self.ports_.offer_job(it.cell, it.offer,
+                            [post = post, job = it.offer.job,
+                             number = it.offer.number](bool stored) {
+                              post(OfferFinished{job, number, stored});
+                            });
+    }
+    void operator()(const AnswerOffer& it) {
+      if (auto node = self.offers_.extract(it.reply)) {
+        node.mapped()(it.stored);
+      }
+    }
     void operator()(const WakeUp& it) {
       self.wake_timer_.Set(it.after, [post = post] { post(PoolTick{}); });
     }
--- a/src/libfleet/shard_owner.h
+++ b/src/libfleet/shard_owner.h
@@ -47,6 +47,11 @@
     /** Called when the store refuses the records of this owner: a later one has
      * fenced the shard, or another one has used the same token. */
     std::function<void(ShardId, AppendOutcome)> on_fenced;
+    /** Offers a job to the owner of another cell; `done` gets true once that
+     * has stored it. */
+    std::function<
+        void(ShardId cell, JobOffer, std::function<void(bool stored)> done)>
+        offer_job;
     /** Called after an unexpected error, when the state in memory may be
      * incomplete. */
     std::function<void(ShardId)> on_failed;
@@ -54,6 +59,7 @@
 
   using SubmitDone = std::function<void(Result<SubmitAnswer>)>;
   using CancelDone = std::function<void(Result<CancelAnswer>)>;
+  using OfferDone = std::function<void(bool stored)>;
 
   ShardOwner(const Ports& ports,
              ShardId shard,
@@ -77,6 +83,8 @@
               std::optional<Duration> delegated_ago,
               SubmitDone done);
   void Cancel(const JobId& job, CancelDone done);
+  /** Takes a job that another cell hands over. */
+  void TakeJob(JobOffer offer, OfferDone done);
   /** Applies the host planner's plan and returns the usage of the shard's
    * pools. */
   std::optional<PoolUsage> ApplyPlan(HostPlan plan);
@@ -116,6 +124,7 @@
   /** Callbacks of the requests that await the engine's answer. */
   std::map<ReplyId, SubmitDone> submits_;
   std::map<ReplyId, CancelDone> cancels_;
+  std::map<ReplyId, OfferDone> offers_;
   /** Latest configuration, division and worker list, for an engine that is
    * still loading. */
   std::shared_ptr<const PolicySet> policies_;
--- a/src/libjobs/job.h
+++ b/src/libjobs/job.h
@@ -169,6 +169,8 @@
   /** Accepted although it will be late; placed after work that can be in
    * time. */
   bool deferred = false;
+  /** How often cells have handed the job over since it was accepted. */
+  int hand_overs = 0;
   /** Open occurrences by number. */
   std::map<int, Occurrence> occurrences;
   /** Number of occurrences created so far, which is the number of the next. */
--- a/src/libjobs/lost_runs.cc
+++ b/src/libjobs/lost_runs.cc
@@ -78,6 +78,10 @@
   std::erase_if(runs_, [&](const auto& it) { return it.task == task; });
 }
 
+void LostRuns::ForgetJob(const JobId& job) {
+  std::erase_if(runs_, [&](const auto& it) { return it.task.job == job; });
+}
+
 std::vector<LostRuns::Run> LostRuns::TakeExpired(Time now) {
   return TakeIf([&](const auto& it) { return now - it.lost_at > kMaxAbsence; });
 }
--- a/src/libjobs/lost_runs.h
+++ b/src/libjobs/lost_runs.h
@@ -40,6 +40,8 @@
   std::vector<Run> TakeCrashed(const std::vector<WorkerEntry>& workers);
   /** Forgets the runs of the task. */
   void Forget(const TaskId& task);
+  /** Forgets the runs of all tasks of the job. */
+  void ForgetJob(const JobId& job);
   bool empty() const { return runs_.empty(); }
   /** Returns and forgets the runs whose worker has not come back for long. */
   std::vector<Run> TakeExpired(Time now);
--- a/src/libjobs/pool_effect.h
+++ b/src/libjobs/pool_effect.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "libjobs/advice_cache.h"
+#include "libjobs/job_offer.h"
 #include "libjobs/stored_job.h"
 
 namespace baobab {
@@ -109,6 +110,19 @@
   std::optional<ShardId> cell = std::nullopt;
 };
 
+/** Hands a job over to another cell; reports OfferFinished. */
+struct OfferJob {
+  ShardId cell{};
+  JobOffer offer;
+};
+
+/** Answers a JobOffered. */
+struct AnswerOffer {
+  ReplyId reply;
+  /** This cell decides on the job from now on, or has handed it on. */
+  bool stored = false;
+};
+
 /** Requests a PoolTick after this time, in addition to the periodic ones. */
 struct WakeUp {
   Duration after{0};
@@ -132,6 +146,8 @@
                                 RequestAdviceEffect,
                                 AnswerSubmit,
                                 AnswerCancel,
+                                OfferJob,
+                                AnswerOffer,
                                 WakeUp,
                                 LogDecision>;
 
--- a/src/libjobs/pool_engine.cc
+++ b/src/libjobs/pool_engine.cc
@@ -106,6 +106,8 @@
     EvacuateWorkers();
     RetryStops();
     LogWaits();
+    HandOverMisplacedJobs();
+    OfferLeavingJobs();
     DropExpiredJobs();
     DropExpiredDelegations();
   }
@@ -130,46 +132,52 @@
     delegated_at_.emplace(it.decided_wall_ms, id);
   }
   for (auto& [id, job] : jobs_) {
-    job.submitted_at =
-        now_ - FromMilliseconds(wall_ms_ - job.submitted_wall_ms);
-    if (job.end != JobEnd::kOpen) {
-      ended_.emplace(job.ended_wall_ms, id);
+    if (job.end == JobEnd::kOpen && delegated_.contains(id)) {
+      Freeze(job);
     }
-    for (auto& [number, occurrence] : job.occurrences) {
-      occurrence.due =
-          job.IsPeriodic()
-              ? now_ +
-                    FromMilliseconds(job.spec.first_due_wall_ms +
-                                     number * job.spec.interval_ms - wall_ms_)
-              : job.submitted_at;
-      for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
-        auto& tasks = occurrence.steps[step];
-        for (std::size_t i = 0; i < tasks.size(); ++i) {
-          if (tasks[i].phase == TaskPhase::kInherited) {
-            Worker& worker = WorkerFor(tasks[i].worker);
-            if (!tasks[i].host.value().empty()) {
-              worker.entry.host = tasks[i].host;
-              worker.entry.incarnation =
-                  std::max(worker.entry.incarnation, tasks[i].incarnation);
-            }
-            const auto resources = ResourcesOf(job.spec.steps[step]);
-            worker.AddRun(
-                TaskId{id, number, static_cast<int>(step), static_cast<int>(i)},
-                resources, tasks[i].Suspicion());
+    AdoptJob(job);
+  }
+  MaybePollWorkers();
+  schedule_needed_ = true;
+}
+
+void PoolEngine::AdoptJob(Job& job) {
+  job.submitted_at = now_ - FromMilliseconds(wall_ms_ - job.submitted_wall_ms);
+  if (job.end != JobEnd::kOpen) {
+    ended_.emplace(job.ended_wall_ms, job.id);
+  }
+  for (auto& [number, occurrence] : job.occurrences) {
+    occurrence.due =
+        job.IsPeriodic()
+            ? now_ + FromMilliseconds(job.spec.first_due_wall_ms +
+                                      number * job.spec.interval_ms - wall_ms_)
+            : job.submitted_at;
+    for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+      auto& tasks = occurrence.steps[step];
+      for (std::size_t i = 0; i < tasks.size(); ++i) {
+        if (tasks[i].phase == TaskPhase::kInherited) {
+          Worker& worker = WorkerFor(tasks[i].worker);
+          if (!tasks[i].host.value().empty()) {
+            worker.entry.host = tasks[i].host;
+            worker.entry.incarnation =
+                std::max(worker.entry.incarnation, tasks[i].incarnation);
           }
+          const auto resources = ResourcesOf(job.spec.steps[step]);
+          worker.AddRun(TaskId{job.id, number, static_cast<int>(step),
+                               static_cast<int>(i)},
+                        resources, tasks[i].Suspicion());
         }
       }
-      if (job.end == JobEnd::kOpen) {
-        AddReadySteps(job, number);
-      }
     }
-    if (job.end == JobEnd::kOpen && job.created < job.OccurrenceCount()) {
-      scheduled_jobs_.insert(id);
-      BeginDueOccurrences(job);
+    if (job.end == JobEnd::kOpen) {
+      AddReadySteps(job, number);
     }
   }
-  MaybePollWorkers();
-  schedule_needed_ = true;
+  if (job.end == JobEnd::kOpen && job.created < job.OccurrenceCount() &&
+      !leaving_.contains(job.id)) {
+    scheduled_jobs_.insert(job.id);
+    BeginDueOccurrences(job);
+  }
 }
 
 void PoolEngine::Handle(const PoliciesChanged& event) {
@@ -274,6 +282,12 @@
 }
 
 void PoolEngine::Handle(const CancelRequested& event) {
+  if (const auto leaving = leaving_.find(event.job);
+      leaving != leaving_.end()) {
+    // The other cell may have the job already.
+    leaving->second.cancels.push_back(event.reply);
+    return;
+  }
   const auto it = jobs_.find(event.job);
   if (const auto delegated = delegated_.find(event.job);
       loaded_ && it == jobs_.end() && delegated != delegated_.end()) {
@@ -442,7 +456,8 @@
 
 void PoolEngine::AddReadySteps(Job& job, int occurrence) {
   const auto it = job.occurrences.find(occurrence);
-  if (it == job.occurrences.end() || job.end != JobEnd::kOpen) {
+  if (it == job.occurrences.end() || job.end != JobEnd::kOpen ||
+      leaving_.contains(job.id)) {
     return;
   }
   for (int step = 0; step < static_cast<int>(job.spec.steps.size()); ++step) {
@@ -545,6 +560,7 @@
     }
   }
   effects_.insert(effects_.end(), stored.answers.begin(), stored.answers.end());
+  OfferLeavingJobs();
   for (const auto& [id, run] : stored.placed) {
     SendStart(id, run);
   }
--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -112,6 +112,8 @@
   void Handle(const WorkersListed& event);
   void Handle(const SubmitRequested& event);
   void Handle(const CancelRequested& event);
+  void Handle(const JobOffered& event);
+  void Handle(const OfferFinished& event);
   void Handle(const HostsPlanned& event);
   void Handle(const CommitStored& event);
   void Handle(const PollFinished& event);
@@ -190,6 +192,31 @@
   void AnswerDelegated(const ReplyId& reply, const JobId& job);
   void DropExpiredDelegations();
 
+  // Accepted jobs that go to another cell (pool_engine_hand_over.cc).
+  /** A job that is being handed over; it has no runs and gets none here. */
+  struct Leaving {
+    std::vector<StoredRecord> records;
+    /** When it was last offered. */
+    Time offered_at;
+    /** Cancel requests that the other cell is to carry out. */
+    std::vector<ReplyId> cancels;
+  };
+  /** Returns whether a run of the job may be present at a worker. */
+  static bool HasRuns(const Job& job);
+  /** Begins to hand over jobs that have no runs and have waited for some time
+   * for workers that this cell does not have. */
+  void HandOverMisplacedJobs();
+  /** Returns the cell that should get a job whose tasks have found no worker
+   * for the time `lacking`; empty to keep it. */
+  std::optional<ShardId> CellForHandOver(const Job& job, Duration lacking);
+  void BeginHandOver(Job& job, ShardId cell);
+  /** Stops all decisions on the job. */
+  void Freeze(const Job& job);
+  /** Sends the jobs that are being handed over, again if needed. */
+  void OfferLeavingJobs();
+  /** Begins to decide on a job that was read from records. */
+  void AdoptJob(Job& job);
+
   // Jobs (pool_engine.cc).
   /** Stores an unknown job as cancelled, so that a submission of it that is
    * still in transit is refused. */
@@ -420,6 +447,10 @@
   /** Jobs that other cells decide on, and their ids by time of the decision. */
   std::map<JobId, Delegation> delegated_;
   std::set<std::pair<std::int64_t, JobId>> delegated_at_;
+  /** Jobs that are being handed over; `delegated_` has the cells. */
+  std::map<JobId, Leaving> leaving_;
+  /** Since when no worker of the cell could take a task of the job. */
+  std::map<JobId, Time> lacking_since_;
   HostPlan plan_;
   /** Highest fencing token of a planner that has sent a plan. */
   FenceToken planner_;
--- a/src/libjobs/pool_engine_delegation.cc
+++ b/src/libjobs/pool_engine_delegation.cc
@@ -58,7 +58,7 @@
 
 std::optional<ShardId> PoolEngine::DelegatedTo(const JobId& job) const {
   const auto it = delegated_.find(job);
-  return it == delegated_.end() || !it->second.stored
+  return it == delegated_.end() || !it->second.stored || jobs_.contains(job)
              ? std::nullopt
              : std::optional(it->second.cell);
 }
@@ -215,11 +215,23 @@
 }
 
 void PoolEngine::DropExpiredDelegations() {
-  while (!delegated_at_.empty() &&
-         delegated_at_.begin()->first + tuning_.RetentionMs() < wall_ms_) {
+  const auto is_expired = [this](std::int64_t decided_wall_ms) {
+    return decided_wall_ms + tuning_.RetentionMs() < wall_ms_;
+  };
+  while (!delegated_at_.empty() && is_expired(delegated_at_.begin()->first)) {
     const JobId id = delegated_at_.begin()->second;
     delegated_at_.erase(delegated_at_.begin());
-    delegated_.erase(id);
+    const auto it = delegated_.find(id);
+    if (it == delegated_.end() || !is_expired(it->second.decided_wall_ms)) {
+      // The job came back, or was handed over again.
+      continue;
+    }
+    if (leaving_.contains(id)) {
+      it->second.decided_wall_ms = wall_ms_;
+      delegated_at_.emplace(wall_ms_, id);
+      continue;
+    }
+    delegated_.erase(it);
     staged_.delegated.insert(id);
   }
 }
--- a/src/libjobs/pool_event.h
+++ b/src/libjobs/pool_event.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "libjobs/advice_cache.h"
+#include "libjobs/job_offer.h"
 #include "libjobs/policies.h"
 #include "libjobs/pool_division.h"
 #include "libjobs/pool_usage.h"
@@ -61,6 +62,21 @@
   JobId job;
 };
 
+/** Another cell hands a job over to this one; answered by AnswerOffer. */
+struct JobOffered {
+  ReplyId reply;
+  JobOffer offer;
+};
+
+/** Outcome of an OfferJob. */
+struct OfferFinished {
+  JobId job;
+  /** Number of the offer. */
+  int number = 0;
+  /** The other cell has stored the job. */
+  bool stored = false;
+};
+
 /** The host planner asks to vacate hosts, or announces new ones. */
 struct HostsPlanned {
   HostPlan plan;
@@ -158,6 +174,8 @@
                                    WorkersListed,
                                    SubmitRequested,
                                    CancelRequested,
+                                   JobOffered,
+                                   OfferFinished,
                                    HostsPlanned,
                                    CommitStored,
                                    PollFinished,
--- a/src/libjobs/stored_job.cc
+++ b/src/libjobs/stored_job.cc
@@ -164,6 +164,8 @@
     job.created = it;
     job.CreateOccurrence(Time{});
   }
+  // Absent in records of earlier releases.
+  job.hand_overs = json.size() > 7 ? json.at(7).get<int>() : 0;
   job.created = created;
   job.finished = created - static_cast<int>(open.size());
   for (const auto& it : json.at(6)) {
@@ -186,9 +188,9 @@
 }
 
 std::string EncodeDelegation(const Delegation& delegation) {
-  return Pack(
-      Json::array({kFormatVersion, delegation.cell.value(),
-                   delegation.decided_wall_ms, delegation.submitted_wall_ms}));
+  return Pack(Json::array(
+      {kFormatVersion, delegation.cell.value(), delegation.decided_wall_ms,
+       delegation.submitted_wall_ms, delegation.hand_overs}));
 }
 
 std::string EncodeAcceptance(const Job& job) {
@@ -243,9 +245,9 @@
       }
     }
   }
-  return Pack(
-      Json::array({kFormatVersion, static_cast<int>(job.end), job.ended_wall_ms,
-                   job.begun, job.created, std::move(open), std::move(rows)}));
+  return Pack(Json::array({kFormatVersion, static_cast<int>(job.end),
+                           job.ended_wall_ms, job.begun, job.created,
+                           std::move(open), std::move(rows), job.hand_overs}));
 }
 
 LoadedJobs DecodeJobs(const std::vector<StoredRecord>& records) {
@@ -275,7 +277,9 @@
     loaded.delegations.insert_or_assign(
         id, Delegation{ShardId(json.at(1).get<int>()),
                        json.at(2).get<std::int64_t>(),
-                       json.at(3).get<std::int64_t>(), true});
+                       json.at(3).get<std::int64_t>(), true,
+                       // Absent in records of earlier releases.
+                       json.size() > 4 ? json.at(4).get<int>() : 0});
   });
   return loaded;
 }
--- a/src/libjobs/stored_job.h
+++ b/src/libjobs/stored_job.h
@@ -32,6 +32,9 @@
   /** Wall clock of the first request for the job. */
   std::int64_t submitted_wall_ms = 0;
   bool stored = false;
+  /** How often the job was handed over, with this time; 0 if it was delegated
+   * before it was accepted. */
+  int hand_overs = 0;
 };
 
 std::string DelegationKey(const JobId& id);
--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -121,7 +121,7 @@
     ++token;
     former = engine;
     former_token = token - 1;
-    engine = std::make_shared<PoolEngine>(kShard, tuning);
+    engine = std::make_shared<PoolEngine>(shard, tuning);
     std::vector<StoredRecord> records;
     for (const auto& [key, value] : store) {
       records.push_back({key, value});
@@ -167,6 +167,21 @@
          SubmitRequested{reply, JobId(id), Queue(), spec, true, asked_ago});
   }
 
+  /** Hands a job over to this cell; `done` is called unless the owner is lost
+   * first. */
+  void Offer(const JobOffer& offer, std::function<void(bool)> done) {
+    const ReplyId reply(++replies_);
+    offer_replies_[reply] = std::move(done);
+    Post(engine, token, JobOffered{reply, offer});
+  }
+
+  /** Takes over what the workers of another cell have done. */
+  void NoteDoneElsewhere(const JobWorld& other) {
+    done_.insert(other.done_.begin(), other.done_.end());
+    acknowledged_done.insert(other.acknowledged_done.begin(),
+                             other.acknowledged_done.end());
+  }
+
   void Plan(const HostPlan& plan) { Post(engine, token, HostsPlanned{plan}); }
 
   /** Returns the entry of a worker on a host of the cell. */
@@ -410,6 +425,11 @@
   std::map<WorkerId, SimWorker> workers;
   /** Workers in the list; empty for all. */
   std::set<WorkerId> listed;
+  /** Delivers an offer to another cell; the callback gets its answer. */
+  std::function<void(ShardId, const JobOffer&, std::function<void(bool)>)>
+      on_offer;
+  /** Shard of the simulated owners. */
+  ShardId shard = kShard;
   /** Entries of workers of other cells. */
   std::vector<WorkerEntry> elsewhere;
   bool listing = true;
@@ -867,6 +887,21 @@
     }
   }
 
+  void Execute(const Engine& owner, std::int64_t fence_token, OfferJob& offer) {
+    if (!on_offer) {
+      return;
+    }
+    on_offer(offer.cell, offer.offer,
+             [this, owner, fence_token, job = offer.offer.job,
+              number = offer.offer.number](bool stored) {
+               Post(owner, fence_token, OfferFinished{job, number, stored});
+             });
+  }
+
+  void Execute(const Engine&, std::int64_t, AnswerOffer& answer) {
+    offer_replies_.at(answer.reply)(answer.stored);
+  }
+
   void Execute(const Engine&, std::int64_t, LogDecision& decision) {
     decisions.push_back(decision);
   }
@@ -923,6 +958,7 @@
   std::uint64_t replies_ = 0;
   std::map<ReplyId, JobId> submit_replies_;
   std::map<ReplyId, JobId> cancel_replies_;
+  std::map<ReplyId, std::function<void(bool)>> offer_replies_;
 };
 
 }  // namespace baobab
