libjobs: store large jobs in parts within the limits of the store

Cause: the progress of all tasks of a job was one record, all changes one call, and the owner repeated an append that the store never takes without end. Evidence: the same append some 45 times a second while other shards store. The limits come from the settings; the stores of the tests have them. Open: the forecast is quadratic in the number of steps.

--- a/src/libfleet/ports.h
+++ b/src/libfleet/ports.h
@@ -38,14 +38,17 @@
   kOutOfSequence,
   /** Definitely not stored. */
   kRefused,
+  /** Definitely not stored, and never will be: the records are malformed or too
+   * large. */
+  kRejected,
   /** No answer; the records may have been stored, or may be later. */
   kUnknown,
 };
 
 /** Returns the name for logs. */
 constexpr const char* ToString(AppendOutcome outcome) {
-  constexpr const char* kNames[] = {"stored", "fenced", "out-of-sequence",
-                                    "refused", "unknown"};
+  constexpr const char* kNames[] = {"stored",  "fenced",   "out-of-sequence",
+                                    "refused", "rejected", "unknown"};
   return kNames[static_cast<int>(outcome)];
 }
 
--- a/src/libfleet/shard_owner.cc
+++ b/src/libfleet/shard_owner.cc
@@ -21,6 +21,31 @@
 constexpr Duration kInitialAppendTimeout = std::chrono::milliseconds(600);
 constexpr int kMaxTimeoutDoublings = 2;
 
+/** Maximum size of the records of one call, unless a single one is larger. More
+ * would take a small node longer to send than the timeout of an append. */
+constexpr std::size_t kMaxBatchBytes = 512u << 10;
+
+/** Bytes of a record in a call beside its key and value. */
+constexpr std::size_t kRecordHeaderBytes = 5;
+
+/** Splits the records into calls of at most `max_bytes` each. */
+std::deque<std::vector<StoredRecord>> SplitRecords(
+    std::vector<StoredRecord> records,
+    std::size_t max_bytes) {
+  std::deque<std::vector<StoredRecord>> batches;
+  std::size_t bytes = 0;
+  for (auto& it : records) {
+    const auto size = kRecordHeaderBytes + it.key.size() + it.value.size();
+    if (batches.empty() || bytes + size > max_bytes) {
+      batches.emplace_back();
+      bytes = 0;
+    }
+    bytes += size;
+    batches.back().push_back(std::move(it));
+  }
+  return batches;
+}
+
 Error ShardMovedError(ShardId shard) {
   return {"own shard", std::to_string(shard.value()), "the shard has moved"};
 }
@@ -34,6 +59,7 @@
     : ports_(ports),
       shard_(shard),
       token_(token),
+      max_batch_bytes_(std::min(kMaxBatchBytes, tuning.max_request_bytes)),
       engine_(shard, tuning),
       retry_timer_(ports.loop),
       wake_timer_(ports.loop) {}
@@ -201,12 +227,20 @@
 }
 
 void ShardOwner::Append() {
+  if (batches_.empty()) {
+    ports_.log.metrics().Observe(
+        "commit_seconds",
+        std::chrono::duration<double>(SteadyNow() - commit_started_at_)
+            .count());
+    Post(CommitStored{commit_, std::exchange(rejected_, {})});
+    return;
+  }
   const auto timeout = kInitialAppendTimeout *
                        (1 << std::min(append_attempts_, kMaxTimeoutDoublings));
   ++append_attempts_;
   ports_.store.Append(
-      {shard_, ShardWriter::kJobs}, token_, sequence_, commit_.records, timeout,
-      [self = shared_from_this()](AppendOutcome outcome) {
+      {shard_, ShardWriter::kJobs}, token_, sequence_, batches_.front(),
+      timeout, [self = shared_from_this()](AppendOutcome outcome) {
         if (self->stopped_) {
           return;
         }
@@ -214,11 +248,8 @@
           case AppendOutcome::kStored:
             ++self->sequence_;
             self->append_attempts_ = 0;
-            self->ports_.log.metrics().Observe(
-                "commit_seconds", std::chrono::duration<double>(
-                                      SteadyNow() - self->commit_started_at_)
-                                      .count());
-            self->Post(CommitStored{self->commit_.commit});
+            self->batches_.pop_front();
+            self->Append();
             break;
           case AppendOutcome::kFenced:
           case AppendOutcome::kOutOfSequence:
@@ -227,14 +258,36 @@
           case AppendOutcome::kRefused:
             self->Retry(&ShardOwner::Append, kRetryDelay);
             break;
+          case AppendOutcome::kRejected:
+            self->LeaveOutRejected();
+            break;
           case AppendOutcome::kUnknown:
-            // The timeout has already passed, or the connection broke.
+            // The timeout has already passed, or the connection
+            // broke.
             self->Retry(&ShardOwner::Append, kUnknownOutcomeRetryDelay);
             break;
         }
       });
 }
 
+void ShardOwner::LeaveOutRejected() {
+  auto records = std::move(batches_.front());
+  batches_.pop_front();
+  if (records.size() == 1) {
+    const auto& record = records.front();
+    ports_.log.Write("record-rejected", "",
+                     fmt::format("shard={} key={} bytes={}", shard_.value(),
+                                 record.key, record.value.size()));
+    rejected_.push_back(record.key);
+  } else {
+    for (auto it = records.rbegin(); it != records.rend(); ++it) {
+      batches_.push_front({std::move(*it)});
+    }
+  }
+  append_attempts_ = 0;
+  Append();
+}
+
 void ShardOwner::Execute(PoolEffect& effect) {
   const auto weak = weak_from_this();
   const auto post = [weak](PoolEventBody body) {
@@ -247,7 +300,9 @@
     std::function<void(PoolEventBody)> post;
 
     void operator()(StoreCommit& it) {
-      self.commit_ = std::move(it);
+      self.commit_ = it.commit;
+      self.batches_ =
+          SplitRecords(std::move(it.records), self.max_batch_bytes_);
       self.append_attempts_ = 0;
       self.commit_started_at_ = SteadyNow();
       self.Append();
--- a/src/libfleet/shard_owner.h
+++ b/src/libfleet/shard_owner.h
@@ -1,6 +1,7 @@
 #ifndef SRC_LIBFLEET_SHARD_OWNER_H_
 #define SRC_LIBFLEET_SHARD_OWNER_H_
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -99,8 +100,11 @@
   void Load();
   /** Runs a failed step again after the delay. */
   void Retry(void (ShardOwner::*step)(), Duration delay);
-  /** Stores `commit_`. */
+  /** Stores the first of `batches_`, and then the next ones. */
   void Append();
+  /** Goes on after the store has rejected the first batch for good: stores its
+   * records one by one, and leaves out a single one. */
+  void LeaveOutRejected();
   /** Passes an event to the engine and executes its effects. */
   void Post(PoolEventBody body);
   void Execute(PoolEffect& effect);
@@ -108,6 +112,8 @@
   const Ports ports_;
   const ShardId shard_;
   const FenceToken token_;
+  /** Maximum size of the records of one call. */
+  const std::size_t max_batch_bytes_;
   PoolEngine engine_;
   LoopTimer retry_timer_;
   LoopTimer wake_timer_;
@@ -116,7 +122,11 @@
   /** Sequence number of the next append. */
   std::uint64_t sequence_ = 0;
   /** Commit that is being stored. */
-  StoreCommit commit_;
+  CommitId commit_;
+  /** Its records, in calls of limited size. */
+  std::deque<std::vector<StoredRecord>> batches_;
+  /** Keys of those that the store has rejected. */
+  std::vector<std::string> rejected_;
   int append_attempts_ = 0;
   Time commit_started_at_;
 
--- a/src/libjobs/job.h
+++ b/src/libjobs/job.h
@@ -43,6 +43,10 @@
  * fate of its former workers is known. Many tasks may be under suspicion. */
 inline constexpr Duration kMaxTrialWait = std::chrono::milliseconds(2000);
 
+/** Maximum size of a checkpoint. One that is longer is not used, as a record
+ * has those of kTasksPerRecord tasks and the store limits its size. */
+inline constexpr std::size_t kMaxCheckpointBytes = 1024;
+
 /** State of one task of an occurrence. */
 struct Task {
   /** Returns the number of workers that may have crashed under the task. */
@@ -175,6 +179,8 @@
   std::map<int, Occurrence> occurrences;
   /** Number of occurrences created so far, which is the number of the next. */
   int created = 0;
+  /** Digests of the stored parts of the progress, by number. */
+  std::map<int, std::uint64_t> stored_parts;
   /** Number of occurrences that are finished. */
   int finished = 0;
 
--- a/src/libjobs/pool_effect.h
+++ b/src/libjobs/pool_effect.h
@@ -13,7 +13,8 @@
 
 namespace baobab {
 
-/** Stores the records atomically; reports CommitStored. */
+/** Stores the records in this order, all at once if they fit into one call;
+ * reports CommitStored. */
 struct StoreCommit {
   CommitId commit;
   std::vector<StoredRecord> records;
@@ -99,6 +100,8 @@
    * request. */
   ShardId cell{};
   Duration asked_ago{0};
+  /** Job of an answer that awaits the store. */
+  JobId job = JobId();
 };
 
 /** Answers a CancelRequested. */
--- a/src/libjobs/pool_engine.cc
+++ b/src/libjobs/pool_engine.cc
@@ -15,6 +15,15 @@
 /** Number of commits over which their duration is averaged. */
 constexpr int kCommitSamples = 4;
 
+/** Bounds of the encoded size of a job without its texts and steps, of a step
+ * without its texts and dependencies, and of a number. */
+constexpr std::size_t kMaxAcceptanceBytes = 160;
+constexpr std::size_t kMaxStepBytes = 120;
+constexpr std::size_t kMaxNumberBytes = 9;
+
+/** Bytes that the store adds to a key and a value. */
+constexpr std::size_t kRecordHeaderBytes = 1;
+
 Duration FromMilliseconds(std::int64_t ms) {
   return std::chrono::milliseconds(ms);
 }
@@ -214,8 +223,13 @@
           AnswerSubmit{event.reply, SubmitVerdict::kAccepted, {}, "known"});
     } else {
       staged_.dirty.insert(event.job);
-      staged_.answers.push_back(
-          AnswerSubmit{event.reply, SubmitVerdict::kAccepted, {}, "known"});
+      staged_.answers.push_back(AnswerSubmit{event.reply,
+                                             SubmitVerdict::kAccepted,
+                                             {},
+                                             "known",
+                                             {},
+                                             {},
+                                             event.job});
     }
     return;
   }
@@ -228,6 +242,13 @@
     return;
   }
   Job job = MakeJob(event);
+  if (const auto bytes = AcceptanceSize(job);
+      bytes > tuning_.max_record_bytes) {
+    refuse(SubmitVerdict::kInvalid, {},
+           fmt::format("job-too-large bytes={} limit={}", bytes,
+                       tuning_.max_record_bytes));
+    return;
+  }
   if (in_flight_ && now_ - commit_sent_at_ > tuning_.store_timeout) {
     demand_.RecordRefused(job, now_);
     refuse(SubmitVerdict::kRefused, FromMilliseconds(1000), "store-away");
@@ -274,8 +295,8 @@
   demand_.RecordAccepted(job, now_);
   auto& stored = jobs_.emplace(event.job, std::move(job)).first->second;
   staged_.accepted.insert(event.job);
-  staged_.answers.push_back(
-      AnswerSubmit{event.reply, SubmitVerdict::kAccepted, {}, "new"});
+  staged_.answers.push_back(AnswerSubmit{
+      event.reply, SubmitVerdict::kAccepted, {}, "new", {}, {}, event.job});
   scheduled_jobs_.insert(event.job);
   BeginDueOccurrences(stored);
   schedule_needed_ = true;
@@ -331,6 +352,20 @@
   }
 }
 
+std::size_t PoolEngine::AcceptanceSize(const Job& job) const {
+  // Most jobs are far below the limit, and encoding one takes time.
+  std::size_t bound = kMaxAcceptanceBytes + job.spec.payload.size() +
+                      job.queue.value().size() + job.service.value().size();
+  for (const auto& it : job.spec.steps) {
+    bound += kMaxStepBytes + kMaxNumberBytes * it.after.size() +
+             it.label.size() + it.data_rack.size() + it.image.size();
+  }
+  return bound <= tuning_.max_record_bytes
+             ? bound
+             : kRecordHeaderBytes + AcceptanceKey(job.id).size() +
+                   EncodeAcceptance(job).size();
+}
+
 void PoolEngine::UsePlan(HostPlan plan) {
   plan_ = std::move(plan);
   planned_at_ = now_;
@@ -440,11 +475,22 @@
          ended_.begin()->first + tuning_.RetentionMs() < wall_ms_) {
     const JobId id = ended_.begin()->second;
     ended_.erase(ended_.begin());
-    jobs_.erase(id);
-    staged_.dropped.insert(id);
+    if (const auto it = jobs_.find(id); it != jobs_.end()) {
+      DropJob(it);
+    }
   }
 }
 
+void PoolEngine::DropJob(std::map<JobId, Job>::iterator job) {
+  auto& parts = staged_.dropped[job->first];
+  for (const auto& [part, digest] : job->second.stored_parts) {
+    parts.insert(part);
+  }
+  staged_.accepted.erase(job->first);
+  staged_.dirty.erase(job->first);
+  jobs_.erase(job);
+}
+
 ReadyStep PoolEngine::ReadyKey(const Job& job, int occurrence, int step) const {
   return {job.priority,
           !job.Step(step).long_running,
@@ -495,26 +541,48 @@
     size += key.size() + value.size();
     commit.records.push_back({std::move(key), std::move(value)});
   };
-  for (const auto& id : staged_.dropped) {
+  // A commit may be stored in several calls, of which the last ones may fail. A
+  // job counts from when its acceptance is stored until that is deleted, so it
+  // is stored after all else and deleted first.
+  for (const auto& [id, parts] : staged_.dropped) {
     if (jobs_.contains(id)) {
       continue;
     }
-    add(ProgressKey(id), "");
     add(AcceptanceKey(id), "");
+    add(ProgressKey(id), "");
+    for (const int part : parts) {
+      add(ProgressPartKey(id, part), "");
+    }
   }
   for (const auto& id : staged_.delegated) {
     const auto it = delegated_.find(id);
     add(DelegationKey(id),
         it == delegated_.end() ? "" : EncodeDelegation(it->second));
   }
-  for (const auto& id : staged_.accepted) {
-    add(AcceptanceKey(id), EncodeAcceptance(jobs_.at(id)));
-  }
   for (const auto& id : staged_.dirty) {
     const auto it = jobs_.find(id);
-    if (it != jobs_.end()) {
-      add(ProgressKey(id), EncodeProgress(it->second, lost_runs_));
+    if (it == jobs_.end()) {
+      continue;
+    }
+    Job& job = it->second;
+    add(ProgressKey(id), EncodeProgress(job, lost_runs_));
+    auto digests = ProgressDigests(job);
+    for (const auto& [part, digest] : digests) {
+      const auto stored = job.stored_parts.find(part);
+      if (stored == job.stored_parts.end() || stored->second != digest) {
+        add(ProgressPartKey(id, part),
+            EncodeProgressPart(job, part, lost_runs_));
+      }
+    }
+    for (const auto& [part, digest] : job.stored_parts) {
+      if (!digests.contains(part)) {
+        add(ProgressPartKey(id, part), "");
+      }
     }
+    job.stored_parts = std::move(digests);
+  }
+  for (const auto& id : staged_.accepted) {
+    add(AcceptanceKey(id), EncodeAcceptance(jobs_.at(id)));
   }
   in_flight_ = std::exchange(staged_, {});
   if (commit.records.empty()) {
@@ -534,10 +602,44 @@
       // Longer ones show an outage, which is no forecast for the next commit.
       commit_time_ += (taken - commit_time_) / kCommitSamples;
     }
+    RefuseRejected(event.rejected);
     PublishStored();
   }
 }
 
+void PoolEngine::RefuseRejected(const std::vector<std::string>& keys) {
+  std::set<JobId> rejected;
+  for (const auto& it : keys) {
+    // The key is a kind, a slash and the id, with more behind a slash.
+    const auto id = it.substr(std::min<std::size_t>(2, it.size()));
+    rejected.emplace(id.substr(0, id.find('/')));
+  }
+  for (const auto& id : rejected) {
+    const auto it = jobs_.find(id);
+    if (it == jobs_.end()) {
+      continue;
+    }
+    if (it->second.end == JobEnd::kOpen) {
+      EndJob(it->second, JobEnd::kFailed, "record-rejected");
+    }
+    if (it->second.stored) {
+      continue;
+    }
+    // It was not accepted, so nothing of it remains.
+    in_flight_->accepted.erase(id);
+    for (auto& answer : in_flight_->answers) {
+      auto* submit = std::get_if<AnswerSubmit>(&answer);
+      if (submit && submit->job == id) {
+        submit->verdict = SubmitVerdict::kInvalid;
+        submit->reason = "record-rejected";
+      }
+    }
+    std::erase_if(ended_,
+                  [&](const auto& ended) { return ended.second == id; });
+    DropJob(it);
+  }
+}
+
 void PoolEngine::PublishStored() {
   const StagedChanges stored = std::move(*in_flight_);
   in_flight_.reset();
--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -80,8 +80,9 @@
     std::set<JobId> dirty;
     /** New jobs whose acceptance is to be stored. */
     std::set<JobId> accepted;
-    /** Expired jobs whose records are to be deleted. */
-    std::set<JobId> dropped;
+    /** Jobs whose records are to be deleted, with the numbers of the parts of
+     * their progress. */
+    std::map<JobId, std::set<int>> dropped;
     /** Jobs whose delegation is to be stored, or deleted if it has expired. */
     std::set<JobId> delegated;
     /** Answers to callers that are sent once the commit is stored. */
@@ -222,10 +223,15 @@
    * still in transit is refused. */
   void AddTombstone(const JobId& id);
   Job MakeJob(const SubmitRequested& event) const;
+  /** Returns the size of the job's acceptance record, or an upper bound that is
+   * within the store's limit. */
+  std::size_t AcceptanceSize(const Job& job) const;
   /** Creates the occurrences of the job that are due. */
   void BeginDueOccurrences(Job& job);
   /** Ends the job and stops its runs. */
   void EndJob(Job& job, JobEnd end, const std::string& why);
+  /** Forgets a job and deletes its records. */
+  void DropJob(std::map<JobId, Job>::iterator job);
   /** Deletes ended jobs after their retention time. */
   void DropExpiredJobs();
   /** Adds the steps of the occurrence that have tasks to place to `ready_`. */
@@ -235,6 +241,9 @@
   /** Sends the staged changes to the store, unless a commit is in flight or the
    * last one was sent too recently. */
   void FlushCommit();
+  /** Refuses new jobs of which the store has rejected a record for good, and
+   * ends others; such a record would be rejected again. */
+  void RefuseRejected(const std::vector<std::string>& keys);
   /** Makes the changes of the stored commit take effect: answers callers, sends
    * starts and lets run ends be acknowledged. */
   void PublishStored();
--- a/src/libjobs/pool_engine_hand_over.cc
+++ b/src/libjobs/pool_engine_hand_over.cc
@@ -105,8 +105,7 @@
 
 void PoolEngine::Freeze(const Job& job) {
   Leaving leaving;
-  leaving.records = {{AcceptanceKey(job.id), EncodeAcceptance(job)},
-                     {ProgressKey(job.id), EncodeProgress(job, lost_runs_)}};
+  leaving.records = EncodeJob(job, lost_runs_);
   leaving_.emplace(job.id, std::move(leaving));
   // The other cell counts late crashes from now on.
   lost_runs_.ForgetJob(job.id);
@@ -142,9 +141,7 @@
     effects_.push_back(AnswerCancel{it, false, delegation->second.cell});
   }
   leaving_.erase(leaving);
-  jobs_.erase(event.job);
-  staged_.dirty.erase(event.job);
-  staged_.dropped.insert(event.job);
+  DropJob(jobs_.find(event.job));
 }
 
 void PoolEngine::Handle(const JobOffered& event) {
@@ -185,6 +182,7 @@
   Job& job = jobs_.emplace(id, std::move(offered->second)).first->second;
   job.hand_overs = event.offer.number;
   job.stored = false;
+  job.stored_parts.clear();
   Log("take-job", id,
       fmt::format("queue={} service={} number={}", job.queue.value(),
                   job.service.value(), job.hand_overs));
--- a/src/libjobs/pool_engine_tasks.cc
+++ b/src/libjobs/pool_engine_tasks.cc
@@ -48,7 +48,7 @@
                         const std::string& checkpoint) {
   ReleaseResources(id, task);
   staged_.dirty.insert(job.id);
-  if (!checkpoint.empty()) {
+  if (!checkpoint.empty() && checkpoint.size() <= kMaxCheckpointBytes) {
     task.checkpoint = checkpoint;
   }
   const auto& spec = job.Step(id.step);
--- a/src/libjobs/pool_engine_workers.cc
+++ b/src/libjobs/pool_engine_workers.cc
@@ -274,7 +274,8 @@
       OrderStop(reported.task, *task);
     }
   }
-  if (!reported.checkpoint.empty()) {
+  if (!reported.checkpoint.empty() &&
+      reported.checkpoint.size() <= kMaxCheckpointBytes) {
     task->checkpoint = reported.checkpoint;
   }
   ClearSuspicion(job, reported, worker, *task);
--- a/src/libjobs/pool_event.h
+++ b/src/libjobs/pool_event.h
@@ -82,9 +82,12 @@
   HostPlan plan;
 };
 
-/** All records of the commit are stored. */
+/** All records of the commit are stored, but those that the store has rejected
+ * for good. */
 struct CommitStored {
   CommitId commit;
+  /** Keys of the rejected records. */
+  std::vector<std::string> rejected = {};
 };
 
 /** Outcome of a call to a worker. */
--- a/src/libjobs/pool_tuning.h
+++ b/src/libjobs/pool_tuning.h
@@ -2,6 +2,8 @@
 #define SRC_LIBJOBS_POOL_TUNING_H_
 
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 
 #include "libbase/base.h"
 
@@ -13,6 +15,10 @@
 struct PoolTuning {
   /** Number of shards of the job state, as set in the platform's store. */
   int shards = 32;
+  /** Maximum size of a record in the store, with its key, and of the records of
+   * one call. */
+  std::size_t max_record_bytes = 262'144;
+  std::size_t max_request_bytes = 2'097'152;
   /** Maximum lease that a worker grants. */
   Duration max_lease = std::chrono::milliseconds(6000);
   /** Lease requested for runs. It must outlast a takeover, about 2 s; the runs
--- a/src/libjobs/stored_job.cc
+++ b/src/libjobs/stored_job.cc
@@ -1,9 +1,12 @@
 #include "libjobs/stored_job.h"
 
+#include <charconv>
 #include <cstdint>
 #include <stdexcept>
 #include <utility>
 
+#include <xxhash.h>
+
 #include "libwire/bounded_dom.h"
 
 namespace baobab {
@@ -84,6 +87,91 @@
   return job;
 }
 
+std::int64_t TasksPerOccurrence(const Job& job) {
+  std::int64_t tasks = 0;
+  for (const auto& it : job.spec.steps) {
+    tasks += it.count;
+  }
+  return tasks;
+}
+
+/** Calls `visit` for each task that has a row in the progress of the job, with
+ * its id and its position among all tasks. */
+template <typename F>
+void ForEachRow(const Job& job, const F& visit) {
+  const auto per_occurrence = TasksPerOccurrence(job);
+  for (const auto& [number, occurrence] : job.occurrences) {
+    auto position = number * per_occurrence;
+    for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+      const auto& tasks = occurrence.steps[step];
+      for (std::size_t i = 0; i < tasks.size(); ++i, ++position) {
+        const Task& it = tasks[i];
+        // For an ended job, only runs that are still to be stopped matter.
+        if (it.run.value() != 0 &&
+            (job.end == JobEnd::kOpen || HoldsResources(it.phase))) {
+          visit(TaskId{job.id, number, static_cast<int>(step),
+                       static_cast<int>(i)},
+                it, position);
+        }
+      }
+    }
+  }
+}
+
+/** Returns the phase as it is stored: a new owner does not know how far a run
+ * that may be present at a worker has come. */
+TaskPhase StoredPhase(const Task& it) {
+  return HoldsResources(it.phase) ? TaskPhase::kRunning : it.phase;
+}
+
+Json RowOf(const TaskId& id, const Task& it, const LostRuns& lost_runs) {
+  const bool open_run = HoldsResources(it.phase);
+  auto row = Json::array({id.occurrence, id.step, id.index,
+                          static_cast<int>(it.phase), it.run.value(),
+                          it.failures, open_run ? it.worker.value() : "",
+                          it.phase == TaskPhase::kDone ? "" : it.checkpoint});
+  if (open_run || it.Suspicion() > 0) {
+    row.push_back(it.crashes);
+    row.push_back(it.doubtful_crashes);
+    row.push_back(open_run ? it.host.value() : "");
+    row.push_back(open_run ? it.incarnation : 0);
+  }
+  const bool after_poll = open_run && it.started_after_poll;
+  if (after_poll || it.unexplained_losses > 0) {
+    row.push_back(after_poll);
+    Json lost = Json::array();
+    for (const auto& run : lost_runs.Of(id)) {
+      lost.push_back({run.worker.value(), run.host.value(), run.incarnation,
+                      run.started_on_live_worker});
+    }
+    row.push_back(std::move(lost));
+  }
+  return row;
+}
+
+/** Combines a digest with what the row of the task depends on. */
+std::uint64_t AddToDigest(std::uint64_t digest,
+                          const TaskId& id,
+                          const Task& it) {
+  const std::int64_t numbers[] = {id.occurrence,
+                                  id.step,
+                                  id.index,
+                                  static_cast<std::int64_t>(StoredPhase(it)),
+                                  it.run.value(),
+                                  it.failures,
+                                  it.crashes,
+                                  it.doubtful_crashes,
+                                  it.unexplained_losses,
+                                  it.incarnation,
+                                  it.started_after_poll ? 1 : 0};
+  digest = XXH64(numbers, sizeof(numbers), digest);
+  for (const auto* text :
+       {&it.worker.value(), &it.checkpoint, &it.host.value()}) {
+    digest = XXH64(text->data(), text->size(), digest);
+  }
+  return digest;
+}
+
 /** Applies a row of the progress record to its task. */
 void ApplyTaskRow(Job& job,
                   const Json& row,
@@ -173,6 +261,35 @@
   }
 }
 
+/** Splits "ID/PART"; empty for another name. */
+std::optional<std::pair<JobId, int>> ParsePart(std::string_view name) {
+  const auto slash = name.rfind('/');
+  if (slash == std::string_view::npos) {
+    return std::nullopt;
+  }
+  int part = 0;
+  const auto* last = name.data() + name.size();
+  const auto [end, ec] = std::from_chars(name.data() + slash + 1, last, part);
+  if (ec != std::errc() || end != last || part < 0) {
+    return std::nullopt;
+  }
+  return std::pair(JobId(std::string(name.substr(0, slash))), part);
+}
+
+void ApplyProgressPart(Job& job,
+                       int part,
+                       const Json& json,
+                       std::vector<LostRuns::Run>& lost_runs) {
+  job.stored_parts[part] = 0;
+  for (const auto& it : json.at(1)) {
+    // A part that was not stored since an occurrence was finished still has the
+    // rows of that occurrence.
+    if (job.occurrences.contains(it.at(0).get<int>())) {
+      ApplyTaskRow(job, it, lost_runs);
+    }
+  }
+}
+
 }  // namespace
 
 std::string AcceptanceKey(const JobId& id) {
@@ -183,6 +300,10 @@
   return "p/" + id.value();
 }
 
+std::string ProgressPartKey(const JobId& id, int part) {
+  return ProgressKey(id) + "/" + std::to_string(part);
+}
+
 std::string DelegationKey(const JobId& id) {
   return "d/" + id.value();
 }
@@ -205,56 +326,67 @@
        job.spec.first_due_wall_ms, job.spec.interval_ms, job.needs_advice}));
 }
 
+bool HasProgressParts(const Job& job) {
+  return TasksPerOccurrence(job) * job.OccurrenceCount() > kTasksPerRecord;
+}
+
 std::string EncodeProgress(const Job& job, const LostRuns& lost_runs) {
   Json open = Json::array();
-  Json rows = Json::array();
   for (const auto& [number, occurrence] : job.occurrences) {
     open.push_back(number);
-    for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
-      const auto& tasks = occurrence.steps[step];
-      for (std::size_t i = 0; i < tasks.size(); ++i) {
-        const auto& it = tasks[i];
-        const bool open_run = HoldsResources(it.phase);
-        // For an ended job, only runs that are still to be stopped matter.
-        if (it.run.value() == 0 || (job.end != JobEnd::kOpen && !open_run)) {
-          continue;
-        }
-        auto row = Json::array(
-            {number, step, i, static_cast<int>(it.phase), it.run.value(),
-             it.failures, open_run ? it.worker.value() : "",
-             it.phase == TaskPhase::kDone ? "" : it.checkpoint});
-        if (open_run || it.Suspicion() > 0) {
-          row.push_back(it.crashes);
-          row.push_back(it.doubtful_crashes);
-          row.push_back(open_run ? it.host.value() : "");
-          row.push_back(open_run ? it.incarnation : 0);
-        }
-        const bool after_poll = open_run && it.started_after_poll;
-        if (after_poll || it.unexplained_losses > 0) {
-          row.push_back(after_poll);
-          Json lost = Json::array();
-          for (const auto& run :
-               lost_runs.Of({job.id, number, static_cast<int>(step),
-                             static_cast<int>(i)})) {
-            lost.push_back({run.worker.value(), run.host.value(),
-                            run.incarnation, run.started_on_live_worker});
-          }
-          row.push_back(std::move(lost));
-        }
-        rows.push_back(std::move(row));
-      }
-    }
+  }
+  Json rows = Json::array();
+  if (!HasProgressParts(job)) {
+    ForEachRow(job, [&](const TaskId& id, const Task& it, std::int64_t) {
+      rows.push_back(RowOf(id, it, lost_runs));
+    });
   }
   return Pack(Json::array({kFormatVersion, static_cast<int>(job.end),
                            job.ended_wall_ms, job.begun, job.created,
                            std::move(open), std::move(rows), job.hand_overs}));
 }
 
+std::string EncodeProgressPart(const Job& job,
+                               int part,
+                               const LostRuns& lost_runs) {
+  Json rows = Json::array();
+  ForEachRow(job, [&](const TaskId& id, const Task& it, std::int64_t position) {
+    if (position / kTasksPerRecord == part) {
+      rows.push_back(RowOf(id, it, lost_runs));
+    }
+  });
+  return Pack(Json::array({kFormatVersion, std::move(rows)}));
+}
+
+std::map<int, std::uint64_t> ProgressDigests(const Job& job) {
+  std::map<int, std::uint64_t> digests;
+  if (HasProgressParts(job)) {
+    ForEachRow(
+        job, [&](const TaskId& id, const Task& it, std::int64_t position) {
+          auto& digest = digests[static_cast<int>(position / kTasksPerRecord)];
+          digest = AddToDigest(digest, id, it);
+        });
+  }
+  return digests;
+}
+
+std::vector<StoredRecord> EncodeJob(const Job& job, const LostRuns& lost_runs) {
+  std::vector<StoredRecord> records = {
+      {ProgressKey(job.id), EncodeProgress(job, lost_runs)}};
+  for (const auto& [part, digest] : ProgressDigests(job)) {
+    records.push_back({ProgressPartKey(job.id, part),
+                       EncodeProgressPart(job, part, lost_runs)});
+  }
+  records.push_back({AcceptanceKey(job.id), EncodeAcceptance(job)});
+  return records;
+}
+
 LoadedJobs DecodeJobs(const std::vector<StoredRecord>& records) {
   LoadedJobs loaded;
-  const auto decode = [&](char kind, const auto& apply) {
+  const auto decode = [&](char kind, bool part, const auto& apply) {
     for (const auto& it : records) {
-      if (it.value.empty() || it.key.size() < 3 || it.key[0] != kind) {
+      if (it.value.empty() || it.key.size() < 3 || it.key[0] != kind ||
+          (it.key.find('/', 2) != std::string::npos) != part) {
         continue;
       }
       try {
@@ -264,16 +396,24 @@
       }
     }
   };
-  decode('a', [&](const JobId& id, const Json& json) {
+  decode('a', false, [&](const JobId& id, const Json& json) {
     loaded.jobs.emplace(id, AcceptanceFromJson(id, json));
   });
-  decode('p', [&](const JobId& id, const Json& json) {
+  decode('p', false, [&](const JobId& id, const Json& json) {
     const auto it = loaded.jobs.find(id);
     if (it != loaded.jobs.end()) {
       ApplyProgress(it->second, json, loaded.lost_runs);
     }
   });
-  decode('d', [&](const JobId& id, const Json& json) {
+  // The rows of a part need the occurrences in the record before.
+  decode('p', true, [&](const JobId& name, const Json& json) {
+    const auto part = ParsePart(name.value());
+    const auto it = part ? loaded.jobs.find(part->first) : loaded.jobs.end();
+    if (it != loaded.jobs.end()) {
+      ApplyProgressPart(it->second, part->second, json, loaded.lost_runs);
+    }
+  });
+  decode('d', false, [&](const JobId& id, const Json& json) {
     loaded.delegations.insert_or_assign(
         id, Delegation{ShardId(json.at(1).get<int>()),
                        json.at(2).get<std::int64_t>(),
--- a/src/libjobs/stored_job.h
+++ b/src/libjobs/stored_job.h
@@ -40,15 +40,34 @@
 std::string DelegationKey(const JobId& id);
 std::string EncodeDelegation(const Delegation& delegation);
 
-/** Return the keys of the two records of a job: its specification as accepted,
- * and its progress. */
+/** Return the keys of the records of a job: its specification as accepted, its
+ * progress, and a part of its progress. */
 std::string AcceptanceKey(const JobId& id);
 std::string ProgressKey(const JobId& id);
+std::string ProgressPartKey(const JobId& id, int part);
 
-/** Encode the two records as MessagePack. `lost_runs` may have runs of other
+/** Number of tasks of which a progress record has rows. A row takes about 50
+ * bytes, or a few hundred with a long checkpoint, and the store limits the size
+ * of a record. */
+inline constexpr int kTasksPerRecord = 128;
+
+/** Returns whether the job may have more tasks than one progress record has
+ * rows. Its rows then are in parts, each of which is stored only if it has
+ * changed. */
+bool HasProgressParts(const Job& job);
+
+/** Encode the records as MessagePack. `lost_runs` may have runs of other
  * jobs. */
 std::string EncodeAcceptance(const Job& job);
 std::string EncodeProgress(const Job& job, const LostRuns& lost_runs = {});
+std::string EncodeProgressPart(const Job& job,
+                               int part,
+                               const LostRuns& lost_runs = {});
+/** Returns the parts of the progress that have rows, with a digest of what
+ * EncodeProgressPart() depends on; empty if it has no parts. */
+std::map<int, std::uint64_t> ProgressDigests(const Job& job);
+/** Returns all records of the job, its acceptance last. */
+std::vector<StoredRecord> EncodeJob(const Job& job, const LostRuns& lost_runs);
 
 /** The jobs decoded from the records of a shard. */
 struct LoadedJobs {
--- a/tests/fleet_fakes.h
+++ b/tests/fleet_fakes.h
@@ -225,6 +225,14 @@
     std::optional<std::uint64_t> last;
   };
   std::map<std::pair<ShardId, ShardWriter>, Producer> producers;
+  /** Limits of the store: the size of a record and of the records of a call. */
+  std::size_t max_record_bytes = 262'144;
+  std::size_t max_request_bytes = 2'097'152;
+  /** A key whose records the store rejects. */
+  std::string rejected_key;
+  /** Appends that exceeded a limit, and the size of the largest other one. */
+  int rejections = 0;
+  std::size_t largest_append = 0;
   /** Records of the division of pools, in the order in which they were
    * stored. */
   std::vector<StoredRecord> division;
@@ -332,6 +340,24 @@
             [done] { done(AppendOutcome::kUnknown); });
       return;
     }
+    std::size_t bytes = 0;
+    for (const auto& it : records) {
+      const auto size = 1 + it.key.size() + it.value.size();
+      bytes += size;
+      if (size > platform_.max_record_bytes) {
+        bytes = platform_.max_request_bytes + 1;
+      }
+      if (it.key == platform_.rejected_key) {
+        bytes = platform_.max_request_bytes + 1;
+      }
+    }
+    if (bytes > platform_.max_request_bytes) {
+      ++platform_.rejections;
+      After(std::chrono::milliseconds(2),
+            [done] { done(AppendOutcome::kRejected); });
+      return;
+    }
+    platform_.largest_append = std::max(platform_.largest_append, bytes);
     const auto [outcome, is_new] =
         platform_.Sequence(stream, token.value(), sequence, records.empty());
     if (!is_new) {
--- a/tests/fleet_test_node.h
+++ b/tests/fleet_test_node.h
@@ -20,18 +20,22 @@
         client(platform.loop),
         log("test", metrics),
         node({platform.loop, client, ports, ports, ports, ports, log},
-             Config(address, milli_cores)),
+             Config(platform, address, milli_cores)),
         jobs(node, metrics) {
     platform.milli_cores[address] = milli_cores;
     node.Start();
   }
 
-  static FleetNodeConfig Config(const std::string& address, int milli_cores) {
+  static FleetNodeConfig Config(const FakePlatform& platform,
+                                const std::string& address,
+                                int milli_cores) {
     FleetNodeConfig config;
     config.milli_cores = milli_cores;
     config.node = NodeId(address);
     config.peer_address = address;
     config.tuning.shards = FakePlatform::kShards;
+    config.tuning.max_record_bytes = platform.max_record_bytes;
+    config.tuning.max_request_bytes = platform.max_request_bytes;
     return config;
   }
 
--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -396,6 +396,8 @@
   int advice_requests = 0;
   /** Tail response time that serving tasks report. */
   std::int64_t serving_tail_ms = 0;
+  /** Checkpoint that each run reports. */
+  std::string checkpoint;
   /** Time that workers take to stop a run. */
   Duration stop_time = std::chrono::milliseconds(200);
   /** Speed last ordered for each throttled run. */
@@ -449,6 +451,9 @@
   std::map<std::string, std::string> store;
   std::int64_t store_token = 0;
   int commits = 0;
+  /** Size of the largest record, and of all that were stored. */
+  std::size_t largest_record = 0;
+  std::size_t stored_bytes = 0;
   std::shared_ptr<PoolEngine> engine;
   std::shared_ptr<PoolEngine> former;
   bool former_runs = false;
@@ -513,6 +518,12 @@
     }
     ++commits;
     for (const auto& it : records) {
+      const auto size = 1 + it.key.size() + it.value.size();
+      largest_record = std::max(largest_record, size);
+      stored_bytes += size;
+      if (size > tuning.max_record_bytes) {
+        AddViolation("record too large: " + it.key);
+      }
       if (it.value.empty()) {
         store.erase(it.key);
       } else {
@@ -599,7 +610,8 @@
     report.incarnation = worker.entry.incarnation;
     report.clock_ms = worker.ClockAt(now);
     for (const auto& [id, run] : worker.runs) {
-      report.running.push_back({id, run.run, "", run.long_running ? 100 : 1,
+      report.running.push_back({id, run.run, checkpoint,
+                                run.long_running ? 100 : 1,
                                 run.long_running ? serving_tail_ms : 0});
     }
     const auto listed_ends = std::min(worker.ended.size(), kMaxListedEnds);
