libjobs: ask for advice for gangs

Cause: gangs were placed without tickets, and no advice was asked for them. Evidence: each start undone for want of a ticket; some 124 appends a second. Change: members are placed on workers with tickets only; if too few have one, advice is asked for.

--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -372,6 +372,9 @@
   /** Holds room for the waiting tasks of a long-running step. Finite tasks
    * would otherwise take each part of it as it becomes free. */
   void HoldRoom(Placement& placement, const ReadyStep& ready) const;
+  /** Returns the condition that the advice service has given a ticket for the
+   * worker; empty if the job needs none. */
+  Placement::Filter AdvisedOnly(const Job& job, const StepId& step) const;
   /** Requests advice on workers with free capacity for the step. */
   void RequestAdvice(const Placement& placement,
                      const Job& job,
--- a/src/libjobs/pool_engine_tasks.cc
+++ b/src/libjobs/pool_engine_tasks.cc
@@ -199,13 +199,7 @@
     }
     return placed;
   }
-  const StepId advised{job.id, ready.occurrence, ready.step};
-  Placement::Filter filter;
-  if (job.needs_advice) {
-    filter = [&](const WorkerId& it) {
-      return !advice_.TicketFor(advised, it, now_).empty();
-    };
-  }
+  const auto filter = AdvisedOnly(job, {job.id, ready.occurrence, ready.step});
   std::string rack;
   const double cores =
       static_cast<double>(ResourcesOf(spec).cpu_milli) / 1000.0;
@@ -269,6 +263,16 @@
   }
 }
 
+Placement::Filter PoolEngine::AdvisedOnly(const Job& job,
+                                          const StepId& step) const {
+  if (!job.needs_advice) {
+    return {};
+  }
+  return [this, step](const WorkerId& it) {
+    return !advice_.TicketFor(step, it, now_).empty();
+  };
+}
+
 void PoolEngine::RequestAdvice(const Placement& placement,
                                const Job& job,
                                const ReadyStep& ready) {
@@ -308,6 +312,7 @@
     run = std::max(run, it.run);
   }
   const auto resources = ResourcesOf(job.Step(ready.step));
+  const auto filter = AdvisedOnly(job, {job.id, ready.occurrence, ready.step});
   std::vector<WorkerId> chosen;
   std::string rack;
   // A copy, since the search lowers its mutable bound of free cores by members
@@ -318,8 +323,8 @@
     // Members can't be spread to find out which one crashes its worker.
     Task unsuspected;
     unsuspected.failed_on = it.failed_on;
-    const Worker* worker =
-        search.Choose(job, ready.occurrence, ready.step, unsuspected, rack);
+    const Worker* worker = search.Choose(job, ready.occurrence, ready.step,
+                                         unsuspected, rack, filter);
     if (!worker) {
       break;
     }
@@ -335,6 +340,9 @@
     workers_.at(chosen[i]).RemoveRun(id);
   }
   if (chosen.size() < tasks.size()) {
+    if (job.needs_advice) {
+      RequestAdvice(placement, job, ready);
+    }
     return false;
   }
   const bool await_poll =
--- a/src/libjobs/pool_engine_workers.cc
+++ b/src/libjobs/pool_engine_workers.cc
@@ -470,14 +470,8 @@
 
 bool PoolEngine::CanPlace(const Job& job, const StepId& id) const {
   const Placement placement(workers_, job.service, now_);
-  Placement::Filter filter;
-  if (job.needs_advice) {
-    filter = [&](const WorkerId& it) {
-      return !advice_.TicketFor(id, it, now_).empty();
-    };
-  }
-  return placement.Choose(job, id.occurrence, id.step, Task(), "", filter) !=
-         nullptr;
+  return placement.Choose(job, id.occurrence, id.step, Task(), "",
+                          AdvisedOnly(job, id)) != nullptr;
 }
 
 Placement PoolEngine::PlacementForMoves(const ServiceId& service) const {
--- a/tests/pool_engine_test.cc
+++ b/tests/pool_engine_test.cc
@@ -472,6 +472,22 @@
   EXPECT_LE(world.advice_requests, 4);
 }
 
+// Guards against a gang on a queue with advice that never starts, since its
+// members are placed without tickets and no advice is asked for.
+TEST_F(PoolEngineTest, StartsAGangWhereTheAdviceServiceAllows) {
+  world.advised = {WorkerId("w2"), WorkerId("w3")};
+  JobSpec spec = TwoSteps();
+  spec.steps[0].gang = true;
+  spec.steps[0].count = 4;
+  spec.steps[0].max_per_worker = 2;
+  world.Submit("j1", spec);
+  const int commits = world.commits;
+  world.Advance(seconds(4));
+  EXPECT_EQ(world.State("j1"), JobState::kCompleted);
+  EXPECT_LE(world.advice_requests, 4);
+  EXPECT_LE(world.commits - commits, 20);
+}
+
 // Guards against the use of tickets that have expired.
 TEST_F(PoolEngineTest, AsksAgainForExpiredTickets) {
   world.advised = {WorkerId("w1"), WorkerId("w2"), WorkerId("w3")};
