--- a/tests/hand_over_test.cc
+++ b/tests/hand_over_test.cc
@@ -178,9 +178,10 @@
 
 class HandOverTest : public testing::TestWithParam<LossCase> {
  protected:
-  /** Submits a long-running job to the home cell and makes the only worker
-   * there that it can run on crash. */
-  static void LoseLabel(TwoCells& cells) {
+  /** Submits a long-running job to the home cell, makes the only worker there
+   * that it can run on crash, and advances until `delay` after the hand-over
+   * has begun. */
+  static void BeginHandOver(TwoCells& cells, Duration delay) {
     cells.AddWorker(cells.home, "w1", true);
     cells.AddWorker(cells.home, "w2", false);
     cells.AddWorker(cells.other, "w3", true);
@@ -189,6 +190,13 @@
     cells.Advance(milliseconds(500));
     ASSERT_EQ(cells.home.RunsOf(kTask), 1);
     cells.home.Crash(WorkerId("w1"));
+    cells.lost_offers = GetParam().lost_offers;
+    cells.lost_answers = GetParam().lost_answers;
+    for (int ms = 0; ms < 8000 && !cells.HasBegun(); ms += 10) {
+      cells.Advance(milliseconds(10));
+    }
+    ASSERT_TRUE(cells.HasBegun());
+    cells.Advance(delay);
   }
 };
 
@@ -199,14 +207,7 @@
 TEST_P(HandOverTest, JobRunsOnceInTheOtherCell) {
   for (int delay_ms = 0; delay_ms <= 200; delay_ms += 10) {
     TwoCells cells;
-    LoseLabel(cells);
-    cells.lost_offers = GetParam().lost_offers;
-    cells.lost_answers = GetParam().lost_answers;
-    for (int ms = 0; ms < 8000 && !cells.HasBegun(); ms += 10) {
-      cells.Advance(milliseconds(10));
-    }
-    ASSERT_TRUE(cells.HasBegun());
-    cells.Advance(milliseconds(delay_ms));
+    BeginHandOver(cells, milliseconds(delay_ms));
     if (GetParam().home_owner) {
       cells.home.TakeOver();
     }
@@ -229,13 +230,7 @@
 TEST_P(HandOverTest, CancelReachesTheJob) {
   for (int delay_ms = 0; delay_ms <= 200; delay_ms += 20) {
     TwoCells cells;
-    LoseLabel(cells);
-    cells.lost_offers = GetParam().lost_offers;
-    cells.lost_answers = GetParam().lost_answers;
-    for (int ms = 0; ms < 8000 && !cells.HasBegun(); ms += 10) {
-      cells.Advance(milliseconds(10));
-    }
-    cells.Advance(milliseconds(delay_ms));
+    BeginHandOver(cells, milliseconds(delay_ms));
     cells.Cancel();
     cells.Advance(seconds(3));
     EXPECT_EQ(cells.Runs(), 0) << delay_ms;
