libjobs: keep jobs of a cell that has no workers for now

Change: a job is sent away without a known load only if the cell has workers that cannot take it; a hand-over waits 3 s in a cell without workers.

--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -166,6 +166,8 @@
   /** Returns whether this cell decides on workers of the pool. It gets jobs of
    * other pools if it is their home and their queue was sent elsewhere. */
   bool DecidesOn(const ServiceId& service) const;
+  /** Returns whether the list has a worker of the pool in this cell. */
+  bool HasWorkers(const ServiceId& service) const;
   /** Delegates the job to a cell with free cores, or a job of another pool to
    * any cell there; returns false if there is none. */
   bool Delegate(const Job& job, const ReplyId& reply);
--- a/src/libjobs/pool_engine_delegation.cc
+++ b/src/libjobs/pool_engine_delegation.cc
@@ -164,6 +164,12 @@
   return std::find(cells.begin(), cells.end(), shard_) != cells.end();
 }
 
+bool PoolEngine::HasWorkers(const ServiceId& service) const {
+  return std::any_of(workers_.begin(), workers_.end(), [&](const auto& it) {
+    return it.second.entry.service == service && it.second.listed;
+  });
+}
+
 bool PoolEngine::Delegate(const Job& job, const ReplyId& reply) {
   const double cores = CoresAtOnce(job);
   CellLoad* chosen = ChooseCell(job, cores);
@@ -171,7 +177,9 @@
   if (chosen) {
     cell = chosen->cell;
   } else if (const auto fitting = CellsThatFit(job);
-             !fitting.empty() && !fitting.contains(shard_)) {
+             !fitting.empty() && !fitting.contains(shard_) &&
+             (HasWorkers(job.service) || !DecidesOn(job.service))) {
+    // A cell without workers gets some from the planner when it has work.
     cell = SpreadOver(fitting, job.id);
   } else if (!DecidesOn(job.service)) {
     cell = division_->CellOfJob(job.service, job.id);
--- a/src/libjobs/pool_engine_hand_over.cc
+++ b/src/libjobs/pool_engine_hand_over.cc
@@ -22,8 +22,8 @@
  * job is handed over; doubles with each time. */
 constexpr Duration kMinLack = std::chrono::milliseconds(600);
 
-/** The same if workers of the cell could take the task without their
- * long-running tasks: the planner may bring a host meanwhile. */
+/** The same if the cell has no workers for now, or some could take the task
+ * without their long-running tasks: the planner may bring a host meanwhile. */
 constexpr Duration kMinLackOfRoom = std::chrono::milliseconds(3000);
 
 /** Number of times that a job is handed over at most. */
@@ -79,10 +79,11 @@
 std::optional<ShardId> PoolEngine::CellForHandOver(const Job& job,
                                                    Duration lacking) {
   const auto fitting = CellsThatFit(job);
-  const int doublings = job.hand_overs;
-  if (fitting.empty() ||
-      lacking < (fitting.contains(shard_) ? kMinLackOfRoom : kMinLack) *
-                    (1 << doublings)) {
+  const bool may_get_host =
+      fitting.contains(shard_) || !HasWorkers(job.service);
+  const auto min_lack =
+      (may_get_host ? kMinLackOfRoom : kMinLack) * (1 << job.hand_overs);
+  if (fitting.empty() || lacking < min_lack) {
     return std::nullopt;
   }
   if (const auto* chosen = ChooseCell(job, CoresAtOnce(job))) {
--- a/tests/pool_engine_delegation_test.cc
+++ b/tests/pool_engine_delegation_test.cc
@@ -337,6 +337,17 @@
   EXPECT_EQ(world.verdicts.at(JobId("j1")), SubmitVerdict::kDelegated);
 }
 
+// Guards against jobs that a cell without workers sends to other cells whatever
+// their load is, instead of being brought hosts.
+TEST_F(DelegationTest, KeepsJobsIfItHasNoWorkersForNow) {
+  world.PlanCell(kOtherCell, 0, 1);
+  world.workers.clear();
+  world.Advance(seconds(3));
+  world.Submit("j1", Work(1, 8, 600));
+  world.Advance(milliseconds(50));
+  EXPECT_NE(world.verdicts.at(JobId("j1")), SubmitVerdict::kDelegated);
+}
+
 // Guards against work that is sent away although it only has to wait for the
 // end of other runs.
 TEST_F(DelegationTest, KeepsJobsWhoseMemoryIsHeldByFiniteRuns) {
