libjobs: log which list and which lease decide on a lost run

Cause: the lines of a new owner did not show whether a run was given up by a list that was partial or old, or while a lease still ran, nor the shard of a run. Change: worker-unlisted and run-lost name the shard, whose lease was thought to hold and for how long, whether the worker has answered this owner, and the position and age of the list; start-run names shard and lease end. Lists of workers carry their position in the store's log.

--- a/src/libfleet/fleet_node.cc
+++ b/src/libfleet/fleet_node.cc
@@ -279,13 +279,14 @@
     return;
   }
   const auto on_read =
-      [this, schedule_next](
-          const Result<std::shared_ptr<const std::vector<WorkerEntry>>>& read) {
+      [this,
+       schedule_next](const Result<std::shared_ptr<const WorkerList>>& read) {
         if (read) {
           worker_list_ = *read;
-          keeper_.SetWorkers(*worker_list_);
+          workers_read_at_ = SteadyNow();
+          keeper_.SetWorkers(worker_list_->entries);
           for (auto& [id, shard] : shards_) {
-            shard->SetWorkers(worker_list_);
+            shard->SetWorkers(worker_list_, workers_read_at_);
           }
         } else {
           ports_.log.Write("workers-unread", "",
--- a/src/libfleet/fleet_node.h
+++ b/src/libfleet/fleet_node.h
@@ -240,7 +240,9 @@
   LoopTimer tick_timer_;
 
   std::shared_ptr<const PolicySet> policies_;
-  std::shared_ptr<const std::vector<WorkerEntry>> worker_list_;
+  std::shared_ptr<const WorkerList> worker_list_;
+  /** When that list was read. */
+  Time workers_read_at_;
   std::map<ShardId, std::shared_ptr<ShardOwner>> shards_;
   /** Last owner that this node stopped, by shard. */
   struct StoppedOwner {
--- a/src/libfleet/fleet_node_membership.cc
+++ b/src/libfleet/fleet_node_membership.cc
@@ -259,7 +259,7 @@
     }
     shard->SetDivision(keeper_.division());
     if (worker_list_) {
-      shard->SetWorkers(worker_list_);
+      shard->SetWorkers(worker_list_, workers_read_at_);
     }
   }
   if (reused) {
--- a/src/libfleet/ports.h
+++ b/src/libfleet/ports.h
@@ -133,7 +133,7 @@
                           std::function<void(bool stored)> done) = 0;
   /** Reads the current list of workers. */
   virtual void ReadWorkers(
-      Callback<std::shared_ptr<const std::vector<WorkerEntry>>> done) = 0;
+      Callback<std::shared_ptr<const WorkerList>> done) = 0;
 };
 
 /** Interface to the platform's hosts. Each order carries the planner's fencing
--- a/src/libfleet/shard_owner.cc
+++ b/src/libfleet/shard_owner.cc
@@ -140,7 +140,7 @@
       self->Post(DivisionChanged{self->division_});
     }
     if (self->workers_) {
-      self->Post(WorkersListed{self->workers_});
+      self->Post(WorkersListed{self->workers_, self->workers_read_at_});
     }
   });
 }
@@ -186,16 +186,17 @@
   if (IsLoaded()) {
     Post(DivisionChanged{division_});
     if (workers_) {
-      Post(WorkersListed{workers_});
+      Post(WorkersListed{workers_, workers_read_at_});
     }
   }
 }
 
-void ShardOwner::SetWorkers(
-    std::shared_ptr<const std::vector<WorkerEntry>> workers) {
+void ShardOwner::SetWorkers(std::shared_ptr<const WorkerList> workers,
+                            Time read_at) {
   workers_ = std::move(workers);
+  workers_read_at_ = read_at;
   if (IsLoaded()) {
-    Post(WorkersListed{workers_});
+    Post(WorkersListed{workers_, workers_read_at_});
   }
 }
 
--- a/src/libfleet/shard_owner.h
+++ b/src/libfleet/shard_owner.h
@@ -93,7 +93,8 @@
   void Tick(Duration lag) { Post(PoolTick{lag}); }
   void SetPolicies(std::shared_ptr<const PolicySet> policies);
   void SetDivision(std::shared_ptr<const PoolDivision> division);
-  void SetWorkers(std::shared_ptr<const std::vector<WorkerEntry>> workers);
+  /** Passes a list of workers that was read from the store at `read_at`. */
+  void SetWorkers(std::shared_ptr<const WorkerList> workers, Time read_at);
 
  private:
   void FenceFormerOwners();
@@ -139,7 +140,8 @@
    * still loading. */
   std::shared_ptr<const PolicySet> policies_;
   std::shared_ptr<const PoolDivision> division_;
-  std::shared_ptr<const std::vector<WorkerEntry>> workers_;
+  std::shared_ptr<const WorkerList> workers_;
+  Time workers_read_at_;
 };
 
 }  // namespace baobab
--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -272,6 +272,9 @@
   void ExpireLeases();
   /** Returns whether all runs on the worker have ended, even if it is alive. */
   bool LeaseHasExpired(const Worker& worker) const;
+  /** Returns what is known of the worker's leases and of the list of workers,
+   * for the log. */
+  std::string LeaseFields(const Worker& worker) const;
   /** Returns the free room of the service without that of long-running tasks
    * which wait or are being stopped. */
   Placement PlacementForMoves(const ServiceId& service) const;
@@ -410,8 +413,10 @@
   std::map<JobId, Job> jobs_;
   Workers workers_;
   /** The platform's list of all workers, also of other cells and pools. */
-  std::shared_ptr<const std::vector<WorkerEntry>> listed_ =
-      std::make_shared<const std::vector<WorkerEntry>>();
+  std::shared_ptr<const WorkerList> listed_ =
+      std::make_shared<const WorkerList>();
+  /** When that list was read from the store. */
+  Time list_read_at_;
   /** When that list arrived. */
   Time listed_at_;
   ReadySteps ready_;
--- a/src/libjobs/pool_engine_crashes.cc
+++ b/src/libjobs/pool_engine_crashes.cc
@@ -54,8 +54,9 @@
       continue;
     }
     Log("run-lost", id.job,
-        fmt::format("task={} run={} worker={} why={}", ToString(id),
-                    task->run.value(), worker.entry.id.value(), why));
+        fmt::format("task={} run={} worker={} why={} {}", ToString(id),
+                    task->run.value(), worker.entry.id.value(), why,
+                    LeaseFields(worker)));
     // A worker that drains has stopped as planned.
     if (!worker.entry.draining) {
       if (fate == WorkerFate::kCrashed) {
--- a/src/libjobs/pool_engine_delegation.cc
+++ b/src/libjobs/pool_engine_delegation.cc
@@ -92,7 +92,7 @@
   if (!division_) {
     return workers;
   }
-  for (const auto& it : *listed_) {
+  for (const auto& it : listed_->entries) {
     if (it.service == service && !it.draining) {
       if (const auto cell = division_->CellOfHost(service, it.host)) {
         workers[*cell].push_back(&it);
--- a/src/libjobs/pool_engine_room.cc
+++ b/src/libjobs/pool_engine_room.cc
@@ -29,7 +29,7 @@
 
 int PoolEngine::HostsFor(const StepSpec& step, int tasks) const {
   int each = 0;
-  for (const auto& it : *listed_) {
+  for (const auto& it : listed_->entries) {
     if (step.label.empty() || it.HasLabel(step.label)) {
       each = std::max(each, TasksThatFit(step, it.capacity, tasks));
     }
--- a/src/libjobs/pool_engine_tasks.cc
+++ b/src/libjobs/pool_engine_tasks.cc
@@ -423,10 +423,11 @@
   const auto lease_until = worker.ClockAt(now_) + tuning_.lease.count() / 1000;
   worker.lease_sent_ms = std::max(worker.lease_sent_ms, lease_until);
   LogRun("start-run", id,
-         fmt::format("task={} run={} worker={} host={} free_cpu={} "
-                     "waited_ms={} stored_ms={}",
+         fmt::format("task={} run={} worker={} host={} shard={} "
+                     "lease_until_ms={} free_cpu={} waited_ms={} stored_ms={}",
                      ToString(id), run.value(), task->worker.value(),
-                     worker.entry.host.value(), worker.Free().cpu_milli,
+                     worker.entry.host.value(), shard_.value(), lease_until,
+                     worker.Free().cpu_milli,
                      (task->placed_at - task->waiting_since).count() / 1000,
                      (now_ - task->placed_at).count() / 1000));
   effects_.push_back(StartRun{task->worker, worker.entry.address, id, run,
--- a/src/libjobs/pool_engine_workers.cc
+++ b/src/libjobs/pool_engine_workers.cc
@@ -54,11 +54,12 @@
     return;
   }
   listed_ = event.workers;
+  list_read_at_ = event.read_at;
   const bool lists_resume = now_ - listed_at_ > kMaxListInterval;
   listed_at_ = now_;
   std::set<WorkerId> listed;
   std::map<HostId, std::pair<std::int64_t, WorkerId>> newest;
-  for (const auto& it : *event.workers) {
+  for (const auto& it : event.workers->entries) {
     // An entry of an unknown service is another writer's, not a worker.
     const bool is_known = division_ && division_->Contains(it.service);
     if (is_known && !it.host.value().empty()) {
@@ -102,7 +103,8 @@
       if (std::exchange(worker.listed, false)) {
         worker.unlisted_at = now_;
         Log("worker-unlisted", JobId(),
-            fmt::format("worker={} runs={}", id.value(), worker.runs.size()));
+            fmt::format("worker={} runs={} {}", id.value(), worker.runs.size(),
+                        LeaseFields(worker)));
       }
       if (lists_resume) {
         // The store may have been away, and entries that expired meanwhile
@@ -123,7 +125,7 @@
     ++it;
   }
   if (loaded_) {
-    CountLateCrashes(*event.workers);
+    CountLateCrashes(event.workers->entries);
     MaybePollWorkers();
     schedule_needed_ = true;
   }
@@ -446,6 +448,21 @@
              : now_ > worker.inherited_until;
 }
 
+std::string PoolEngine::LeaseFields(const Worker& worker) const {
+  const bool granted = worker.fence_confirmed || worker.lease_sent_ms != 0;
+  const auto left_ms =
+      granted ? worker.lease_sent_ms -
+                    worker.MinClockAt(now_ - kLeaseMargin, tuning_.clock_drift)
+              : (worker.inherited_until - now_).count() / 1000;
+  return fmt::format(
+      "shard={} lease={} lease_left_ms={} confirmed={} listed={} list={} "
+      "list_age_ms={} loaded_ago_ms={}",
+      shard_.value(), granted ? "own" : "former-owner", left_ms,
+      worker.fence_confirmed, worker.listed, listed_->version,
+      (now_ - list_read_at_).count() / 1000,
+      (now_ - loaded_at_).count() / 1000);
+}
+
 bool PoolEngine::MayStopLongRunning(Job& job, const TaskId& id) const {
   const auto& spec = job.Step(id.step);
   const auto& tasks = job.occurrences.at(id.occurrence)
--- a/src/libjobs/pool_event.h
+++ b/src/libjobs/pool_event.h
@@ -41,7 +41,9 @@
 
 /** All workers that the platform lists, including those of other shards. */
 struct WorkersListed {
-  std::shared_ptr<const std::vector<WorkerEntry>> workers;
+  std::shared_ptr<const WorkerList> workers;
+  /** When the list was read from the store. */
+  Time read_at;
 };
 
 /** A caller submits a job; answered by AnswerSubmit. */
--- a/src/libjobs/worker_report.h
+++ b/src/libjobs/worker_report.h
@@ -39,6 +39,14 @@
   bool operator==(const WorkerEntry&) const = default;
 };
 
+/** All workers that the platform lists. */
+struct WorkerList {
+  /** Position of the list in the platform's log; a newer list has a higher one.
+   */
+  std::uint64_t version = 0;
+  std::vector<WorkerEntry> entries;
+};
+
 /** How a run ended. */
 enum class EndKind {
   kDone,
--- a/tests/fleet_fakes.h
+++ b/tests/fleet_fakes.h
@@ -57,12 +57,12 @@
 
   /** Adds workers of a service to the list. */
   void AddWorkers(int n, const std::string& service = "service") {
-    auto list = std::make_shared<std::vector<WorkerEntry>>();
+    auto list = std::make_shared<WorkerList>();
     if (workers) {
       *list = *workers;
     }
     for (int left = n; left > 0; --left) {
-      const auto i = list->size();
+      const auto i = list->entries.size();
       WorkerEntry entry;
       entry.id = WorkerId("w" + std::to_string(i));
       entry.service = ServiceId(service);
@@ -71,15 +71,15 @@
       entry.capacity = {64'000, 64'000, 0};
       entry.labels = {"a", "r1"};
       entry.incarnation = 1 + static_cast<std::int64_t>(i);
-      list->push_back(entry);
+      list->entries.push_back(entry);
     }
     workers = list;
   }
 
   /** Marks all workers as draining. */
   void DrainWorkers() {
-    auto list = std::make_shared<std::vector<WorkerEntry>>(*workers);
-    for (auto& it : *list) {
+    auto list = std::make_shared<WorkerList>(*workers);
+    for (auto& it : list->entries) {
       it.draining = true;
     }
     workers = list;
@@ -239,7 +239,7 @@
   /** The only queue, as first published. */
   QueuePolicy queue;
   FleetFeed::PublishedConfig published;
-  std::shared_ptr<const std::vector<WorkerEntry>> workers;
+  std::shared_ptr<const WorkerList> workers;
   std::map<WorkerId, SimWorker> sim_workers;
   std::map<TaskId, int> starts;
   /** Time after which each run ends. */
@@ -386,8 +386,7 @@
     done(true);
   }
   void ReadWorkers(
-      FleetFeed::Callback<std::shared_ptr<const std::vector<WorkerEntry>>> done)
-      override {
+      FleetFeed::Callback<std::shared_ptr<const WorkerList>> done) override {
     After(Duration(0),
           [&platform = platform_, done] { done(platform.workers); });
   }
--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -135,18 +135,20 @@
 
   /** Sends the list of workers to the owner. */
   void List() {
-    auto list = std::make_shared<std::vector<WorkerEntry>>();
+    auto list = std::make_shared<WorkerList>();
+    list->version = ++list_version_;
     for (const auto& [id, worker] : workers) {
       if (drops_crashed && !worker.up &&
           now - worker.crashed_at >= kListTimeout) {
         continue;
       }
       if (listed.empty() || listed.contains(id)) {
-        list->push_back(worker.entry);
+        list->entries.push_back(worker.entry);
       }
     }
-    list->insert(list->end(), elsewhere.begin(), elsewhere.end());
-    Post(engine, token, WorkersListed{list});
+    list->entries.insert(list->entries.end(), elsewhere.begin(),
+                         elsewhere.end());
+    Post(engine, token, WorkersListed{list, now});
   }
 
   void Submit(const std::string& id, JobSpec spec) {
@@ -967,6 +969,7 @@
   /** Workers started under a new id on the host of a crashed one. */
   std::map<WorkerId, WorkerId> successors_;
   std::int64_t incarnations_ = 1'700'000'000'000;
+  std::uint64_t list_version_ = 0;
   std::uint64_t replies_ = 0;
   std::map<ReplyId, JobId> submit_replies_;
   std::map<ReplyId, JobId> cancel_replies_;
--- a/tests/store_client_test.cc
+++ b/tests/store_client_test.cc
@@ -67,7 +67,7 @@
       ended = true;
       if (read) {
         ids.emplace();
-        for (const auto& it : **read) {
+        for (const auto& it : (*read)->entries) {
           ids->push_back(it.id.value());
         }
       }
