libjobs: give up the runs of an unlisted worker only when their leases have ended

Cause: a worker that the list lacked and that had not answered a new owner counted as gone 2.2 s after the takeover, without its lease. The removal of an entry shows that the worker did not reach the store; a former owner that did reach it had extended its leases up to the takeover. Change: an entry's absence only keeps new runs away. Runs end with the word of the worker, a newer life of the worker or its host, or the end of the leases that this owner (lease_sent_ms) or a former one (inherited_until) may have granted. The time of that wait is stored at intervals, so that the next owner goes on with it; a worker with such a record gets no lease until the record is deleted. It now takes the shard over four more times and asks for the start within the longest lease of the first owner and 5 s. Conclusion: the absence from a list decides nothing on runs.

--- a/src/libjobs/pool_engine.cc
+++ b/src/libjobs/pool_engine.cc
@@ -112,6 +112,7 @@
   if (now_ - swept_at_ >= kSweepInterval) {
     swept_at_ = now_;
     ExpireLeases();
+    StoreWaits();
     EvacuateWorkers();
     RetryStops();
     LogWaits();
@@ -146,6 +147,15 @@
     }
     AdoptJob(job);
   }
+  for (const auto& [id, wait] : loaded.lease_waits) {
+    if (const auto it = workers_.find(id); it != workers_.end()) {
+      it->second.inherited_until =
+          std::min(it->second.inherited_until, now_ + wait);
+      it->second.wait_stored = true;
+    } else {
+      staged_.ended_waits.insert(id);
+    }
+  }
   MaybePollWorkers();
   schedule_needed_ = true;
 }
@@ -559,6 +569,14 @@
     add(DelegationKey(id),
         it == delegated_.end() ? "" : EncodeDelegation(it->second));
   }
+  for (const auto& id : staged_.ended_waits) {
+    add(LeaseWaitKey(id), "");
+  }
+  for (const auto& id : staged_.waits) {
+    add(LeaseWaitKey(id),
+        EncodeLeaseWait(
+            std::max(Duration(0), workers_.at(id).inherited_until - now_)));
+  }
   for (const auto& id : staged_.dirty) {
     const auto it = jobs_.find(id);
     if (it == jobs_.end()) {
@@ -655,6 +673,14 @@
       it->second.stored = true;
     }
   }
+  for (const auto& id : stored.ended_waits) {
+    const auto it = workers_.find(id);
+    if (it != workers_.end()) {
+      it->second.wait_stored = false;
+      it->second.next_poll_at = now_;
+      MaybePollWorker(it->second);
+    }
+  }
   for (const auto& [id, end] : stored.visible_end) {
     const auto it = jobs_.find(id);
     if (it != jobs_.end()) {
--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -85,6 +85,10 @@
     std::map<JobId, std::set<int>> dropped;
     /** Jobs whose delegation is to be stored, or deleted if it has expired. */
     std::set<JobId> delegated;
+    /** Workers whose wait for leases of former owners is to be stored, and
+     * those of which that record is to be deleted. */
+    std::set<WorkerId> waits;
+    std::set<WorkerId> ended_waits;
     /** Answers to callers that are sent once the commit is stored. */
     std::vector<PoolEffect> answers;
     /** Runs that are started once the commit is stored. */
@@ -102,7 +106,8 @@
 
     bool empty() const {
       return dirty.empty() && accepted.empty() && dropped.empty() &&
-             delegated.empty() && ends.empty();
+             delegated.empty() && waits.empty() && ended_waits.empty() &&
+             ends.empty();
     }
   };
 
@@ -270,6 +275,14 @@
   void MaybePollWorker(Worker& worker);
   /** Loses the runs of unreachable workers whose leases have expired. */
   void ExpireLeases();
+  /** Returns whether runs of former owners may be present at the worker, which
+   * has not answered this owner. */
+  static bool AwaitsFormerLeases(const Worker& worker);
+  /** Stores how long the leases of former owners may still run, so that the
+   * next owner does not begin to wait anew. */
+  void StoreWaits();
+  /** Deletes the record of the wait at the worker. */
+  void EndWait(Worker& worker);
   /** Returns whether all runs on the worker have ended, even if it is alive. */
   bool LeaseHasExpired(const Worker& worker) const;
   /** Returns what is known of the worker's leases and of the list of workers,
@@ -417,8 +430,6 @@
       std::make_shared<const WorkerList>();
   /** When that list was read from the store. */
   Time list_read_at_;
-  /** When that list arrived. */
-  Time listed_at_;
   ReadySteps ready_;
   /** Open jobs with further occurrences to create. */
   std::set<JobId> scheduled_jobs_;
--- a/src/libjobs/pool_engine_workers.cc
+++ b/src/libjobs/pool_engine_workers.cc
@@ -19,9 +19,8 @@
 /** Time from the end of a stopped run until its worker's report arrives. */
 constexpr Duration kStopReportDelay = std::chrono::milliseconds(150);
 
-/** Time without a list of workers from which a worker's absence from the lists
- * is counted anew. */
-constexpr Duration kMaxListInterval = std::chrono::milliseconds(1000);
+/** Interval at which the wait for leases of former owners is stored. */
+constexpr Duration kWaitStoreInterval = std::chrono::milliseconds(1000);
 
 constexpr int kFullSpeedPercent = 100;
 constexpr int kUnknownSpeedPercent = -1;
@@ -40,7 +39,6 @@
   entry.id = id;
   Worker worker(std::move(entry));
   worker.listed = false;
-  worker.unlisted_at = now_;
   const auto longest = static_cast<double>(tuning_.max_lease.count()) *
                        (1.0 + 2 * tuning_.clock_drift);
   worker.inherited_until = loaded_at_ + tuning_.former_owner_grace +
@@ -55,8 +53,6 @@
   }
   listed_ = event.workers;
   list_read_at_ = event.read_at;
-  const bool lists_resume = now_ - listed_at_ > kMaxListInterval;
-  listed_at_ = now_;
   std::set<WorkerId> listed;
   std::map<HostId, std::pair<std::int64_t, WorkerId>> newest;
   for (const auto& it : event.workers->entries) {
@@ -101,23 +97,14 @@
     }
     if (!listed.contains(id)) {
       if (std::exchange(worker.listed, false)) {
-        worker.unlisted_at = now_;
         Log("worker-unlisted", JobId(),
             fmt::format("worker={} runs={} {}", id.value(), worker.runs.size(),
                         LeaseFields(worker)));
       }
-      if (lists_resume) {
-        // The store may have been away, and entries that expired meanwhile
-        // return later than it.
-        worker.unlisted_at = now_;
-      }
-      // A worker that is cut off from the platform's store only goes on with
-      // its runs, which end with their lease at the earliest.
-      if (loaded_ && now_ - worker.unlisted_at > tuning_.unlisted_timeout &&
-          (!worker.fence_confirmed || LeaseHasExpired(worker))) {
-        LoseRuns(worker, "no-longer-listed", WorkerFate::kUnknown);
-      }
+      // The runs of an unlisted worker end with their lease at the earliest:
+      // it may only be cut off from the platform's store.
       if (worker.runs.empty()) {
+        EndWait(worker);
         it = workers_.erase(it);
         continue;
       }
@@ -189,6 +176,7 @@
   const bool newly_confirmed = !worker.fence_confirmed;
   worker.fence_confirmed = true;
   schedule_needed_ = schedule_needed_ || newly_confirmed;
+  EndWait(worker);
 
   for (const auto& it : report.ended) {
     ApplyEnded(worker, it);
@@ -413,12 +401,13 @@
   const bool responsive = worker.fence_confirmed && worker.missed_polls == 0;
   // After an unanswered poll the leases are not extended until the worker
   // answers, so that the runs of an unreachable worker can expire.
-  if (responsive && !worker.runs.empty()) {
+  const bool extends_leases =
+      responsive && !worker.runs.empty() && !worker.wait_stored;
+  if (extends_leases) {
     poll.lease_until_ms = worker.ClockAt(now_) + tuning_.lease.count() / 1000;
     worker.lease_sent_ms = std::max(worker.lease_sent_ms, *poll.lease_until_ms);
   }
-  if (responsive && !worker.runs.empty() && !worker.ends_pending &&
-      !worker.answer_awaited) {
+  if (extends_leases && !worker.ends_pending && !worker.answer_awaited) {
     poll.wait = tuning_.poll_wait;
   }
   worker.acknowledged_ends =
@@ -441,6 +430,31 @@
   }
 }
 
+bool PoolEngine::AwaitsFormerLeases(const Worker& worker) {
+  return !worker.fence_confirmed && worker.lease_sent_ms == 0 &&
+         !worker.runs.empty();
+}
+
+void PoolEngine::StoreWaits() {
+  for (auto& [id, worker] : workers_) {
+    if (!AwaitsFormerLeases(worker)) {
+      EndWait(worker);
+    } else if (now_ - std::max(loaded_at_, worker.wait_stored_at) >=
+               kWaitStoreInterval) {
+      worker.wait_stored = true;
+      worker.wait_stored_at = now_;
+      staged_.waits.insert(id);
+    }
+  }
+}
+
+void PoolEngine::EndWait(Worker& worker) {
+  staged_.waits.erase(worker.entry.id);
+  if (worker.wait_stored) {
+    staged_.ended_waits.insert(worker.entry.id);
+  }
+}
+
 bool PoolEngine::LeaseHasExpired(const Worker& worker) const {
   return worker.fence_confirmed || worker.lease_sent_ms != 0
              ? worker.MinClockAt(now_ - kLeaseMargin, tuning_.clock_drift) >
--- a/src/libjobs/pool_tuning.h
+++ b/src/libjobs/pool_tuning.h
@@ -29,12 +29,6 @@
   /** Maximum time after a takeover for which a former owner extends leases: it
    * stops giving orders when it could not renew its membership for 4 s. */
   Duration former_owner_grace = std::chrono::milliseconds(4500);
-  /** A worker missing from the platform's list for this long is treated as
-   * gone: lists that were incomplete while the store was unavailable are
-   * complete again within 2 s. Its leases have expired too, as the list drops a
-   * worker after three missed heartbeats, at least 3 s after its last
-   * contact. */
-  Duration unlisted_timeout = std::chrono::milliseconds(2200);
   /** Maximum time that a poll waits for the next run end; also the interval at
    * which leases are extended. */
   Duration poll_wait = std::chrono::milliseconds(1000);
--- a/src/libjobs/stored_job.cc
+++ b/src/libjobs/stored_job.cc
@@ -314,6 +314,14 @@
        delegation.submitted_wall_ms, delegation.hand_overs}));
 }
 
+std::string LeaseWaitKey(const WorkerId& id) {
+  return "w/" + id.value();
+}
+
+std::string EncodeLeaseWait(Duration wait) {
+  return Pack(Json::array({kFormatVersion, wait.count()}));
+}
+
 std::string EncodeAcceptance(const Job& job) {
   Json steps = Json::array();
   for (const auto& it : job.spec.steps) {
@@ -421,6 +429,10 @@
                        // Absent in records of earlier releases.
                        json.size() > 4 ? json.at(4).get<int>() : 0});
   });
+  decode('w', false, [&](const JobId& worker, const Json& json) {
+    loaded.lease_waits[WorkerId(worker.value())] =
+        Duration(json.at(1).get<std::int64_t>());
+  });
   return loaded;
 }
 
--- a/src/libjobs/stored_job.h
+++ b/src/libjobs/stored_job.h
@@ -69,6 +69,12 @@
 /** Returns all records of the job, its acceptance last. */
 std::vector<StoredRecord> EncodeJob(const Job& job, const LostRuns& lost_runs);
 
+/** Key and value of the record of how long the leases of former owners may
+ * still run at a worker, from when it is stored. No lease is granted to the
+ * worker while there is such a record. */
+std::string LeaseWaitKey(const WorkerId& id);
+std::string EncodeLeaseWait(Duration wait);
+
 /** The jobs decoded from the records of a shard. */
 struct LoadedJobs {
   std::map<JobId, Job> jobs;
@@ -76,6 +82,7 @@
   /** Runs of the jobs that were lost with workers of unknown fate; the time
    * when they were lost is not stored. */
   std::vector<LostRuns::Run> lost_runs;
+  std::map<WorkerId, Duration> lease_waits;
   /** Records that could not be decoded, as "key: reason". */
   std::vector<std::string> faults;
 };
--- a/src/libjobs/worker.h
+++ b/src/libjobs/worker.h
@@ -60,8 +60,6 @@
   WorkerEntry entry;
   /** The platform's list contains the worker. */
   bool listed = true;
-  /** When the worker was first missing from the list. */
-  Time unlisted_at;
   /** The worker's host runs a newer worker. */
   bool superseded = false;
   /** Whether the current incarnation has answered a poll with our fencing
@@ -73,6 +71,10 @@
   std::int64_t lease_sent_ms = 0;
   /** When the runs of a former owner have ended, even without an answer. */
   Time inherited_until;
+  /** The store may have a record of the wait for `inherited_until`. */
+  bool wait_stored = false;
+  /** When that record was last written. */
+  Time wait_stored_at;
 
   /** Highest number of a run end that was applied to the jobs. */
   std::int64_t applied_ends = 0;
--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -561,7 +561,7 @@
       fail(OrderResult::kNotSent, std::chrono::milliseconds(2));
       return;
     }
-    if (!worker.up || !worker.reachable) {
+    if (!worker.up || !worker.IsReachedBy(fence_token)) {
       fail(OrderResult::kUnknown, std::chrono::milliseconds(600));
       return;
     }
@@ -642,7 +642,7 @@
       answer(OrderResult::kNotSent, std::chrono::milliseconds(2));
       return;
     }
-    if (!worker.up || !worker.reachable) {
+    if (!worker.up || !worker.IsReachedBy(fence_token)) {
       answer(OrderResult::kUnknown, std::chrono::milliseconds(600));
       return;
     }
@@ -673,7 +673,7 @@
 
   OrderResult DoStart(std::int64_t fence_token, const StartRun& start) {
     auto& worker = workers[start.worker];
-    if (!worker.up || !worker.reachable) {
+    if (!worker.up || !worker.IsReachedBy(fence_token)) {
       return OrderResult::kUnknown;
     }
     if (fence_token < worker.highest_token) {
@@ -825,7 +825,7 @@
       answer(OrderResult::kNotSent, std::chrono::milliseconds(2));
       return;
     }
-    if (!worker.up || !worker.reachable) {
+    if (!worker.up || !worker.IsReachedBy(fence_token)) {
       answer(OrderResult::kUnknown, std::chrono::milliseconds(600));
       return;
     }
--- a/tests/pool_engine_test.cc
+++ b/tests/pool_engine_test.cc
@@ -326,11 +326,19 @@
   world.Crash(worker);
   world.Advance(milliseconds(500));
   world.TakeOver();
+  const Time taken_over_at = world.now;
   world.Advance(milliseconds(500));
   world.listed = {WorkerId("w1"), WorkerId("w2"), WorkerId("w3")};
   world.listed.erase(worker);
-  world.TakeOver();
-  world.Advance(milliseconds(3500));
+  for (int i = 0; i < 4; ++i) {
+    world.TakeOver();
+    world.Advance(milliseconds(2300));
+  }
+  // The time for which the first owner may have extended leases, the longest
+  // lease on a slow clock, and the intervals at which the rest is stored.
+  const Duration limit = world.tuning.former_owner_grace +
+                         world.tuning.max_lease * 104 / 100 + seconds(5);
+  world.Advance(taken_over_at + limit - world.now);
   EXPECT_EQ(world.RunsOf(task), 1);
 }
 
--- a/tests/sim_worker.h
+++ b/tests/sim_worker.h
@@ -30,6 +30,8 @@
 
   WorkerEntry entry;
   bool reachable = true;
+  /** Fencing token of an owner that cannot reach the worker; 0 for none. */
+  std::int64_t cut_off_from = 0;
   bool up = true;
   /** Rate of the worker's clock relative to simulated time. */
   double clock_rate = 1.0;
@@ -59,6 +61,10 @@
    * none. */
   std::int64_t connected = 0;
 
+  /** Returns whether orders of the owner with this fencing token arrive. */
+  bool IsReachedBy(std::int64_t token) const {
+    return reachable && cut_off_from != token;
+  }
   std::int64_t ClockAt(Time now) const {
     return 1000 + static_cast<std::int64_t>(
                       static_cast<double>((now - started_at).count()) / 1000.0 *
--- a/tests/unlisted_worker_test.cc
+++ b/tests/unlisted_worker_test.cc
@@ -13,13 +13,17 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+constexpr int kTasks = 3;
+
 struct NewOwnerCase {
   const char* name;
+  /** The new owner reaches the worker. */
+  bool answers;
   /** Time from the removal of the worker's entry to the change of owners. */
   Duration unlisted_before;
   /** Time from the change of owners until the entry is back, if it comes back.
    */
-  std::optional<Duration> back_after;
+  std::optional<Duration> back_after = std::nullopt;
   /** Rate of the worker's clock. */
   double clock_rate = 1.0;
   /** Time from the change of owners for which the former one gives orders. */
@@ -35,7 +39,7 @@
 
 // A worker that is cut off from the store only runs tasks under leases of a
 // former owner. Guards against a new owner that starts them elsewhere before
-// these leases have ended.
+// these leases have ended, or although the worker answers it.
 TEST_P(NewOwnerOfUnlistedWorkerTest, RunsNoTaskTwice) {
   const auto& param = GetParam();
   JobWorld world;
@@ -45,16 +49,19 @@
   world.Advance(milliseconds(300));
   JobSpec spec;
   spec.payload = "work";
-  spec.steps = {JobWorld::Step(3, 3, 25'000)};
+  spec.steps = {JobWorld::Step(kTasks, 3, 25'000)};
   world.Submit("j1", spec);
   world.Advance(milliseconds(700));
-  ASSERT_EQ(world.workers.at(cut_off).runs.size(), 3u);
+  ASSERT_EQ(world.workers.at(cut_off).runs.size(), kTasks);
   const auto other = world.AddWorker("w2");
   world.listed = {other};
   world.Advance(param.unlisted_before);
-  ASSERT_EQ(world.workers.at(cut_off).runs.size(), 3u);
+  ASSERT_EQ(world.workers.at(cut_off).runs.size(), kTasks);
   world.former_runs = param.former_owner_runs_for > Duration(0);
   world.TakeOver();
+  if (!param.answers) {
+    world.workers.at(cut_off).cut_off_from = world.token;
+  }
   world.Advance(param.former_owner_runs_for);
   world.former_runs = false;
   if (param.back_after) {
@@ -67,15 +74,21 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(
-    Entries,
+    Workers,
     NewOwnerOfUnlistedWorkerTest,
-    testing::Values(NewOwnerCase{"StaysAway", seconds(4), std::nullopt},
-                    NewOwnerCase{"ComesBack", seconds(4), milliseconds(3300)},
-                    NewOwnerCase{"GoesAtTheTakeover", milliseconds(50),
-                                 std::nullopt},
-                    NewOwnerCase{"SlowClock", seconds(4), std::nullopt, 0.98},
-                    NewOwnerCase{"FormerOwnerGoesOn", seconds(4), std::nullopt,
-                                 1.0, seconds(4)}),
+    testing::Values(NewOwnerCase{"Answers", true, seconds(4)},
+                    NewOwnerCase{"AnswersAndComesBack", true, seconds(4),
+                                 milliseconds(3300)},
+                    NewOwnerCase{"AnswersBothOwners", true, seconds(4),
+                                 std::nullopt, 1.0, seconds(4)},
+                    NewOwnerCase{"Silent", false, seconds(4)},
+                    NewOwnerCase{"SilentAndComesBack", false, seconds(4),
+                                 milliseconds(3300)},
+                    NewOwnerCase{"SilentWithSlowClock", false, seconds(4),
+                                 std::nullopt, 0.98},
+                    NewOwnerCase{"AnswersFormerOwnerOnly", false, seconds(4),
+                                 std::nullopt, 0.98, seconds(4)},
+                    NewOwnerCase{"GoesAtTheTakeover", false, milliseconds(50)}),
     [](const auto& it) { return std::string(it.param.name); });
 
 }  // namespace
