libjobs: ask an unlisted worker about the runs that a former owner started there

What callers saw: work that ran on a worker which had lost only the store was given up at a change of owners, and started again elsewhere once its leases had ended. Cause: a new owner learnt the address of a worker from the platform's list alone, so it could not ask a worker that the list lacked. Change: the address of the worker is stored with the placement. The worker's answer fences the former owner, and its runs go on. Conclusion: the word of the worker goes before the end of its lease.

--- a/src/libjobs/job.h
+++ b/src/libjobs/job.h
@@ -95,6 +95,9 @@
    * incarnation is 0 once the run is counted as crashed. */
   HostId host;
   std::int64_t incarnation = 0;
+  /** Address of that worker. A new owner asks the worker about the run there
+   * while the list lacks it. */
+  std::string address;
   /** When the task last began to wait for a placement; Time() before its step
    * was ready. */
   Time waiting_since;
--- a/src/libjobs/pool_engine.cc
+++ b/src/libjobs/pool_engine.cc
@@ -176,6 +176,9 @@
       for (std::size_t i = 0; i < tasks.size(); ++i) {
         if (tasks[i].phase == TaskPhase::kInherited) {
           Worker& worker = WorkerFor(tasks[i].worker);
+          if (worker.entry.address.empty()) {
+            worker.entry.address = tasks[i].address;
+          }
           if (!tasks[i].host.value().empty()) {
             worker.entry.host = tasks[i].host;
             worker.entry.incarnation =
--- a/src/libjobs/pool_engine_tasks.cc
+++ b/src/libjobs/pool_engine_tasks.cc
@@ -374,6 +374,7 @@
   Worker& chosen = workers_.at(worker);
   task.host = chosen.entry.host;
   task.incarnation = chosen.incarnation;
+  task.address = chosen.entry.address;
   task.on_trial = task.NeedsTrial(now_) && !job.Step(id.step).gang;
   chosen.AddRun(
       id, ResourcesOf(job.Step(id.step)),
--- a/src/libjobs/stored_job.cc
+++ b/src/libjobs/stored_job.cc
@@ -137,7 +137,7 @@
     row.push_back(open_run ? it.incarnation : 0);
   }
   const bool after_poll = open_run && it.started_after_poll;
-  if (after_poll || it.unexplained_losses > 0) {
+  if (open_run || it.unexplained_losses > 0) {
     row.push_back(after_poll);
     Json lost = Json::array();
     for (const auto& run : lost_runs.Of(id)) {
@@ -146,6 +146,9 @@
     }
     row.push_back(std::move(lost));
   }
+  if (open_run) {
+    row.push_back(it.address);
+  }
   return row;
 }
 
@@ -166,7 +169,7 @@
                                   it.started_after_poll ? 1 : 0};
   digest = XXH64(numbers, sizeof(numbers), digest);
   for (const auto* text :
-       {&it.worker.value(), &it.checkpoint, &it.host.value()}) {
+       {&it.worker.value(), &it.checkpoint, &it.host.value(), &it.address}) {
     digest = XXH64(text->data(), text->size(), digest);
   }
   return digest;
@@ -208,6 +211,9 @@
       ++task->unexplained_losses;
     }
   }
+  if (row.size() > 14) {
+    task->address = row.at(14).get<std::string>();
+  }
 }
 
 /** Returns the numbers of the open occurrences, which are below `created`. */
--- a/tests/stored_job_test.cc
+++ b/tests/stored_job_test.cc
@@ -40,6 +40,7 @@
   task.run = RunNumber(4);
   task.failures = 1;
   task.worker = WorkerId("w1");
+  task.address = "10.0.0.1:7000";
   task.checkpoint = "c";
   const auto loaded =
       DecodeJobs({{AcceptanceKey(job.id), EncodeAcceptance(job)},
@@ -53,6 +54,7 @@
   EXPECT_EQ(inherited.run, RunNumber(4));
   EXPECT_EQ(inherited.failures, 1);
   EXPECT_EQ(inherited.worker, WorkerId("w1"));
+  EXPECT_EQ(inherited.address, "10.0.0.1:7000");
   EXPECT_EQ(inherited.checkpoint, "c");
   EXPECT_EQ(got.occurrences.at(0).steps[0][0].phase, TaskPhase::kWaiting);
 }
--- a/tests/unlisted_worker_test.cc
+++ b/tests/unlisted_worker_test.cc
@@ -70,6 +70,7 @@
   }
   world.Advance(seconds(70));
   EXPECT_TRUE(world.violations.empty()) << world.violations.front();
+  EXPECT_EQ(world.starts, param.answers ? kTasks : 2 * kTasks);
   EXPECT_EQ(world.State("j1"), JobState::kCompleted);
 }
 
