libjobs: wait for the lease of a former owner at a worker that answered

What callers see: a task runs twice at the same time after a change of owners.

Cause: from the first answer of a worker, a new owner computes the end of the lease from what it has granted itself, 4.5 s. A deadline never shortens, and the former owner's may end later, up to the worker's maximum of 6 s: it computes deadlines from the expected reading of the worker's clock. An idle worker is not polled, so with a clock that is 2 % slow the expected reading is ahead by 0.4 s after 20 s without work. If the worker is cut off after its first answer to the new owner, its run is given up and started elsewhere while it goes on.

Change: with the first answer of a worker that has runs, the end of the lease is at least the longest one that a former owner can have granted.

Evidence: IdleWorkerTest.NewOwnerWaitsForTheLeaseOfTheFormerOne (build/tests/idle_worker_test). Before: "concurrent runs" with a slow clock after 20, 120 and 300 s without work; none with an exact clock.

--- a/src/libjobs/pool_engine_workers.cc
+++ b/src/libjobs/pool_engine_workers.cc
@@ -177,6 +177,12 @@
   worker.fence_confirmed = true;
   schedule_needed_ = schedule_needed_ || newly_confirmed;
   EndWait(worker);
+  if (newly_confirmed && !worker.runs.empty()) {
+    // A lease of a former owner is not shortened by ours.
+    worker.lease_sent_ms =
+        std::max(worker.lease_sent_ms,
+                 report.clock_ms + tuning_.max_lease.count() / 1000);
+  }
 
   for (const auto& it : report.ended) {
     ApplyEnded(worker, it);
