libjobs: accept readings of a slow clock after a worker was idle

What callers see: tasks of a worker that is lost are restarted seconds late.

Cause: a reading of a worker's clock that is over 1 s behind the expected one counts as overtaken and is ignored. An idle worker is not polled. With a clock that is 2 % slow it falls behind by more than that within 50 s, and from then on no reading is accepted. Each lease is then computed from a clock that runs ahead, by 6 s after 5 min, and the owner waits as much longer before it restarts the runs. Orders that are held up on their way are valid for as much longer, too.

Change: a reading is ignored only if it is over 1 s older than a clock at the specified limit could show.

Evidence: IdleWorkerTest.ItsRunsRestartWithinTheLease (build/tests/idle_worker_test). Before: not restarted 6.5 s after the worker was lost, after 120 and 300 s without work; restarted in time after 20 s, or with an exact clock. After: restarted in time in all cases.

--- a/src/libjobs/pool_engine_workers.cc
+++ b/src/libjobs/pool_engine_workers.cc
@@ -170,7 +170,7 @@
   }
   worker.incarnation = report.incarnation;
   ForgetLosses(lost_runs_.TakeAlive(worker.entry.id, worker.incarnation));
-  worker.SetClock(report.clock_ms, now_);
+  worker.SetClock(report.clock_ms, now_, tuning_.clock_drift);
   // A poll that did not have to wait reports ends that happened earlier.
   prompt_report_ = now_ - worker.poll_sent_at > kMaxImmediateReply;
   const bool newly_confirmed = !worker.fence_confirmed;
--- a/src/libjobs/worker.cc
+++ b/src/libjobs/worker.cc
@@ -28,9 +28,9 @@
          static_cast<std::int64_t>(passed * (1.0 - drift));
 }
 
-void Worker::SetClock(std::int64_t clock_ms, Time now) {
-  // Answers may arrive out of order; an older reading is ignored.
-  if (clock_ms_ && clock_ms < ClockAt(now) - 1000) {
+void Worker::SetClock(std::int64_t clock_ms, Time now, double drift) {
+  // Answers may arrive out of order.
+  if (clock_ms_ && clock_ms < MinClockAt(now, drift) - 1000) {
     return;
   }
   clock_ms_ = clock_ms;
--- a/src/libjobs/worker.h
+++ b/src/libjobs/worker.h
@@ -23,8 +23,9 @@
   /** Returns the lowest reading of the worker's clock at `now`, in ms, if it is
    * slow by a fraction of at most `drift`. */
   std::int64_t MinClockAt(Time now, double drift) const;
-  /** Records a reading of the clock, unless an answer overtook it. */
-  void SetClock(std::int64_t clock_ms, Time now);
+  /** Records a reading of the clock, unless it is older than a clock that is
+   * slow by a fraction of at most `drift` could show. */
+  void SetClock(std::int64_t clock_ms, Time now, double drift);
   bool KnowsClock() const { return clock_ms_.has_value(); }
 
   /** Returns the label of the rack, or an empty string. */
--- a/tests/idle_worker_test.cc
+++ b/tests/idle_worker_test.cc
@@ -49,6 +49,15 @@
   WorkerId worker;
 };
 
+// Guards against leases that grow with the time for which a worker was idle
+// before, so that the runs of a lost worker are restarted late.
+TEST_P(IdleWorkerTest, ItsRunsRestartWithinTheLease) {
+  world.Advance(seconds(12));
+  world.workers.at(worker).reachable = false;
+  world.Advance(world.tuning.lease + seconds(2));
+  EXPECT_EQ(world.StartsOf(JobId(kJob)), 2);
+}
+
 // Guards against a second run while the first one still has a lease of a former
 // owner that ends later than that of the new owner.
 TEST_P(IdleWorkerTest, NewOwnerWaitsForTheLeaseOfTheFormerOne) {
