libjobs: keep a host that a single list lacks

What operators see: more hosts of a wave in maintenance than it allows, or a wave that is reported as completed while one of its hosts has not begun.

Cause: the planner forgets a host, with its order in progress, as soon as one list lacks it.

Change: a host has left once three lists in a row lack it. Until then its state is kept, its wave stays open, and the list is read at the shorter interval.

Evidence (build/tests/host_planner_test): LeftOutHostTest with a host that one list lacks or two in a row. Before: two hosts in maintenance where one is allowed, and the wave reported as completed with a host left. After: one, and not reported. WaveEndsWithoutHostsThatHaveLeft holds before and after.

--- a/src/libjobs/host_planner.cc
+++ b/src/libjobs/host_planner.cc
@@ -26,6 +26,9 @@
  * after the confirmation of its order shows it as up. */
 constexpr Duration kListDelay = std::chrono::milliseconds(100);
 
+/** Number of lists in a row that lack a host, from which it has left. */
+constexpr int kMaxMissedLists = 3;
+
 /** Assumed cores of a host whose capacity is not known yet. */
 constexpr double kDefaultHostCores = 64;
 
@@ -140,6 +143,31 @@
          host.info.state == HostState::kMoving;
 }
 
+bool HostPlanner::HasLeft(const HostId& host) const {
+  const auto it = missed_lists_.find(host);
+  return it != missed_lists_.end() && it->second >= kMaxMissedLists;
+}
+
+void HostPlanner::CountMissedLists(const std::set<HostId>& listed) {
+  std::set<HostId> known;
+  for (const auto& [id, host] : hosts_) {
+    known.insert(id);
+  }
+  for (const auto& [number, wave] : waves_) {
+    if (!wave.completed) {
+      known.insert(wave.spec.hosts.begin(), wave.spec.hosts.end());
+    }
+  }
+  std::map<HostId, int> missed;
+  for (const auto& it : known) {
+    if (!listed.contains(it)) {
+      missed[it] = std::min(missed_lists_[it] + 1, kMaxMissedLists);
+    }
+  }
+  missed_lists_ = std::move(missed);
+  std::erase_if(hosts_, [this](const auto& it) { return HasLeft(it.first); });
+}
+
 void HostPlanner::Release(Host& host) {
   host.purpose.reset();
   host.order_in_progress = false;
@@ -203,12 +231,10 @@
   if (event.failed) {
     return;
   }
-  for (auto& [id, host] : hosts_) {
-    host.listed = false;
-  }
+  std::set<HostId> listed;
   for (const auto& it : event.hosts) {
     auto& host = hosts_[it.host];
-    host.listed = true;
+    listed.insert(it.host);
     if (host.info.pool != it.pool) {
       host.former_pool = host.info.pool;
       host.left_at = now_;
@@ -225,7 +251,7 @@
       Release(host);
     }
   }
-  std::erase_if(hosts_, [](const auto& it) { return !it.second.listed; });
+  CountMissedLists(listed);
 }
 
 void HostPlanner::Handle(const PoolUsageRead& event) {
@@ -254,9 +280,12 @@
     return;
   }
   const bool busy =
-      std::any_of(hosts_.begin(), hosts_.end(), [this](const auto& it) {
-        return IsAway(it.second) || it.second.purpose;
-      });
+      std::any_of(hosts_.begin(), hosts_.end(),
+                  [this](const auto& it) {
+                    return IsAway(it.second) || it.second.purpose;
+                  }) ||
+      std::any_of(missed_lists_.begin(), missed_lists_.end(),
+                  [](const auto& it) { return it.second < kMaxMissedLists; });
   const auto interval =
       busy ? tuning_.active_list_interval : tuning_.idle_list_interval;
   if (!reading_hosts_ &&
@@ -315,12 +344,12 @@
   int left = 0;
   for (const auto& id : wave.spec.hosts) {
     const auto found = hosts_.find(id);
+    const bool begun = wave.begun.contains(id);
+    left += begun || HasLeft(id) ? 0 : 1;
     if (found == hosts_.end()) {
       continue;
     }
     Host& host = found->second;
-    const bool begun = wave.begun.contains(id);
-    left += begun ? 0 : 1;
     if (host.purpose == Purpose::kMaintenance || (begun && IsAway(host))) {
       ++in_progress;
       ++away[host.info.pool];
--- a/src/libjobs/host_planner.h
+++ b/src/libjobs/host_planner.h
@@ -228,8 +228,6 @@
     /** Start of the period in which all usage reports show the host as empty;
      * unset while it is not. */
     std::optional<Time> empty_since;
-    /** The last list of the platform contains the host. */
-    bool listed = true;
 
     /** Set while the host is reserved. */
     std::optional<Purpose> purpose;
@@ -289,6 +287,13 @@
   void ReleaseReservations();
   /** Returns whether the host is or may be in a move or in maintenance. */
   bool IsAway(const Host& host) const;
+  /** Returns whether several lists in a row have lacked the host. Pages of a
+   * list are read one after the other, so a single list may lack a host that
+   * is there. */
+  bool HasLeft(const HostId& host) const;
+  /** Counts the lists that lack a known host or one of a wave, and forgets
+   * hosts that have left. */
+  void CountMissedLists(const std::set<HostId>& listed);
   /** Ends the reservation of the host. */
   void Release(Host& host);
   void PlanWaves();
@@ -356,6 +361,8 @@
   std::shared_ptr<const PoolDivision> division_ =
       std::make_shared<const PoolDivision>();
   std::map<HostId, Host> hosts_;
+  /** Number of lists in a row, up to the last one, that lack a host. */
+  std::map<HostId, int> missed_lists_;
   std::map<int, Wave> waves_;
   /** Last usage report on one cell of a pool, and when it came. */
   struct CellUsage {
--- a/tests/host_planner_test.cc
+++ b/tests/host_planner_test.cc
@@ -152,6 +152,11 @@
         info.state = HostState::kUp;
         back_at.erase(id);
       }
+      if (const auto it = left_out.find(id);
+          it != left_out.end() && it->second > 0) {
+        --it->second;
+        continue;
+      }
       list.push_back(info);
     }
     Apply(HostsRead{list, false});
@@ -201,6 +206,8 @@
   /** Maximum number of hosts that were away at the same time. */
   int max_away = 0;
   bool store_up = true;
+  /** Number of next lists that lack a host. */
+  std::map<HostId, int> left_out;
   Time now = Time(std::chrono::seconds(100));
 };
 
@@ -324,6 +331,78 @@
                                          FormerOrderCase{"Older", 2900, "hot"}),
                          [](const auto& it) { return it.param.name; });
 
+struct LeftOutCase {
+  const char* name;
+  /** Number of lists in a row that lack the host. */
+  int lists;
+};
+
+class LeftOutHostTest : public testing::TestWithParam<LeftOutCase> {
+ protected:
+  void SetUp() override {
+    for (const char* it : {"h0", "h1", "h2"}) {
+      world.AddHost(it, "hot");
+    }
+    world.Start();
+    world.Apply(WavesRead{{WaveOf(world, 1)}});
+  }
+
+  PlannerWorld world;
+};
+
+// Guards against more hosts in maintenance than the wave allows when the list
+// of hosts, whose pages are read one after the other, lacks one that is away.
+TEST_P(LeftOutHostTest, StillCountsAgainstTheLimitOfTheWave) {
+  while (world.maintained.empty()) {
+    world.Round();
+  }
+  world.left_out[world.maintained[0]] = GetParam().lists;
+  world.Rounds(120);
+  EXPECT_EQ(world.max_away, 1);
+  EXPECT_EQ(world.maintained.size(), 3u);
+}
+
+// Guards against a wave that is reported as completed while a host which a list
+// lacks has not begun its maintenance.
+TEST_P(LeftOutHostTest, KeepsItsWaveOpen) {
+  world.busy = {HostId("h2")};
+  world.Rounds(100);
+  ASSERT_EQ(world.maintained.size(), 2u);
+  world.left_out[HostId("h2")] = GetParam().lists;
+  world.Rounds(30);
+  ASSERT_EQ(world.reports.size(), 1u);
+  EXPECT_FALSE(world.reports.back().completed);
+  world.busy.clear();
+  world.Rounds(60);
+  EXPECT_EQ(world.maintained.size(), 3u);
+  EXPECT_TRUE(world.reports.back().completed);
+}
+
+INSTANTIATE_TEST_SUITE_P(Lists,
+                         LeftOutHostTest,
+                         testing::Values(LeftOutCase{"One", 1},
+                                         LeftOutCase{"TwoInARow", 2}),
+                         [](const auto& it) { return it.param.name; });
+
+// Guards against a wave that is never completed since one of its hosts has left
+// the platform, before or after its planner has seen it.
+TEST(HostPlannerTest, WaveEndsWithoutHostsThatHaveLeft) {
+  PlannerWorld world;
+  for (const char* it : {"h0", "h1", "h2"}) {
+    world.AddHost(it, "hot");
+  }
+  auto wave = WaveOf(world, 1);
+  wave.hosts.insert(HostId("unknown"));
+  world.busy = {HostId("h2")};
+  world.Start();
+  world.Apply(WavesRead{{wave}});
+  world.Rounds(100);
+  world.hosts.erase(HostId("h2"));
+  world.Rounds(120);
+  EXPECT_EQ(world.maintained.size(), 2u);
+  EXPECT_TRUE(world.reports.back().completed);
+}
+
 // Work waits in one pool while another pool is idle. Guards against hosts that
 // stay idle while work waits, and against a donor pool that loses all its
 // hosts.
