libjobs: count a host as away after an order without an answer

What operators see: more hosts of a wave in maintenance than it allows.

Cause: a host whose order got no answer counts as away until the next list of hosts arrives, also if that was read before the order. The old list shows the host as up, and the next host of the wave gets its order while the first one is in maintenance.

Change: only a list that was read after the end of the wait for the answer decides whether the order was carried out.

Evidence: HostPlannerTest.UnansweredOrderOutlastsAnOlderList (build/tests/host_planner_test).

--- a/src/libjobs/host_planner.cc
+++ b/src/libjobs/host_planner.cc
@@ -22,8 +22,8 @@
 /** Time after which a reserved host that is not vacated is released. */
 constexpr Duration kReservationTimeout = std::chrono::seconds(6);
 
-/** A host counts as returned only if a list that was read at least this long
- * after the confirmation of its order shows it as up. */
+/** A host counts as returned, or an unanswered order as not carried out, only
+ * if a list that was read at least this long after the order shows it as up. */
 constexpr Duration kListDelay = std::chrono::milliseconds(100);
 
 /** Number of lists in a row that lack a host, from which it has left. */
@@ -240,8 +240,14 @@
       host.left_at = now_;
     }
     host.info = it;
-    if (host.order_sent && host.order_confirmed &&
-        hosts_read_started_at_ > host.order_at + kListDelay &&
+    const bool read_after_order =
+        hosts_read_started_at_ > host.order_at + kListDelay;
+    if (host.order_unanswered && !read_after_order) {
+      host.info.state = HostState::kMaintenance;
+    } else {
+      host.order_unanswered = false;
+    }
+    if (host.order_sent && host.order_confirmed && read_after_order &&
         it.state == HostState::kUp) {
       if (host.purpose == Purpose::kMove) {
         host.moved_at = now_;
@@ -516,16 +522,18 @@
   switch (event.result) {
     case HostOrderResult::kDone:
       host.order_confirmed = true;
+      host.order_unanswered = false;
       host.order_at = now_;
       if (host.purpose == Purpose::kMaintenance) {
         waves_[host.wave].begun.insert(event.host);
       }
       break;
     case HostOrderResult::kUnknown:
-      // Both kinds of order may be repeated. Until one is answered, the host
-      // counts as away.
+      // Both kinds of order may be repeated.
       host.order_in_progress = false;
       host.order_sent = false;
+      host.order_unanswered = true;
+      host.order_at = now_;
       host.info.state = HostState::kMaintenance;
       break;
     default:
--- a/src/libjobs/host_planner.h
+++ b/src/libjobs/host_planner.h
@@ -240,9 +240,13 @@
      * order has failed. */
     bool order_in_progress = false;
     bool order_sent = false;
-    /** When the order was sent; once it is confirmed, when that was. */
+    /** When the order was sent; once it is confirmed or the wait for its answer
+     * has ended, when that was. */
     Time order_at;
     bool order_confirmed = false;
+    /** The last order got no answer. The host counts as away until a list that
+     * was read later shows otherwise. */
+    bool order_unanswered = false;
     /** When the last move ended or the last order was refused. */
     Time moved_at;
     /** Pool that the host left last, and when. */
--- a/tests/host_planner_test.cc
+++ b/tests/host_planner_test.cc
@@ -2,7 +2,11 @@
 
 #include <algorithm>
 #include <chrono>
+#include <deque>
+#include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "libjobs/jobs.h"
 
@@ -73,6 +77,11 @@
         it->second = now + milliseconds(900);
       }
     }
+    while (!unanswered.empty() && unanswered.front().second <= now) {
+      const HostId host = unanswered.front().first;
+      unanswered.pop_front();
+      Apply(HostOrderFinished{host, HostOrderResult::kUnknown});
+    }
     PoolUsage usage;
     for (const auto& [pool, demand] : demands) {
       ServiceUsage service;
@@ -159,7 +168,11 @@
       }
       list.push_back(info);
     }
-    Apply(HostsRead{list, false});
+    if (holds_lists) {
+      held_list = list;
+    } else {
+      Apply(HostsRead{list, false});
+    }
   }
   void Execute(MoveHost& move) {
     moves.emplace_back(move.host, move.pool);
@@ -179,7 +192,12 @@
     EXPECT_FALSE(busy.contains(host)) << host.value();
     hosts.at(host).state = state;
     back_at[host] = now + milliseconds(2000);
-    Apply(HostOrderFinished{host, HostOrderResult::kDone});
+    if (unanswered_orders > 0) {
+      --unanswered_orders;
+      unanswered.emplace_back(host, now + Tuning().order_timeout);
+    } else {
+      Apply(HostOrderFinished{host, HostOrderResult::kDone});
+    }
   }
 
   HostPlanner planner;
@@ -208,6 +226,13 @@
   bool store_up = true;
   /** Number of next lists that lack a host. */
   std::map<HostId, int> left_out;
+  /** Lists that are read get stuck on their way; the last one is kept. */
+  bool holds_lists = false;
+  std::optional<std::vector<HostInfo>> held_list;
+  /** Number of next orders whose answers are lost. */
+  int unanswered_orders = 0;
+  /** Hosts of such orders, and when the calls time out. */
+  std::deque<std::pair<HostId, Time>> unanswered;
   Time now = Time(std::chrono::seconds(100));
 };
 
@@ -331,6 +356,33 @@
                                          FormerOrderCase{"Older", 2900, "hot"}),
                          [](const auto& it) { return it.param.name; });
 
+// Guards against more hosts in maintenance than the wave allows: an order has
+// got no answer, and a list of hosts that was read before it arrives after it.
+TEST(HostPlannerTest, UnansweredOrderOutlastsAnOlderList) {
+  PlannerWorld world;
+  world.AddHost("h0", "hot");
+  world.AddHost("h1", "cold");
+  world.Start();
+  world.Rounds(2);
+  world.busy = {HostId("h0"), HostId("h1")};
+  world.holds_lists = true;
+  world.Apply(WavesRead{{WaveOf(world, 1)}});
+  while (!world.held_list) {
+    world.Round();
+  }
+  world.busy.clear();
+  world.unanswered_orders = 1;
+  while (world.unanswered_orders > 0 || !world.unanswered.empty()) {
+    world.Round();
+  }
+  ASSERT_EQ(world.maintained.size(), 1u);
+  world.holds_lists = false;
+  world.Apply(HostsRead{*world.held_list, false});
+  world.Rounds(120);
+  EXPECT_EQ(world.max_away, 1);
+  EXPECT_TRUE(world.reports.back().completed);
+}
+
 struct LeftOutCase {
   const char* name;
   /** Number of lists in a row that lack the host. */
