libjobs: count orders of a former planner against the limit of a wave

What operators see: after the planner has moved to another node, more hosts of a wave in maintenance than it allows.

Cause: a new planner sends no orders to hosts for which the former one has recently stored an intent, but counts them as up as long as the list shows them so. An order may be carried out up to 1.4 s after its intent was stored, when the new planner has already given the next ones.

Change: such a host counts against the limit until a list that was read after that time shows its state.

Evidence: LateFormerOrderTest.CountsAgainstTheLimitOfTheWave (build/tests/host_planner_test).

--- a/src/libjobs/host_planner.cc
+++ b/src/libjobs/host_planner.cc
@@ -138,6 +138,12 @@
   return blocked_.contains(host);
 }
 
+bool HostPlanner::MayBeOrderedByFormerPlanner(const HostId& host) const {
+  return IsBlocked(host) &&
+         hosts_listed_at_ <= loaded_at_ + tuning_.max_order_delay +
+                                 tuning_.order_timeout + kListDelay;
+}
+
 bool HostPlanner::IsAway(const Host& host) const {
   return host.order_sent || host.info.state == HostState::kMaintenance ||
          host.info.state == HostState::kMoving;
@@ -231,6 +237,7 @@
   if (event.failed) {
     return;
   }
+  hosts_listed_at_ = hosts_read_started_at_;
   std::set<HostId> listed;
   for (const auto& it : event.hosts) {
     auto& host = hosts_[it.host];
@@ -434,7 +441,7 @@
     for (const auto& id : wave.spec.hosts) {
       const auto host = hosts_.find(id);
       if (host != hosts_.end() &&
-          (host->second.order_in_progress ||
+          (host->second.order_in_progress || MayBeOrderedByFormerPlanner(id) ||
            (host->second.purpose != Purpose::kMove && IsAway(host->second)))) {
         ++away[number];
       }
--- a/src/libjobs/host_planner.h
+++ b/src/libjobs/host_planner.h
@@ -284,6 +284,9 @@
   Duration VacateTime(const Host& host) const;
   /** Returns whether an order of a previous planner may still take effect. */
   bool IsBlocked(const HostId& host) const;
+  /** Returns whether the host may have got an order of a previous planner that
+   * the last list does not show yet. */
+  bool MayBeOrderedByFormerPlanner(const HostId& host) const;
   /** Returns whether the store does not answer, so that no order can be given.
    */
   bool IsStoreAway() const;
@@ -377,8 +380,10 @@
   std::map<ServiceId, std::map<ShardId, CellUsage>> cell_usage_;
   Time demand_logged_at_;
   bool reading_hosts_ = false;
-  /** When the last read of the host list was started. */
+  /** When the last read of the host list was started, and the last one that was
+   * finished. */
   Time hosts_read_started_at_;
+  Time hosts_listed_at_;
 
   /** Last commit of intents; `intents_` are its hosts until it is stored. */
   CommitId commit_;
--- a/tests/host_planner_test.cc
+++ b/tests/host_planner_test.cc
@@ -182,16 +182,14 @@
   void Execute(MaintainHost& order) {
     maintained.push_back(order.host);
     TakeAway(order.host, HostState::kMaintenance);
-    max_away = std::max(max_away, static_cast<int>(back_at.size()));
   }
   void Execute(ReportWave& report) { reports.push_back(report); }
   void Execute(LogPlanDecision&) {}
 
-  /** Carries out an order at once; the host is away for 2 s. */
+  /** Carries out an order at once. */
   void TakeAway(const HostId& host, HostState state) {
     EXPECT_FALSE(busy.contains(host)) << host.value();
-    hosts.at(host).state = state;
-    back_at[host] = now + milliseconds(2000);
+    BeginAbsence(host, state);
     if (unanswered_orders > 0) {
       --unanswered_orders;
       unanswered.emplace_back(host, now + Tuning().order_timeout);
@@ -200,6 +198,15 @@
     }
   }
 
+  /** Makes the host be away for 2 s. */
+  void BeginAbsence(const HostId& host, HostState state) {
+    hosts.at(host).state = state;
+    back_at[host] = now + milliseconds(2000);
+    if (state == HostState::kMaintenance) {
+      max_away = std::max(max_away, static_cast<int>(back_at.size()));
+    }
+  }
+
   HostPlanner planner;
   std::shared_ptr<const PolicySet> policies;
   std::map<HostId, HostInfo> hosts;
@@ -356,6 +363,41 @@
                                          FormerOrderCase{"Older", 2900, "hot"}),
                          [](const auto& it) { return it.param.name; });
 
+struct LateOrderCase {
+  const char* name;
+  /** Time from the takeover until the former planner's order is carried out. */
+  Duration delay;
+};
+
+class LateFormerOrderTest : public testing::TestWithParam<LateOrderCase> {};
+
+// Guards against more hosts in maintenance than the wave allows: the order of a
+// former planner may be carried out after this one has read the list of hosts.
+TEST_P(LateFormerOrderTest, CountsAgainstTheLimitOfTheWave) {
+  PlannerWorld world;
+  for (const char* it : {"h0", "h1", "h2"}) {
+    world.AddHost(it, "hot");
+  }
+  world.Start({{"h/h0", std::to_string(kWallMs - 100)}});
+  world.Apply(WavesRead{{WaveOf(world, 1)}});
+  for (const Time end = world.now + GetParam().delay; world.now < end;) {
+    world.Round();
+  }
+  world.BeginAbsence(HostId("h0"), HostState::kMaintenance);
+  world.Rounds(120);
+  EXPECT_EQ(world.max_away, 1);
+  ASSERT_FALSE(world.reports.empty());
+  EXPECT_TRUE(world.reports.back().completed);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Delays,
+    LateFormerOrderTest,
+    testing::Values(LateOrderCase{"AtOnce", milliseconds(0)},
+                    LateOrderCase{"Soon", milliseconds(400)},
+                    LateOrderCase{"AtTheLatest", milliseconds(1300)}),
+    [](const auto& it) { return it.param.name; });
+
 // Guards against more hosts in maintenance than the wave allows: an order has
 // got no answer, and a list of hosts that was read before it arrives after it.
 TEST(HostPlannerTest, UnansweredOrderOutlastsAnOlderList) {
