libfleet: do not report hosts as free by a former owner

What callers see: work that has just begun is ended by a move or a maintenance.

Cause: an owner that is cut off from the store and was replaced still answers the planner's plan exchange. It does not poll idle workers, so it does not notice that the next owner has fenced it off, and reports their hosts as empty and reserved. The next owner knows nothing of the reservation and starts tasks there. If the planner's list of owners is still the old one, it sends its order.

Change: an owner whose membership may have expired answers a plan as a node that does not own the shard. The planner then looks for the current owner.

Evidence: FormerOwnerTest.ReportsNoHosts (build/tests/fleet_node_test). Before: the former owner reports its hosts. After: only the current one does. That the order ends a run was not reproduced.

--- a/src/libfleet/peer_calls.cc
+++ b/src/libfleet/peer_calls.cc
@@ -1,5 +1,6 @@
 #include "libfleet/peer_calls.h"
 
+#include <string_view>
 #include <utility>
 
 #include "libfleet/planner_codec.h"
@@ -146,6 +147,13 @@
   });
 }
 
+/** Returns whether only the current owner may answer the call: the next one may
+ * have accepted jobs, or started runs on hosts that a former one takes for
+ * free. */
+bool IsForCurrentOwner(std::string_view target) {
+  return target == "/pending" || target == "/plan";
+}
+
 }  // namespace
 
 JobStateAnswer StateAt(const ShardOwner& owner, const JobId& job) {
@@ -301,7 +309,9 @@
       respond({kNotOwner, {}, ""});
       return;
     }
-    if (request.target == "/submit") {
+    if (IsForCurrentOwner(request.target) && !membership_is_valid()) {
+      respond({kNotOwner, {}, ""});
+    } else if (request.target == "/submit") {
       ServeSubmit(*owner, body, respond);
     } else if (request.target == "/cancel") {
       ServeCancel(*owner, body, respond);
@@ -317,11 +327,9 @@
           respond,
           Json::array({answer.state ? static_cast<int>(*answer.state) : -1,
                        CellToJson(answer.cell)}));
-    } else if (request.target == "/pending" && membership_is_valid()) {
+    } else if (request.target == "/pending") {
       SendAnswer(respond, Json::array({owner->engine().Pending(
                               QueueId(body.at(1).get<std::string>()))}));
-    } else if (request.target == "/pending") {
-      respond({kNotOwner, {}, ""});
     } else if (request.target == "/plan") {
       const auto usage = owner->ApplyPlan(HostPlanFromJson(body.at(1)));
       if (usage) {
--- a/tests/fleet_node_test.cc
+++ b/tests/fleet_node_test.cc
@@ -11,6 +11,7 @@
 #include "fleet_test_node.h"
 #include "free_port.h"
 #include "libfleet/loop_runner.h"
+#include "libfleet/peer_calls.h"
 
 namespace baobab {
 namespace {
@@ -141,6 +142,50 @@
   EXPECT_NE(Call(owner, "DELETE", "/jobs/queue/j1").status, 404);
 }
 
+struct OwnerCase {
+  const char* name;
+  /** The owner is cut off from the store and has been replaced. */
+  bool replaced;
+};
+
+class FormerOwnerTest : public FleetNodeTest,
+                        public testing::WithParamInterface<OwnerCase> {
+ protected:
+  /** Returns the address of the owner, after it was replaced if it is to be. */
+  std::string OwnerOrFormerOwner() {
+    auto owner = addresses[&Owner() == nodes[0].get() ? 0 : 1];
+    if (GetParam().replaced) {
+      platform.cut_off.insert(owner);
+      loop.run_for(milliseconds(900));
+    }
+    return owner;
+  }
+
+  AsyncHttpClient client{loop};
+  PeerCalls peers{client};
+};
+
+// Guards against orders that end the runs of a new owner, as the former one
+// still reports the host as free and reserved.
+TEST_P(FormerOwnerTest, ReportsNoHosts) {
+  const auto owner = OwnerOrFormerOwner();
+  HostPlan plan;
+  plan.planner = FenceToken(platform.generation + 1);
+  std::optional<bool> reported;
+  peers.ApplyPlan(owner, kCell, plan, milliseconds(500),
+                  [&](const tl::expected<PoolUsage, PeerFault>& usage) {
+                    reported = usage.has_value();
+                  });
+  loop.run_for(milliseconds(300));
+  EXPECT_EQ(reported, !GetParam().replaced);
+}
+
+INSTANTIATE_TEST_SUITE_P(Owners,
+                         FormerOwnerTest,
+                         testing::Values(OwnerCase{"Current", false},
+                                         OwnerCase{"Former", true}),
+                         [](const auto& it) { return it.param.name; });
+
 // Guards against a node without the store that cannot tell who owns the shards
 // now: in a recorded day its callers were refused for 9 s, "store-away" and
 // "owner-unreachable", while another node served the pool.
