libfleet: let no former owner take a job that is handed over

What callers see: an accepted job is gone, and its state is "no such job".

Cause: a cell drops a job that it hands over once the other cell says that it has stored it, which it also says of a job that it knows already. A former owner that is cut off from the store may know the job from an earlier stay and not know that the next owner has handed it on since. If the offering node's list of owners is still the old one, the cell drops the only copy.

Change: an owner whose membership may have expired answers an offer as a node that does not own the shard, as it does for the state of an unknown job. The offer is repeated until the current owner has stored the job.

Evidence: FormerOwnerTest.TakesNoJob (build/tests/fleet_node_test). Before: a former owner that was replaced confirms an offer of a job that it knows. After: only the current one does. The whole course up to the loss was not reproduced.

--- a/src/libfleet/peer_calls.cc
+++ b/src/libfleet/peer_calls.cc
@@ -148,10 +148,10 @@
 }
 
 /** Returns whether only the current owner may answer the call: the next one may
- * have accepted jobs, or started runs on hosts that a former one takes for
- * free. */
+ * have accepted jobs or handed them on, or started runs on hosts that a former
+ * one takes for free. */
 bool IsForCurrentOwner(std::string_view target) {
-  return target == "/pending" || target == "/plan";
+  return target == "/pending" || target == "/plan" || target == "/offer";
 }
 
 }  // namespace
--- a/tests/fleet_node_test.cc
+++ b/tests/fleet_node_test.cc
@@ -180,6 +180,20 @@
   EXPECT_EQ(reported, !GetParam().replaced);
 }
 
+// Guards against a job that its cell drops after a hand-over, as a former owner
+// of the other cell still knows the job from an earlier stay.
+TEST_P(FormerOwnerTest, TakesNoJob) {
+  EXPECT_EQ(Submit(Owner(), "j1").status, 200);
+  const auto owner = OwnerOrFormerOwner();
+  std::optional<bool> taken;
+  peers.OfferJob(owner, kCell, {JobId("j1"), 2, {}}, milliseconds(500),
+                 [&](const tl::expected<bool, PeerFault>& answer) {
+                   taken = answer.value_or(false);
+                 });
+  loop.run_for(milliseconds(300));
+  EXPECT_EQ(taken, !GetParam().replaced);
+}
+
 INSTANTIATE_TEST_SUITE_P(Owners,
                          FormerOwnerTest,
                          testing::Values(OwnerCase{"Current", false},
