libjobs: keep a job that is handed back before an answer arrives

What callers see: an accepted job is gone, and its state is "no such job".

Cause: a cell that gets an offer of a job which it knows answers that it has stored it. It says so too if it is itself handing that job to the offering cell and the answer to its own offer was lost. The offering cell then drops the job, and confirms the first offer, which is older than its own, as a late repetition. The first cell drops its copy as well.

Change: a cell that is handing the job over refuses an offer with a higher number than its own. Its own offer is confirmed when it is repeated, it drops its copy, and takes the job with the next offer.

Evidence: HandBackTest.JobStaysInOneOfTheCells (build/tests/hand_over_test), in which all answers to the first cell are lost until the job is on its way back. Before: no run and no record of the job in either cell. After: one of each.

--- a/src/libjobs/pool_engine_hand_over.cc
+++ b/src/libjobs/pool_engine_hand_over.cc
@@ -155,7 +155,12 @@
     return;
   }
   if (const auto known = jobs_.find(id); known != jobs_.end()) {
-    if (known->second.stored) {
+    if (leaving_.contains(id) &&
+        delegated_.at(id).hand_overs < event.offer.number) {
+      // The other cell has taken the job, and hands it back before its answer
+      // has arrived. What is known here is about to be dropped.
+      answer(false);
+    } else if (known->second.stored) {
       answer(true);
     } else {
       staged_.dirty.insert(id);
--- a/tests/hand_over_test.cc
+++ b/tests/hand_over_test.cc
@@ -120,6 +120,8 @@
   JobWorld other{2};
   int lost_offers = 0;
   int lost_answers = 0;
+  /** Answers to the home cell are lost. */
+  bool loses_answers_to_home = false;
   std::vector<std::string> violations;
 
  private:
@@ -130,8 +132,8 @@
       return;
     }
     messages_.push_back([this, &to, offer, done = std::move(done)] {
-      to.Offer(offer, [this, done](bool stored) {
-        if (lost_answers-- <= 0) {
+      to.Offer(offer, [this, &to, done](bool stored) {
+        if (lost_answers-- <= 0 && !(loses_answers_to_home && &to == &other)) {
           messages_.push_back([done, stored] { done(stored); });
         }
       });
@@ -253,6 +255,33 @@
                     LossCase{"AnswersAndOwners", true, true, 0, 1}),
     [](const auto& it) { return std::string(it.param.name); });
 
+// The other cell hands the job back before the home cell has got an answer to
+// its own offer. Guards against a job that both cells drop, as each one has the
+// other's word that it knows the job.
+TEST(HandBackTest, JobStaysInOneOfTheCells) {
+  TwoCells cells;
+  cells.AddWorker(cells.home, "w1", true);
+  cells.AddWorker(cells.home, "w2", false);
+  cells.AddWorker(cells.other, "w3", true);
+  cells.AddWorker(cells.other, "w4", false);
+  cells.Start();
+  cells.Submit(LabelledJob(true));
+  cells.Advance(milliseconds(500));
+  cells.loses_answers_to_home = true;
+  cells.home.Crash(WorkerId("w1"));
+  cells.Advance(seconds(9));
+  ASSERT_EQ(cells.other.RunsOf(kTask), 1);
+  cells.home.Restart(WorkerId("w1"));
+  cells.other.Crash(WorkerId("w3"));
+  cells.Advance(seconds(12));
+  cells.loses_answers_to_home = false;
+  cells.Advance(seconds(5));
+  EXPECT_EQ(cells.home.RunsOf(kTask), 1);
+  EXPECT_EQ(cells.Runs(), 1);
+  EXPECT_EQ(cells.Records(), 1);
+  EXPECT_EQ(cells.Violations(), std::vector<std::string>());
+}
+
 // Guards against tasks that run again in the cell that gets a job of which a
 // part is done.
 TEST(HandOverOfAStartedJobTest, KeepsWhatIsDone) {
