tests: let each worker's entry lapse and return, and bound former owners

Cause: in the simulated world a list lacked exactly the workers that a test named, lists were read while the store was away, a former owner gave orders without end, and only starts were ever late. A worker that reaches its owner but not the store could not occur.

Change: SimRegistration simulates the entry of a worker. Starts, polls and stops can be held up at a worker and be carried out later, and an owner may learn late of its commits. A held start must fit in the capacity that its owner could count on when it was ordered, and a former capacity counts until the entry can show the new one.

--- a/tests/sim_worker.h
+++ b/tests/sim_worker.h
@@ -3,10 +3,12 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <utility>
 #include <vector>
 
 #include "libjobs/jobs.h"
+#include "sim_registration.h"
 
 namespace baobab {
 
@@ -29,9 +31,13 @@
   };
 
   WorkerEntry entry;
+  SimRegistration registration;
   bool reachable = true;
   /** Fencing token of an owner that cannot reach the worker; 0 for none. */
   std::int64_t cut_off_from = 0;
+  /** Until then, orders are held up on their connections. */
+  Time orders_held_until = Time::min();
+  bool reaches_store = true;
   bool up = true;
   /** Rate of the worker's clock relative to simulated time. */
   double clock_rate = 1.0;
@@ -70,6 +76,29 @@
                       static_cast<double>((now - started_at).count()) / 1000.0 *
                       clock_rate);
   }
+  /** Extends the leases of all runs, each by at most `max_lease`. */
+  void ExtendLeases(std::optional<std::int64_t> until_ms,
+                    Duration max_lease,
+                    Time now) {
+    if (!until_ms) {
+      return;
+    }
+    lease_until_ms = std::max(lease_until_ms, *until_ms);
+    for (auto& [id, run] : runs) {
+      run.lease_until_ms = std::max(
+          run.lease_until_ms,
+          std::min(*until_ms, ClockAt(now) + max_lease.count() / 1000));
+    }
+  }
+  /** Counts former capacities for `grace` from now, as owners cannot learn of
+   * changes of the entry yet. */
+  void PostponeCapacities(Time now, Duration grace) {
+    for (auto& [until, capacity] : former_capacities) {
+      if (now < until) {
+        until = now + grace;
+      }
+    }
+  }
   Resources Used() const {
     Resources used;
     for (const auto& [id, run] : runs) {
