tests: show that an owner whose store hangs stops its orders in time

Calls to the fake store failed after 200 ms, and the lists and the configuration were read without it. Now the time until a call fails can be set, and these reads fail too.

--- a/tests/fleet_fakes.h
+++ b/tests/fleet_fakes.h
@@ -248,8 +248,14 @@
   int stops = 0;
   /** Number of start orders, from the first, whose call throws. */
   int throwing_starts = 0;
-  /** Members whose calls get no answer. */
+  /** Members whose calls to the store get no answer. */
   std::set<std::string> cut_off;
+  /** Time until such a call fails: that of a refused connection, or the timeout
+   * of a call to a store that hangs. */
+  Duration failure_delay = std::chrono::milliseconds(200);
+  /** When each member last joined, and last gave an order to a worker. */
+  std::map<std::string, Time> joined_at;
+  std::map<std::string, Time> ordered_at;
 };
 
 /** Interfaces of one node to the in-memory platform. */
@@ -265,6 +271,7 @@
             JobStore::Callback<Membership> done) override {
     Call(done, [this, generation]() -> Result<Membership> {
       platform_.members[member_].seen_at = SteadyNow();
+      platform_.joined_at[member_] = SteadyNow();
       platform_.AssignShards();
       platform_.ConfirmReleases(member_, generation);
       Membership membership;
@@ -277,7 +284,7 @@
   }
   void Leave(std::function<void(bool left)> done) override {
     if (platform_.cut_off.contains(member_)) {
-      After(std::chrono::milliseconds(200), [done] { done(false); });
+      After(platform_.failure_delay, [done] { done(false); });
       return;
     }
     platform_.members.erase(member_);
@@ -336,8 +343,7 @@
               Duration,
               std::function<void(AppendOutcome)> done) override {
     if (platform_.cut_off.contains(member_)) {
-      After(std::chrono::milliseconds(200),
-            [done] { done(AppendOutcome::kUnknown); });
+      After(platform_.failure_delay, [done] { done(AppendOutcome::kUnknown); });
       return;
     }
     std::size_t bytes = 0;
@@ -378,6 +384,10 @@
   }
 
   void AwaitPublished(FleetFeed::Callback<PublishedConfig> done) override {
+    if (platform_.cut_off.contains(member_)) {
+      Fail(std::move(done));
+      return;
+    }
     After(std::chrono::milliseconds(50),
           [&platform = platform_, done] { done(platform.published); });
   }
@@ -387,6 +397,10 @@
   }
   void ReadWorkers(
       FleetFeed::Callback<std::shared_ptr<const WorkerList>> done) override {
+    if (platform_.cut_off.contains(member_)) {
+      Fail(std::move(done));
+      return;
+    }
     After(Duration(0),
           [&platform = platform_, done] { done(platform.workers); });
   }
@@ -394,6 +408,7 @@
   void Poll(const PollWorker& poll,
             FenceToken token,
             std::function<void(OrderResult, WorkerReport)> done) override {
+    platform_.ordered_at[member_] = SteadyNow();
     auto& sim = platform_.sim_workers[poll.worker];
     if (token.value() < sim.token) {
       After(Duration(0), [done] { done(OrderResult::kFenced, {}); });
@@ -425,6 +440,7 @@
       --platform_.throwing_starts;
       throw std::runtime_error("start failed");
     }
+    platform_.ordered_at[member_] = SteadyNow();
     auto& sim = platform_.sim_workers[start.worker];
     auto result = OrderResult::kFenced;
     if (token.value() >= sim.token) {
@@ -436,6 +452,7 @@
     After(Duration(0), [done, result] { done(result); });
   }
   void Stop(const StopRun& stop, FenceToken, WorkerCalls::Done done) override {
+    platform_.ordered_at[member_] = SteadyNow();
     ++platform_.stops;
     std::erase_if(platform_.sim_workers[stop.worker].running,
                   [&](const auto& it) { return it.task == stop.task; });
@@ -466,12 +483,17 @@
 
   static constexpr Duration kMaxPollWait = std::chrono::milliseconds(20);
 
+  template <typename D>
+  void Fail(D done) {
+    After(platform_.failure_delay, [done] {
+      done(tl::unexpected(Error{"call", "store", "no answer"}));
+    });
+  }
+
   template <typename D, typename F>
   void Call(D done, F work) {
     if (platform_.cut_off.contains(member_)) {
-      After(std::chrono::milliseconds(200), [done] {
-        done(tl::unexpected(Error{"call", "store", "no answer"}));
-      });
+      Fail(std::move(done));
       return;
     }
     auto result = work();
