libjobs: grant leases again as soon as the record of a wait is deleted

Cause: while the record of a wait was being deleted, its worker was polled without a pause and got no lease. Change: such a worker is polled at the interval of pending ends; the first record is written 2 s after the shard is loaded, so that workers which answer a little late have none; a deletion in flight is not repeated, and a newer record cancels it. inherit-runs shows the workers whose runs a new owner has loaded, since worker-unlisted is not written for one that was never listed. The address of a worker is taken from its newest run. The polls without a pause were read in the code, not measured. Conclusion: a record of a wait stands only while nothing is granted.

--- a/src/libjobs/pool_engine.cc
+++ b/src/libjobs/pool_engine.cc
@@ -112,7 +112,7 @@
   if (now_ - swept_at_ >= kSweepInterval) {
     swept_at_ = now_;
     ExpireLeases();
-    StoreWaits();
+    StoreLeaseWaits();
     EvacuateWorkers();
     RetryStops();
     LogWaits();
@@ -151,11 +151,17 @@
     if (const auto it = workers_.find(id); it != workers_.end()) {
       it->second.inherited_until =
           std::min(it->second.inherited_until, now_ + wait);
-      it->second.wait_stored = true;
+      it->second.lease_wait_recorded = true;
     } else {
-      staged_.ended_waits.insert(id);
+      staged_.ended_lease_waits.insert(id);
     }
   }
+  for (const auto& [id, worker] : workers_) {
+    Log("inherit-runs", JobId(),
+        fmt::format("worker={} host={} runs={} {}", id.value(),
+                    worker.entry.host.value(), worker.runs.size(),
+                    LeaseFields(worker)));
+  }
   MaybePollWorkers();
   schedule_needed_ = true;
 }
@@ -176,13 +182,11 @@
       for (std::size_t i = 0; i < tasks.size(); ++i) {
         if (tasks[i].phase == TaskPhase::kInherited) {
           Worker& worker = WorkerFor(tasks[i].worker);
-          if (worker.entry.address.empty()) {
-            worker.entry.address = tasks[i].address;
-          }
-          if (!tasks[i].host.value().empty()) {
+          if (!tasks[i].host.value().empty() &&
+              tasks[i].incarnation >= worker.entry.incarnation) {
             worker.entry.host = tasks[i].host;
-            worker.entry.incarnation =
-                std::max(worker.entry.incarnation, tasks[i].incarnation);
+            worker.entry.incarnation = tasks[i].incarnation;
+            worker.entry.address = tasks[i].address;
           }
           const auto resources = ResourcesOf(job.spec.steps[step]);
           worker.AddRun(TaskId{job.id, number, static_cast<int>(step),
@@ -572,10 +576,10 @@
     add(DelegationKey(id),
         it == delegated_.end() ? "" : EncodeDelegation(it->second));
   }
-  for (const auto& id : staged_.ended_waits) {
+  for (const auto& id : staged_.ended_lease_waits) {
     add(LeaseWaitKey(id), "");
   }
-  for (const auto& id : staged_.waits) {
+  for (const auto& id : staged_.lease_waits) {
     add(LeaseWaitKey(id),
         EncodeLeaseWait(
             std::max(Duration(0), workers_.at(id).inherited_until - now_)));
@@ -676,10 +680,10 @@
       it->second.stored = true;
     }
   }
-  for (const auto& id : stored.ended_waits) {
+  for (const auto& id : stored.ended_lease_waits) {
     const auto it = workers_.find(id);
-    if (it != workers_.end()) {
-      it->second.wait_stored = false;
+    if (it != workers_.end() && !staged_.lease_waits.contains(id)) {
+      it->second.lease_wait_recorded = false;
       it->second.next_poll_at = now_;
       MaybePollWorker(it->second);
     }
--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -87,8 +87,8 @@
     std::set<JobId> delegated;
     /** Workers whose wait for leases of former owners is to be stored, and
      * those of which that record is to be deleted. */
-    std::set<WorkerId> waits;
-    std::set<WorkerId> ended_waits;
+    std::set<WorkerId> lease_waits;
+    std::set<WorkerId> ended_lease_waits;
     /** Answers to callers that are sent once the commit is stored. */
     std::vector<PoolEffect> answers;
     /** Runs that are started once the commit is stored. */
@@ -106,8 +106,8 @@
 
     bool empty() const {
       return dirty.empty() && accepted.empty() && dropped.empty() &&
-             delegated.empty() && waits.empty() && ended_waits.empty() &&
-             ends.empty();
+             delegated.empty() && lease_waits.empty() &&
+             ended_lease_waits.empty() && ends.empty();
     }
   };
 
@@ -280,9 +280,9 @@
   static bool AwaitsFormerLeases(const Worker& worker);
   /** Stores how long the leases of former owners may still run, so that the
    * next owner does not begin to wait anew. */
-  void StoreWaits();
+  void StoreLeaseWaits();
   /** Deletes the record of the wait at the worker. */
-  void EndWait(Worker& worker);
+  void EndLeaseWait(Worker& worker);
   /** Returns whether all runs on the worker have ended, even if it is alive. */
   bool LeaseHasExpired(const Worker& worker) const;
   /** Returns what is known of the worker's leases and of the list of workers,
--- a/src/libjobs/pool_engine_workers.cc
+++ b/src/libjobs/pool_engine_workers.cc
@@ -20,7 +20,7 @@
 constexpr Duration kStopReportDelay = std::chrono::milliseconds(150);
 
 /** Interval at which the wait for leases of former owners is stored. */
-constexpr Duration kWaitStoreInterval = std::chrono::milliseconds(1000);
+constexpr Duration kLeaseWaitInterval = std::chrono::milliseconds(2000);
 
 constexpr int kFullSpeedPercent = 100;
 constexpr int kUnknownSpeedPercent = -1;
@@ -104,7 +104,7 @@
       // The runs of an unlisted worker end with their lease at the earliest:
       // it may only be cut off from the platform's store.
       if (worker.runs.empty()) {
-        EndWait(worker);
+        EndLeaseWait(worker);
         it = workers_.erase(it);
         continue;
       }
@@ -176,7 +176,7 @@
   const bool newly_confirmed = !worker.fence_confirmed;
   worker.fence_confirmed = true;
   schedule_needed_ = schedule_needed_ || newly_confirmed;
-  EndWait(worker);
+  EndLeaseWait(worker);
   if (newly_confirmed && !worker.runs.empty()) {
     // A lease of a former owner is not shortened by ours.
     worker.lease_sent_ms =
@@ -202,6 +202,10 @@
     ApplyAbsent(worker, present);
   }
   ThrottleBackgroundRuns(worker, report);
+  if (worker.lease_wait_recorded) {
+    // Its polls cannot wait for a run to end.
+    worker.next_poll_at = now_ + tuning_.pending_poll_interval;
+  }
   if (worker.applied_ends > worker.stored_ends) {
     worker.ends_pending = true;
     worker.next_poll_at = now_ + tuning_.pending_poll_interval;
@@ -407,8 +411,10 @@
   const bool responsive = worker.fence_confirmed && worker.missed_polls == 0;
   // After an unanswered poll the leases are not extended until the worker
   // answers, so that the runs of an unreachable worker can expire.
+  // The next owner would count on the record of a wait that began before a new
+  // lease.
   const bool extends_leases =
-      responsive && !worker.runs.empty() && !worker.wait_stored;
+      responsive && !worker.runs.empty() && !worker.lease_wait_recorded;
   if (extends_leases) {
     poll.lease_until_ms = worker.ClockAt(now_) + tuning_.lease.count() / 1000;
     worker.lease_sent_ms = std::max(worker.lease_sent_ms, *poll.lease_until_ms);
@@ -441,23 +447,27 @@
          !worker.runs.empty();
 }
 
-void PoolEngine::StoreWaits() {
+void PoolEngine::StoreLeaseWaits() {
   for (auto& [id, worker] : workers_) {
     if (!AwaitsFormerLeases(worker)) {
-      EndWait(worker);
-    } else if (now_ - std::max(loaded_at_, worker.wait_stored_at) >=
-               kWaitStoreInterval) {
-      worker.wait_stored = true;
-      worker.wait_stored_at = now_;
-      staged_.waits.insert(id);
+      EndLeaseWait(worker);
+    } else if (now_ - std::max(loaded_at_, worker.lease_wait_stored_at) >=
+               kLeaseWaitInterval) {
+      worker.lease_wait_recorded = true;
+      worker.lease_wait_stored_at = now_;
+      staged_.lease_waits.insert(id);
+      staged_.ended_lease_waits.erase(id);
     }
   }
 }
 
-void PoolEngine::EndWait(Worker& worker) {
-  staged_.waits.erase(worker.entry.id);
-  if (worker.wait_stored) {
-    staged_.ended_waits.insert(worker.entry.id);
+void PoolEngine::EndLeaseWait(Worker& worker) {
+  const auto& id = worker.entry.id;
+  staged_.lease_waits.erase(id);
+  const bool being_deleted =
+      in_flight_ && in_flight_->ended_lease_waits.contains(id);
+  if (worker.lease_wait_recorded && !being_deleted) {
+    staged_.ended_lease_waits.insert(id);
   }
 }
 
@@ -476,10 +486,10 @@
               : (worker.inherited_until - now_).count() / 1000;
   return fmt::format(
       "shard={} lease={} lease_left_ms={} confirmed={} listed={} list={} "
-      "list_age_ms={} loaded_ago_ms={}",
+      "entries={} list_age_ms={} loaded_ago_ms={}",
       shard_.value(), granted ? "own" : "former-owner", left_ms,
       worker.fence_confirmed, worker.listed, listed_->version,
-      (now_ - list_read_at_).count() / 1000,
+      listed_->entries.size(), (now_ - list_read_at_).count() / 1000,
       (now_ - loaded_at_).count() / 1000);
 }
 
--- a/src/libjobs/worker.h
+++ b/src/libjobs/worker.h
@@ -70,12 +70,14 @@
   std::int64_t incarnation = 0;
   /** Latest lease end that may have reached the worker, on its clock. */
   std::int64_t lease_sent_ms = 0;
-  /** When the runs of a former owner have ended, even without an answer. */
+  /** When the leases that former owners may have granted have ended, even if
+   * the worker does not answer. */
   Time inherited_until;
-  /** The store may have a record of the wait for `inherited_until`. */
-  bool wait_stored = false;
-  /** When that record was last written. */
-  Time wait_stored_at;
+  /** The store may have a record of the wait for `inherited_until`, so that no
+   * lease may be granted. */
+  bool lease_wait_recorded = false;
+  /** When that record was last sent. */
+  Time lease_wait_stored_at;
 
   /** Highest number of a run end that was applied to the jobs. */
   std::int64_t applied_ends = 0;
