libjobs: store the wait for leases under a key of its own

Cause: the record of the wait used the prefix w/, which the planner uses for waves in partition 0, where a shard of jobs has its records too. Each reader skipped the other's records with a line in the log; a worker whose id is a number would have replaced a wave. Change: prefix l/. Measured: StoredJobTest.NewOwnerLoadsTheWaitForLeases names both keys; it was written with the change, after reading the table in docs/platform.md.

--- a/src/libjobs/stored_job.cc
+++ b/src/libjobs/stored_job.cc
@@ -321,7 +321,7 @@
 }
 
 std::string LeaseWaitKey(const WorkerId& id) {
-  return "w/" + id.value();
+  return "l/" + id.value();
 }
 
 std::string EncodeLeaseWait(Duration wait) {
@@ -435,7 +435,7 @@
                        // Absent in records of earlier releases.
                        json.size() > 4 ? json.at(4).get<int>() : 0});
   });
-  decode('w', false, [&](const JobId& worker, const Json& json) {
+  decode('l', false, [&](const JobId& worker, const Json& json) {
     loaded.lease_waits[WorkerId(worker.value())] =
         Duration(json.at(1).get<std::int64_t>());
   });
--- a/tests/stored_job_test.cc
+++ b/tests/stored_job_test.cc
@@ -96,6 +96,18 @@
   EXPECT_TRUE(run.started_on_live_worker);
 }
 
+// Guards against a wait for leases that begins anew with the next owner, and
+// against a record of a wave in the same shard that is taken for one.
+TEST(StoredJobTest, NewOwnerLoadsTheWaitForLeases) {
+  const WorkerId worker("i-0643e128");
+  const auto wait = std::chrono::milliseconds(2500);
+  const auto loaded = DecodeJobs(
+      {{LeaseWaitKey(worker), EncodeLeaseWait(wait)}, {"w/7", "\x91\xa1x"}});
+  EXPECT_TRUE(loaded.faults.empty());
+  ASSERT_EQ(loaded.lease_waits.size(), 1u);
+  EXPECT_EQ(loaded.lease_waits.at(worker), wait);
+}
+
 // Guards against one damaged record that keeps a whole shard from loading.
 TEST(StoredJobTest, SkipsRecordsThatCannotBeRead) {
   const Job job = MakeJob();
