--- a/src/libjobs/stored_job.h
+++ b/src/libjobs/stored_job.h
@@ -82,6 +82,7 @@
   /** Runs of the jobs that were lost with workers of unknown fate; the time
    * when they were lost is not stored. */
   std::vector<LostRuns::Run> lost_runs;
+  /** Time for which leases of former owners may run from now on, by worker. */
   std::map<WorkerId, Duration> lease_waits;
   /** Records that could not be decoded, as "key: reason". */
   std::vector<std::string> faults;
