libjobs: log for which process of a worker a run was ordered

Cause: the log did not show whether a worker had started again between an order and the end of its lease, so that the hypotheses on tasks with two runs could not be told apart. Change: start-run and run-lost name the start of the process that the order was meant for, of the one that answered last, and of the one that is listed; worker-restart-listed shows a new process before it has answered.

--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -288,6 +288,9 @@
   /** Returns what is known of the worker's leases and of the list of workers,
    * for the log. */
   std::string LeaseFields(const Worker& worker) const;
+  /** Returns log fields: for which incarnation the run was ordered, which ones
+   * have answered and are listed, and what was last sent. */
+  std::string IncarnationFields(const Worker& worker, const Task& task) const;
   /** Returns the free room of the service without that of long-running tasks
    * which wait or are being stopped. */
   Placement PlacementForMoves(const ServiceId& service) const;
--- a/src/libjobs/pool_engine_crashes.cc
+++ b/src/libjobs/pool_engine_crashes.cc
@@ -22,7 +22,9 @@
 void PoolEngine::BeginNewIncarnation(Worker& worker,
                                      const WorkerReport& report) {
   Log("worker-reborn", JobId(),
-      fmt::format("worker={} runs={}", worker.entry.id.value(),
+      fmt::format("worker={} born={} former_born={} listed_born={} runs={}",
+                  worker.entry.id.value(), report.incarnation,
+                  worker.incarnation, worker.entry.incarnation,
                   worker.runs.size()));
   worker.StartNewIncarnation(report.incarnation);
   // Runs that were started in the new incarnation have a lease computed from
@@ -54,9 +56,9 @@
       continue;
     }
     Log("run-lost", id.job,
-        fmt::format("task={} run={} worker={} why={} {}", ToString(id),
+        fmt::format("task={} run={} worker={} why={} {} {}", ToString(id),
                     task->run.value(), worker.entry.id.value(), why,
-                    LeaseFields(worker)));
+                    IncarnationFields(worker, *task), LeaseFields(worker)));
     // A worker that drains has stopped as planned.
     if (!worker.entry.draining) {
       if (fate == WorkerFate::kCrashed) {
--- a/src/libjobs/pool_engine_tasks.cc
+++ b/src/libjobs/pool_engine_tasks.cc
@@ -424,9 +424,11 @@
   const auto lease_until = worker.ClockAt(now_) + tuning_.lease.count() / 1000;
   worker.lease_sent_ms = std::max(worker.lease_sent_ms, lease_until);
   LogRun("start-run", id,
-         fmt::format("task={} run={} worker={} host={} shard={} "
-                     "lease_until_ms={} free_cpu={} waited_ms={} stored_ms={}",
+         fmt::format("task={} run={} worker={} born={} listed_born={} host={} "
+                     "shard={} lease_until_ms={} free_cpu={} waited_ms={} "
+                     "stored_ms={}",
                      ToString(id), run.value(), task->worker.value(),
+                     worker.incarnation, worker.entry.incarnation,
                      worker.entry.host.value(), shard_.value(), lease_until,
                      worker.Free().cpu_milli,
                      (task->placed_at - task->waiting_since).count() / 1000,
--- a/src/libjobs/pool_engine_workers.cc
+++ b/src/libjobs/pool_engine_workers.cc
@@ -82,6 +82,12 @@
     worker.listed = true;
     worker.reserved = plan_.reserved.contains(it.host);
     if (worker.incarnation != 0 && it.incarnation > worker.incarnation) {
+      if (worker.fence_confirmed) {
+        Log("worker-restart-listed", JobId(),
+            fmt::format("worker={} born={} former_born={} runs={}",
+                        it.id.value(), it.incarnation, worker.incarnation,
+                        worker.runs.size()));
+      }
       worker.fence_confirmed = false;
       worker.next_poll_at = now_;
     }
@@ -478,6 +484,17 @@
              : now_ > worker.inherited_until;
 }
 
+std::string PoolEngine::IncarnationFields(const Worker& worker,
+                                          const Task& task) const {
+  const auto ago_ms = [this](Time at) { return (now_ - at).count() / 1000; };
+  return fmt::format(
+      "born={} known_born={} listed_born={} confirmed={} start_answered={} "
+      "started_ago_ms={} poll_ago_ms={}",
+      task.incarnation, worker.incarnation, worker.entry.incarnation,
+      task.confirmed, task.phase != TaskPhase::kStarting,
+      ago_ms(task.started_at), ago_ms(worker.poll_sent_at));
+}
+
 std::string PoolEngine::LeaseFields(const Worker& worker) const {
   const bool granted = worker.fence_confirmed || worker.lease_sent_ms != 0;
   const auto left_ms =
