libjobs: keep a run that an unseen process of its worker may have

What callers saw: a task of which two runs were at work at once, after its worker had started again under its id and was cut off. Cause: the end of a lease is a time on the worker's clock, which begins anew with each process. A start or poll made for the former process is never late at the next one, which keeps the run for the longest lease (6 s) from when the order arrives; the owner counted 4.5 s on the former clock. Change: a run is unsettled from its start until a report lists it, or until the answer to the start shows the clock of the process that is known to the owner. Runs that are unsettled are given up only when the longest lease has ended after the last moment at which their start, or a lease that was sent without an answer, may arrive. No lease is extended while a run is unsettled and the others have time left, so that this moment is that of the start.

--- a/src/libfleet/ports.h
+++ b/src/libfleet/ports.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -164,7 +165,12 @@
   virtual void Poll(const PollWorker& poll,
                     FenceToken token,
                     std::function<void(OrderResult, WorkerReport)> done) = 0;
-  virtual void Start(const StartRun& start, FenceToken token, Done done) = 0;
+  /** Starts a run; `done` also gets the reading of the worker's clock, if the
+   * answer has one. */
+  virtual void Start(
+      const StartRun& start,
+      FenceToken token,
+      std::function<void(OrderResult, std::optional<std::int64_t>)> done) = 0;
   virtual void Stop(const StopRun& stop, FenceToken token, Done done) = 0;
   virtual void Throttle(const ThrottleRun& throttle,
                         FenceToken token,
--- a/src/libfleet/shard_owner.cc
+++ b/src/libfleet/shard_owner.cc
@@ -328,9 +328,9 @@
       }
       self.ports_.workers.Start(
           it, self.token_,
-          [post = post, worker = it.worker, task = it.task,
-           run = it.run](OrderResult result) {
-            post(StartFinished{worker, task, run, result});
+          [post = post, worker = it.worker, task = it.task, run = it.run](
+              OrderResult result, std::optional<std::int64_t> clock_ms) {
+            post(StartFinished{worker, task, run, result, clock_ms});
           });
     }
     void operator()(const StopRun& it) {
--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -283,8 +283,21 @@
   void StoreLeaseWaits();
   /** Deletes the record of the wait at the worker. */
   void EndLeaseWait(Worker& worker);
-  /** Returns whether all runs on the worker have ended, even if it is alive. */
+  /** Returns whether all runs of the current incarnation of the worker have
+   * ended, even if it is alive. */
   bool LeaseHasExpired(const Worker& worker) const;
+  /** Returns the longest time for which a worker may keep a lease. */
+  Duration LongestLease() const;
+  /** Returns whether an incarnation of the worker that has not answered yet may
+   * have the run, under a lease that has not ended. */
+  bool MayRunUnseen(const Worker& worker, const TaskId& id) const;
+  /** Notes that the worker may keep all runs that a later incarnation has until
+   * the longest lease from `arrives_by` on has ended. */
+  static void NoteUnseenGrant(Worker& worker, Time arrives_by);
+  /** Uses the answer to a start to find out which incarnation has the run. */
+  void SettleStart(Worker& worker,
+                   const Task& task,
+                   const StartFinished& event);
   /** Returns what is known of the worker's leases and of the list of workers,
    * for the log. */
   std::string LeaseFields(const Worker& worker) const;
@@ -319,8 +332,8 @@
   };
   /** Resets the state of a worker that has restarted. */
   void BeginNewIncarnation(Worker& worker, const WorkerReport& report);
-  /** Treats all runs of the worker as ended without a result; their tasks wait
-   * to be placed again. */
+  /** Treats the runs of the worker, but those that a later incarnation may
+   * have, as ended without a result; their tasks wait to be placed again. */
   void LoseRuns(Worker& worker, const std::string& why, WorkerFate fate);
   /** Stores the placements that awaited an answer of the worker. */
   void StoreAwaitingPlacements(Worker& worker);
--- a/src/libjobs/pool_engine_crashes.cc
+++ b/src/libjobs/pool_engine_crashes.cc
@@ -55,6 +55,9 @@
       UndoPlacement(found->second, id, *task);
       continue;
     }
+    if (!worker.superseded && MayRunUnseen(worker, id)) {
+      continue;
+    }
     Log("run-lost", id.job,
         fmt::format("task={} run={} worker={} why={} {} {}", ToString(id),
                     task->run.value(), worker.entry.id.value(), why,
--- a/src/libjobs/pool_engine_tasks.cc
+++ b/src/libjobs/pool_engine_tasks.cc
@@ -423,6 +423,7 @@
   task->percent = 0;
   const auto lease_until = worker.ClockAt(now_) + tuning_.lease.count() / 1000;
   worker.lease_sent_ms = std::max(worker.lease_sent_ms, lease_until);
+  worker.unsettled_runs[id] = now_ + tuning_.max_call_delay;
   LogRun("start-run", id,
          fmt::format("task={} run={} worker={} born={} listed_born={} host={} "
                      "shard={} lease_until_ms={} free_cpu={} waited_ms={} "
@@ -438,6 +439,42 @@
                               std::move(ticket)});
 }
 
+void PoolEngine::SettleStart(Worker& worker,
+                             const Task& task,
+                             const StartFinished& event) {
+  const auto it = worker.unsettled_runs.find(event.task);
+  if (it == worker.unsettled_runs.end()) {
+    return;
+  }
+  switch (event.result) {
+    case OrderResult::kUnknown:
+      NoteUnseenGrant(worker, it->second);
+      return;
+    case OrderResult::kNotSent:
+    case OrderResult::kWrongIncarnation:
+      break;
+    default:
+      if (event.clock_ms && worker.IsClockOfIncarnation(*event.clock_ms, now_,
+                                                        tuning_.clock_drift)) {
+        break;
+      }
+      // A refused start extends the leases of other runs too.
+      NoteUnseenGrant(worker, now_);
+      if (event.result == OrderResult::kDone) {
+        it->second = now_;
+        LogRun("start-unsettled", event.task,
+               fmt::format("task={} run={} worker={} born={} clock_ms={} "
+                           "expected_clock_ms={}",
+                           ToString(event.task), event.run.value(),
+                           event.worker.value(), task.incarnation,
+                           event.clock_ms.value_or(0), worker.ClockAt(now_)));
+        return;
+      }
+      break;
+  }
+  worker.unsettled_runs.erase(it);
+}
+
 void PoolEngine::Handle(const StartFinished& event) {
   const auto found = jobs_.find(event.task.job);
   Task* task = found == jobs_.end() ? nullptr : found->second.Find(event.task);
@@ -450,6 +487,7 @@
   }
   Job& job = found->second;
   Worker& worker = known->second;
+  SettleStart(worker, *task, event);
   if (event.result == OrderResult::kDone) {
     job.begun = true;
     task->confirmed = true;
--- a/src/libjobs/pool_engine_workers.cc
+++ b/src/libjobs/pool_engine_workers.cc
@@ -19,6 +19,9 @@
 /** Time from the end of a stopped run until its worker's report arrives. */
 constexpr Duration kStopReportDelay = std::chrono::milliseconds(150);
 
+/** Fraction of a lease that is left from which it is extended in any case. */
+constexpr double kMinLeaseLeft = 0.6;
+
 /** Interval at which the wait for leases of former owners is stored. */
 constexpr Duration kLeaseWaitInterval = std::chrono::milliseconds(2000);
 
@@ -39,11 +42,8 @@
   entry.id = id;
   Worker worker(std::move(entry));
   worker.listed = false;
-  const auto longest = static_cast<double>(tuning_.max_lease.count()) *
-                       (1.0 + 2 * tuning_.clock_drift);
-  worker.inherited_until = loaded_at_ + tuning_.former_owner_grace +
-                           Duration(static_cast<Duration::rep>(longest)) +
-                           kLeaseMargin;
+  worker.inherited_until =
+      loaded_at_ + tuning_.former_owner_grace + LongestLease();
   return workers_.emplace(id, std::move(worker)).first->second;
 }
 
@@ -131,6 +131,13 @@
   }
   Worker& worker = found->second;
   worker.polling = false;
+  if (worker.poll_extends_leases) {
+    if (event.result == OrderResult::kUnknown) {
+      NoteUnseenGrant(worker, worker.poll_sent_at + tuning_.max_call_delay);
+    } else if (event.result != OrderResult::kDone) {
+      NoteUnseenGrant(worker, now_);
+    }
+  }
   switch (event.result) {
     case OrderResult::kNoConnection:
       worker.connected = false;
@@ -264,6 +271,7 @@
   }
   Job& job = found->second;
   job.begun = true;
+  worker.unsettled_runs.erase(reported.task);
   if (!task->confirmed) {
     task->confirmed = true;
     if (task->phase == TaskPhase::kInherited) {
@@ -419,13 +427,20 @@
   // answers, so that the runs of an unreachable worker can expire.
   // The next owner would count on the record of a wait that began before a new
   // lease.
-  const bool extends_leases =
+  const bool may_extend =
       responsive && !worker.runs.empty() && !worker.lease_wait_recorded;
-  if (extends_leases) {
-    poll.lease_until_ms = worker.ClockAt(now_) + tuning_.lease.count() / 1000;
+  // An incarnation that has not answered yet would keep unsettled runs for the
+  // longest lease, so none is sent while the others have enough time left.
+  const auto lease_ms = tuning_.lease.count() / 1000;
+  worker.poll_extends_leases =
+      may_extend &&
+      (worker.unsettled_runs.empty() ||
+       worker.lease_sent_ms - worker.ClockAt(now_) < lease_ms * kMinLeaseLeft);
+  if (worker.poll_extends_leases) {
+    poll.lease_until_ms = worker.ClockAt(now_) + lease_ms;
     worker.lease_sent_ms = std::max(worker.lease_sent_ms, *poll.lease_until_ms);
   }
-  if (extends_leases && !worker.ends_pending && !worker.answer_awaited) {
+  if (may_extend && !worker.ends_pending && !worker.answer_awaited) {
     poll.wait = tuning_.poll_wait;
   }
   worker.acknowledged_ends =
@@ -484,15 +499,32 @@
              : now_ > worker.inherited_until;
 }
 
+Duration PoolEngine::LongestLease() const {
+  const auto longest = static_cast<double>(tuning_.max_lease.count()) *
+                       (1.0 + 2 * tuning_.clock_drift);
+  return Duration(static_cast<Duration::rep>(longest)) + kLeaseMargin;
+}
+
+bool PoolEngine::MayRunUnseen(const Worker& worker, const TaskId& id) const {
+  const auto it = worker.unsettled_runs.find(id);
+  return it != worker.unsettled_runs.end() &&
+         now_ <= std::max(it->second, worker.grant_arrives_by) + LongestLease();
+}
+
+void PoolEngine::NoteUnseenGrant(Worker& worker, Time arrives_by) {
+  worker.grant_arrives_by = std::max(worker.grant_arrives_by, arrives_by);
+}
+
 std::string PoolEngine::IncarnationFields(const Worker& worker,
                                           const Task& task) const {
   const auto ago_ms = [this](Time at) { return (now_ - at).count() / 1000; };
   return fmt::format(
       "born={} known_born={} listed_born={} confirmed={} start_answered={} "
-      "started_ago_ms={} poll_ago_ms={}",
+      "unsettled={} started_ago_ms={} poll_ago_ms={}",
       task.incarnation, worker.incarnation, worker.entry.incarnation,
       task.confirmed, task.phase != TaskPhase::kStarting,
-      ago_ms(task.started_at), ago_ms(worker.poll_sent_at));
+      worker.unsettled_runs.size(), ago_ms(task.started_at),
+      ago_ms(worker.poll_sent_at));
 }
 
 std::string PoolEngine::LeaseFields(const Worker& worker) const {
--- a/src/libjobs/pool_event.h
+++ b/src/libjobs/pool_event.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -143,6 +144,8 @@
   TaskId task;
   RunNumber run;
   OrderResult result = OrderResult::kUnknown;
+  /** Reading of the worker's clock in the answer, if it has one. */
+  std::optional<std::int64_t> clock_ms = std::nullopt;
 };
 
 /** Outcome of a StopRun. */
--- a/src/libjobs/pool_tuning.h
+++ b/src/libjobs/pool_tuning.h
@@ -24,6 +24,9 @@
   /** Lease requested for runs. It must outlast a takeover, about 2 s; the runs
    * of an unreachable worker are only restarted after it has expired. */
   Duration lease = std::chrono::milliseconds(4500);
+  /** Maximum time from sending a call until a worker carries it out, if the
+   * call gets no answer. */
+  Duration max_call_delay = std::chrono::milliseconds(12'500);
   /** Maximum fraction by which a worker's clock may be slow. */
   double clock_drift = 0.02;
   /** Maximum time after a takeover for which a former owner extends leases: it
--- a/src/libjobs/worker.cc
+++ b/src/libjobs/worker.cc
@@ -11,6 +11,13 @@
  * longer; they take about as long as its removal from the platform's list. */
 constexpr int kMaxBriefMissedPolls = 3;
 
+/** Maximum error of the expected reading of a worker's clock, in addition to
+ * its drift. */
+constexpr std::int64_t kClockToleranceMs = 500;
+
+/** Maximum time from a reading of the clock until its report arrives. */
+constexpr std::int64_t kMaxReportAgeMs = 2000;
+
 std::int64_t Milliseconds(Duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
       .count();
@@ -33,10 +40,26 @@
   if (clock_ms_ && clock_ms < MinClockAt(now, drift) - 1000) {
     return;
   }
+  if (!clock_ms_) {
+    first_clock_ms_ = clock_ms;
+  }
   clock_ms_ = clock_ms;
   clock_at_ = now;
 }
 
+bool Worker::IsClockOfIncarnation(std::int64_t clock_ms,
+                                  Time now,
+                                  double drift) const {
+  if (!clock_ms_) {
+    return false;
+  }
+  const auto deviation = static_cast<std::int64_t>(
+      static_cast<double>(Milliseconds(now - clock_at_)) * drift);
+  return *clock_ms_ - first_clock_ms_ >=
+             kMaxReportAgeMs + kClockToleranceMs + deviation &&
+         clock_ms >= MinClockAt(now, drift) - kClockToleranceMs;
+}
+
 std::string_view Worker::Rack() const {
   // The platform lists the label of the worker's kind, then that of its rack.
   return entry.labels.size() < 2 ? std::string_view() : entry.labels.back();
@@ -91,6 +114,7 @@
   }
   used -= it->second;
   runs.erase(it);
+  unsettled_runs.erase(task);
   suspects.erase(task);
   return true;
 }
--- a/src/libjobs/worker.h
+++ b/src/libjobs/worker.h
@@ -27,6 +27,12 @@
    * slow by a fraction of at most `drift` could show. */
   void SetClock(std::int64_t clock_ms, Time now, double drift);
   bool KnowsClock() const { return clock_ms_.has_value(); }
+  /** Returns whether a reading of the clock that arrived at `now` shows that
+   * the incarnation which sent the last report was still up. The clock of a
+   * later one is behind by the age that the former one had reached. */
+  bool IsClockOfIncarnation(std::int64_t clock_ms,
+                            Time now,
+                            double drift) const;
 
   /** Returns the label of the rack, or an empty string. */
   std::string_view Rack() const;
@@ -68,8 +74,12 @@
   bool fence_confirmed = false;
   /** Incarnation that answered the newest poll; 0 before the first answer. */
   std::int64_t incarnation = 0;
-  /** Latest lease end that may have reached the worker, on its clock. */
+  /** Latest lease end that may have reached the current incarnation, on its
+   * clock. */
   std::int64_t lease_sent_ms = 0;
+  /** Latest time at which a lease that was not answered by the current
+   * incarnation may reach another one. */
+  Time grant_arrives_by;
   /** When the leases that former owners may have granted have ended, even if
    * the worker does not answer. */
   Time inherited_until;
@@ -90,6 +100,8 @@
   std::uint64_t poll = 0;
   /** Whether that poll is in flight. */
   bool polling = false;
+  /** Whether that poll extends leases. */
+  bool poll_extends_leases = false;
   Time poll_sent_at;
   /** No poll is sent earlier than this. */
   Time next_poll_at;
@@ -106,6 +118,10 @@
 
   /** Runs that may be present, with the resources that they occupy. */
   std::map<TaskId, Resources> runs;
+  /** Those of `runs` of which no incarnation has shown that it has them, with
+   * the latest time at which their start may arrive. An incarnation that has
+   * not answered yet may run them under a lease of any length. */
+  std::map<TaskId, Time> unsettled_runs;
   /** Sum of the resources of `runs`. */
   Resources used;
   /** Runs whose tasks may crash the worker, with the number of workers that
@@ -123,6 +139,8 @@
  private:
   std::optional<std::int64_t> clock_ms_;
   Time clock_at_;
+  /** First reading of the clock of the current incarnation. */
+  std::int64_t first_clock_ms_ = 0;
 };
 
 }  // namespace baobab
--- a/tests/fleet_fakes.h
+++ b/tests/fleet_fakes.h
@@ -435,7 +435,8 @@
   }
   void Start(const StartRun& start,
              FenceToken token,
-             WorkerCalls::Done done) override {
+             std::function<void(OrderResult, std::optional<std::int64_t>)> done)
+      override {
     if (platform_.throwing_starts > 0) {
       --platform_.throwing_starts;
       throw std::runtime_error("start failed");
@@ -449,7 +450,9 @@
       sim.running.push_back(
           {start.task, start.run, SteadyNow() + platform_.run_time});
     }
-    After(Duration(0), [done, result] { done(result); });
+    After(Duration(0), [done, result] {
+      done(result, SteadyNow().time_since_epoch().count() / 1000);
+    });
   }
   void Stop(const StopRun& stop, FenceToken, WorkerCalls::Done done) override {
     platform_.ordered_at[member_] = SteadyNow();
--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -718,11 +718,14 @@
 
   void Execute(const Engine& owner, std::int64_t fence_token, StartRun& start) {
     const auto order = start;
-    const auto answer = [this, owner, fence_token, order](OrderResult result,
-                                                          Duration delay) {
-      After(delay, [this, owner, fence_token, order, result] {
+    const auto answer = [this, owner, fence_token, order](
+                            OrderResult result, Duration delay,
+                            std::optional<std::int64_t> clock_ms =
+                                std::nullopt) {
+      After(delay, [this, owner, fence_token, order, result, clock_ms] {
         Post(owner, fence_token,
-             StartFinished{order.worker, order.task, order.run, result});
+             StartFinished{order.worker, order.task, order.run, result,
+                           clock_ms});
       });
     };
     if (!MayOrder(owner)) {
@@ -766,7 +769,7 @@
     } else if (Chance(faults.lost_answer)) {
       answer(OrderResult::kUnknown, std::chrono::milliseconds(600));
     } else {
-      answer(result, std::chrono::milliseconds(2));
+      answer(result, std::chrono::milliseconds(2), worker.ClockAt(now));
     }
   }
 
