libjobs: exclude late starts at each new process of a worker

What callers could see: a task that runs again although it is done, or two runs at once. A start gets no answer, its run is stopped, and the task runs elsewhere; the worker starts again, and the next process carries the start out, as it knows nothing of the stop. Change: the owner remembers the starts of runs that were given up, for as long as they may still arrive, keeps polling their workers, and sends the stops again to each new process. A stop counts only if the process that answered it is the one that is known.

--- a/src/libfleet/shard_owner.cc
+++ b/src/libfleet/shard_owner.cc
@@ -335,15 +335,16 @@
     }
     void operator()(const StopRun& it) {
       if (!self.ports_.may_send_orders()) {
-        PostLater(
-            StopFinished{it.worker, it.task, it.run, OrderResult::kNotSent});
+        PostLater(StopFinished{it.worker, it.task, it.run,
+                               OrderResult::kNotSent, it.incarnation});
         return;
       }
-      self.ports_.workers.Stop(it, self.token_,
-                               [post = post, worker = it.worker, task = it.task,
-                                run = it.run](OrderResult result) {
-                                 post(StopFinished{worker, task, run, result});
-                               });
+      self.ports_.workers.Stop(
+          it, self.token_,
+          [post = post, worker = it.worker, task = it.task, run = it.run,
+           incarnation = it.incarnation](OrderResult result) {
+            post(StopFinished{worker, task, run, result, incarnation});
+          });
     }
     void operator()(const ThrottleRun& it) {
       if (!self.ports_.may_send_orders()) {
--- a/src/libjobs/pool_effect.h
+++ b/src/libjobs/pool_effect.h
@@ -66,6 +66,8 @@
   std::string address;
   TaskId task;
   RunNumber run;
+  /** Incarnation of the worker that had answered last. */
+  std::int64_t incarnation = 0;
 };
 
 /** Sets the speed of a run, in percent of full speed; reports
--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -323,6 +323,19 @@
   /** Sends a stop for the run of the task. */
   void OrderStop(const TaskId& id, Task& task);
 
+  // Starts that a later incarnation may carry out
+  // (pool_engine_late_starts.cc).
+  /** Remembers that the start of a run that was given up may still arrive. */
+  void KeepLateStart(Worker& worker,
+                     const TaskId& id,
+                     RunNumber run,
+                     Time arrives_by);
+  /** Forgets the starts that can no longer arrive. */
+  void ForgetLateStarts(Worker& worker);
+  /** Sends stops of the runs whose starts the present incarnation may carry
+   * out, so that it refuses them. */
+  void ExcludeLateStarts(Worker& worker);
+
   // Runs that are lost with their worker (pool_engine_crashes.cc).
   /** What is known of a worker whose runs are lost. */
   enum class WorkerFate {
--- a/src/libjobs/pool_engine_workers.cc
+++ b/src/libjobs/pool_engine_workers.cc
@@ -101,6 +101,9 @@
       // A host runs one worker at a time.
       LoseRuns(worker, "host-has-new-worker", WorkerFate::kCrashed);
     }
+    if (worker.superseded) {
+      worker.late_starts.clear();
+    }
     if (!listed.contains(id)) {
       if (std::exchange(worker.listed, false)) {
         Log("worker-unlisted", JobId(),
@@ -109,7 +112,7 @@
       }
       // The runs of an unlisted worker end with their lease at the earliest:
       // it may only be cut off from the platform's store.
-      if (worker.runs.empty()) {
+      if (worker.runs.empty() && worker.late_starts.empty()) {
         EndLeaseWait(worker);
         it = workers_.erase(it);
         continue;
@@ -266,7 +269,8 @@
         fmt::format("task={} run={} worker={}", ToString(reported.task),
                     reported.run.value(), worker.entry.id.value()));
     effects_.push_back(StopRun{worker.entry.id, worker.entry.address,
-                               reported.task, reported.run});
+                               reported.task, reported.run,
+                               worker.incarnation});
     return;
   }
   Job& job = found->second;
@@ -370,7 +374,11 @@
     const bool answered = task->answered_at < worker.poll_sent_at;
     switch (task->phase) {
       case TaskPhase::kInherited:
-        // The worker has answered this owner and refuses orders of former ones.
+        // The worker has answered this owner and refuses orders of former ones,
+        // as long as it does not start again.
+        KeepLateStart(
+            worker, id, task->run,
+            loaded_at_ + tuning_.former_owner_grace + tuning_.max_call_delay);
         EndRun(found->second, id, *task, EndKind::kLeaseExpired, "");
         break;
       case TaskPhase::kStarting:
@@ -391,6 +399,10 @@
         break;
       case TaskPhase::kStopping:
         if (task->stop_answered && answered) {
+          if (const auto start = worker.unsettled_runs.find(id);
+              start != worker.unsettled_runs.end()) {
+            KeepLateStart(worker, id, task->run, start->second);
+          }
           EndRun(found->second, id, *task, EndKind::kStopped, "");
         }
         break;
@@ -413,8 +425,11 @@
   }
   const bool has_unacknowledged_ends =
       worker.acknowledged_ends < worker.stored_ends;
+  // Polls show soon that a worker has started again, so that late starts can be
+  // excluded.
   if (worker.fence_confirmed && worker.runs.empty() &&
-      !has_unacknowledged_ends && worker.missed_polls == 0) {
+      worker.late_starts.empty() && !has_unacknowledged_ends &&
+      worker.missed_polls == 0) {
     return;
   }
   PollWorker poll;
@@ -440,7 +455,8 @@
     poll.lease_until_ms = worker.ClockAt(now_) + lease_ms;
     worker.lease_sent_ms = std::max(worker.lease_sent_ms, *poll.lease_until_ms);
   }
-  if (may_extend && !worker.ends_pending && !worker.answer_awaited) {
+  if ((may_extend || (responsive && !worker.late_starts.empty())) &&
+      !worker.ends_pending && !worker.answer_awaited) {
     poll.wait = tuning_.poll_wait;
   }
   worker.acknowledged_ends =
@@ -644,6 +660,8 @@
 
 void PoolEngine::RetryStops() {
   for (auto& [worker_id, worker] : workers_) {
+    ForgetLateStarts(worker);
+    ExcludeLateStarts(worker);
     for (const auto& [id, resources] : worker.runs) {
       const auto found = jobs_.find(id.job);
       Task* task = found == jobs_.end() ? nullptr : found->second.Find(id);
@@ -663,18 +681,32 @@
   Log("stop-run", id.job,
       fmt::format("task={} run={} worker={}", ToString(id), task.run.value(),
                   task.worker.value()));
-  effects_.push_back(StopRun{task.worker, worker.entry.address, id, task.run});
+  effects_.push_back(StopRun{task.worker, worker.entry.address, id, task.run,
+                             worker.incarnation});
 }
 
 void PoolEngine::Handle(const StopFinished& event) {
+  const auto known = workers_.find(event.worker);
+  if (known == workers_.end()) {
+    return;
+  }
+  // Another incarnation may have answered.
+  const bool of_incarnation = event.incarnation == known->second.incarnation;
+  const auto late = known->second.late_starts.find(event.task);
+  if (late != known->second.late_starts.end() && of_incarnation &&
+      late->second.run == event.run && event.result == OrderResult::kDone) {
+    late->second.excluded = true;
+  }
   const auto found = jobs_.find(event.task.job);
   Task* task = found == jobs_.end() ? nullptr : found->second.Find(event.task);
-  const auto known = workers_.find(event.worker);
-  if (!task || known == workers_.end() || task->run != event.run ||
-      task->worker != event.worker || task->phase != TaskPhase::kStopping) {
+  if (!task || task->run != event.run || task->worker != event.worker ||
+      task->phase != TaskPhase::kStopping) {
     return;
   }
   if (event.result == OrderResult::kDone) {
+    if (!of_incarnation) {
+      return;
+    }
     task->stop_answered = true;
     task->answered_at = now_;
     MaybePollWorker(known->second);
--- a/src/libjobs/pool_event.h
+++ b/src/libjobs/pool_event.h
@@ -154,6 +154,8 @@
   TaskId task;
   RunNumber run;
   OrderResult result = OrderResult::kUnknown;
+  /** As in the StopRun. */
+  std::int64_t incarnation = 0;
 };
 
 /** Outcome of a ThrottleRun. */
--- a/src/libjobs/worker.h
+++ b/src/libjobs/worker.h
@@ -122,6 +122,16 @@
    * the latest time at which their start may arrive. An incarnation that has
    * not answered yet may run them under a lease of any length. */
   std::map<TaskId, Time> unsettled_runs;
+  /** Start of a run that was given up, which may still arrive. */
+  struct LateStart {
+    RunNumber run;
+    /** Latest time at which it may arrive. */
+    Time arrives_by;
+    /** The current incarnation refuses it, as it has answered a stop. */
+    bool excluded = false;
+    Time stop_sent_at;
+  };
+  std::map<TaskId, LateStart> late_starts;
   /** Sum of the resources of `runs`. */
   Resources used;
   /** Runs whose tasks may crash the worker, with the number of workers that
--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -924,7 +924,8 @@
                                                           Duration delay) {
       After(delay, [this, owner, fence_token, order, result] {
         Post(owner, fence_token,
-             StopFinished{order.worker, order.task, order.run, result});
+             StopFinished{order.worker, order.task, order.run, result,
+                          order.incarnation});
       });
     };
     if (!MayOrder(owner)) {
