libjobs: store the starts that got no answer

A new owner did not know which starts of former owners may still arrive, so it counted them as ended with the ordinary lease. They are stored by worker, with the time that is left, and deleted once none can arrive.

--- a/src/libjobs/pool_engine.cc
+++ b/src/libjobs/pool_engine.cc
@@ -156,6 +156,9 @@
       staged_.ended_lease_waits.insert(id);
     }
   }
+  for (const auto& [id, starts] : loaded.unanswered_starts) {
+    AdoptUnansweredStarts(id, starts);
+  }
   for (const auto& [id, worker] : workers_) {
     Log("inherit-runs", JobId(),
         fmt::format("worker={} host={} runs={} {}", id.value(),
@@ -584,6 +587,16 @@
         EncodeLeaseWait(
             std::max(Duration(0), workers_.at(id).inherited_until - now_)));
   }
+  for (const auto& id : staged_.unanswered_starts) {
+    const auto it = workers_.find(id);
+    const auto starts = it == workers_.end() ? std::vector<UnansweredStart>()
+                                             : UnansweredStarts(it->second);
+    add(UnansweredStartsKey(id),
+        starts.empty() ? "" : EncodeUnansweredStarts(starts));
+    if (it != workers_.end()) {
+      it->second.unanswered_starts_recorded = !starts.empty();
+    }
+  }
   for (const auto& id : staged_.dirty) {
     const auto it = jobs_.find(id);
     if (it == jobs_.end()) {
--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -89,6 +89,8 @@
      * those of which that record is to be deleted. */
     std::set<WorkerId> lease_waits;
     std::set<WorkerId> ended_lease_waits;
+    /** Workers whose starts without an answer are to be stored. */
+    std::set<WorkerId> unanswered_starts;
     /** Answers to callers that are sent once the commit is stored. */
     std::vector<PoolEffect> answers;
     /** Runs that are started once the commit is stored. */
@@ -107,7 +109,8 @@
     bool empty() const {
       return dirty.empty() && accepted.empty() && dropped.empty() &&
              delegated.empty() && lease_waits.empty() &&
-             ended_lease_waits.empty() && ends.empty();
+             ended_lease_waits.empty() && unanswered_starts.empty() &&
+             ends.empty();
     }
   };
 
@@ -330,8 +333,14 @@
                      const TaskId& id,
                      RunNumber run,
                      Time arrives_by);
-  /** Forgets the starts that can no longer arrive. */
+  /** Forgets the starts that can no longer arrive, also in the store. */
   void ForgetLateStarts(Worker& worker);
+  /** Returns the starts to the worker that may still arrive, with the time that
+   * is left until then. */
+  std::vector<UnansweredStart> UnansweredStarts(const Worker& worker) const;
+  /** Takes over the starts without an answer of former owners. */
+  void AdoptUnansweredStarts(const WorkerId& id,
+                             const std::vector<UnansweredStart>& starts);
   /** Sends stops of the runs whose starts the present incarnation may carry
    * out, so that it refuses them. */
   void ExcludeLateStarts(Worker& worker);
--- a/src/libjobs/pool_engine_late_starts.cc
+++ b/src/libjobs/pool_engine_late_starts.cc
@@ -23,17 +23,55 @@
                   run.value(), worker.entry.id.value(), worker.incarnation,
                   (arrives_by - now_).count() / 1000));
   worker.late_starts[id] = {run, arrives_by, true, now_};
+  staged_.unanswered_starts.insert(worker.entry.id);
 }
 
 void PoolEngine::ForgetLateStarts(Worker& worker) {
   std::erase_if(worker.late_starts, [this](const auto& it) {
     return it.second.arrives_by <= now_;
   });
+  if (worker.unanswered_starts_recorded && UnansweredStarts(worker).empty()) {
+    staged_.unanswered_starts.insert(worker.entry.id);
+  }
+}
+
+std::vector<UnansweredStart> PoolEngine::UnansweredStarts(
+    const Worker& worker) const {
+  std::vector<UnansweredStart> starts;
+  for (const auto& [id, start] : worker.late_starts) {
+    if (start.arrives_by > now_) {
+      starts.push_back({id, start.run, start.arrives_by - now_});
+    }
+  }
+  for (const auto& [id, start] : worker.unsettled_runs) {
+    if (start.unanswered && start.arrives_by > now_) {
+      starts.push_back({id, start.run, start.arrives_by - now_});
+    }
+  }
+  return starts;
+}
+
+void PoolEngine::AdoptUnansweredStarts(
+    const WorkerId& id,
+    const std::vector<UnansweredStart>& starts) {
+  Worker& worker = WorkerFor(id);
+  worker.unanswered_starts_recorded = true;
+  for (const auto& it : starts) {
+    const Time arrives_by = now_ + it.left;
+    const auto job = jobs_.find(it.task.job);
+    const Task* task = job == jobs_.end() ? nullptr : job->second.Find(it.task);
+    if (task && task->phase == TaskPhase::kInherited && task->run == it.run &&
+        task->worker == id) {
+      worker.unsettled_runs[it.task] = {it.run, arrives_by, true};
+    } else {
+      worker.late_starts[it.task] = {it.run, arrives_by};
+    }
+  }
 }
 
 void PoolEngine::ExcludeLateStarts(Worker& worker) {
   for (auto& [id, start] : worker.late_starts) {
-    if (start.excluded ||
+    if (start.excluded || worker.entry.address.empty() ||
         now_ - start.stop_sent_at < tuning_.stop_retry_delay) {
       continue;
     }
--- a/src/libjobs/pool_engine_tasks.cc
+++ b/src/libjobs/pool_engine_tasks.cc
@@ -423,7 +423,7 @@
   task->percent = 0;
   const auto lease_until = worker.ClockAt(now_) + tuning_.lease.count() / 1000;
   worker.lease_sent_ms = std::max(worker.lease_sent_ms, lease_until);
-  worker.unsettled_runs[id] = now_ + tuning_.max_call_delay;
+  worker.unsettled_runs[id] = {run, now_ + tuning_.max_call_delay};
   LogRun("start-run", id,
          fmt::format("task={} run={} worker={} born={} listed_born={} host={} "
                      "shard={} lease_until_ms={} free_cpu={} waited_ms={} "
@@ -448,7 +448,9 @@
   }
   switch (event.result) {
     case OrderResult::kUnknown:
-      NoteUnseenGrant(worker, it->second);
+      NoteUnseenGrant(worker, it->second.arrives_by);
+      it->second.unanswered = true;
+      staged_.unanswered_starts.insert(event.worker);
       return;
     case OrderResult::kNotSent:
     case OrderResult::kWrongIncarnation:
@@ -461,7 +463,7 @@
       // A refused start extends the leases of other runs too.
       NoteUnseenGrant(worker, now_);
       if (event.result == OrderResult::kDone) {
-        it->second = now_;
+        it->second.arrives_by = now_;
         LogRun("start-unsettled", event.task,
                fmt::format("task={} run={} worker={} born={} clock_ms={} "
                            "expected_clock_ms={}",
--- a/src/libjobs/pool_engine_workers.cc
+++ b/src/libjobs/pool_engine_workers.cc
@@ -114,6 +114,9 @@
       // it may only be cut off from the platform's store.
       if (worker.runs.empty() && worker.late_starts.empty()) {
         EndLeaseWait(worker);
+        if (worker.unanswered_starts_recorded) {
+          staged_.unanswered_starts.insert(id);
+        }
         it = workers_.erase(it);
         continue;
       }
@@ -401,7 +404,7 @@
         if (task->stop_answered && answered) {
           if (const auto start = worker.unsettled_runs.find(id);
               start != worker.unsettled_runs.end()) {
-            KeepLateStart(worker, id, task->run, start->second);
+            KeepLateStart(worker, id, task->run, start->second.arrives_by);
           }
           EndRun(found->second, id, *task, EndKind::kStopped, "");
         }
@@ -524,7 +527,8 @@
 bool PoolEngine::MayRunUnseen(const Worker& worker, const TaskId& id) const {
   const auto it = worker.unsettled_runs.find(id);
   return it != worker.unsettled_runs.end() &&
-         now_ <= std::max(it->second, worker.grant_arrives_by) + LongestLease();
+         now_ <= std::max(it->second.arrives_by, worker.grant_arrives_by) +
+                     LongestLease();
 }
 
 void PoolEngine::NoteUnseenGrant(Worker& worker, Time arrives_by) {
--- a/src/libjobs/stored_job.cc
+++ b/src/libjobs/stored_job.cc
@@ -328,6 +328,20 @@
   return Pack(Json::array({kFormatVersion, wait.count()}));
 }
 
+std::string UnansweredStartsKey(const WorkerId& id) {
+  return "s/" + id.value();
+}
+
+std::string EncodeUnansweredStarts(const std::vector<UnansweredStart>& starts) {
+  Json rows = Json::array();
+  for (const auto& it : starts) {
+    rows.push_back(Json::array({it.task.job.value(), it.task.occurrence,
+                                it.task.step, it.task.index, it.run.value(),
+                                it.left.count()}));
+  }
+  return Pack(Json::array({kFormatVersion, std::move(rows)}));
+}
+
 std::string EncodeAcceptance(const Job& job) {
   Json steps = Json::array();
   for (const auto& it : job.spec.steps) {
@@ -439,6 +453,16 @@
     loaded.lease_waits[WorkerId(worker.value())] =
         Duration(json.at(1).get<std::int64_t>());
   });
+  decode('s', false, [&](const JobId& worker, const Json& json) {
+    auto& starts = loaded.unanswered_starts[WorkerId(worker.value())];
+    for (const auto& it : json.at(1)) {
+      starts.push_back(
+          {TaskId{JobId(it.at(0).get<std::string>()), it.at(1).get<int>(),
+                  it.at(2).get<int>(), it.at(3).get<int>()},
+           RunNumber(it.at(4).get<std::int64_t>()),
+           Duration(it.at(5).get<std::int64_t>())});
+    }
+  });
   return loaded;
 }
 
--- a/src/libjobs/stored_job.h
+++ b/src/libjobs/stored_job.h
@@ -75,6 +75,20 @@
 std::string LeaseWaitKey(const WorkerId& id);
 std::string EncodeLeaseWait(Duration wait);
 
+/** Start of a run that got no answer, and may still be carried out. */
+struct UnansweredStart {
+  TaskId task;
+  RunNumber run;
+  /** Time until which it may arrive, from when it is stored. */
+  Duration left{0};
+
+  bool operator==(const UnansweredStart&) const = default;
+};
+
+/** Key and value of the record of a worker's starts without an answer. */
+std::string UnansweredStartsKey(const WorkerId& id);
+std::string EncodeUnansweredStarts(const std::vector<UnansweredStart>& starts);
+
 /** The jobs decoded from the records of a shard. */
 struct LoadedJobs {
   std::map<JobId, Job> jobs;
@@ -84,6 +98,8 @@
   std::vector<LostRuns::Run> lost_runs;
   /** Time for which leases of former owners may run from now on, by worker. */
   std::map<WorkerId, Duration> lease_waits;
+  /** Starts without an answer, by worker. */
+  std::map<WorkerId, std::vector<UnansweredStart>> unanswered_starts;
   /** Records that could not be decoded, as "key: reason". */
   std::vector<std::string> faults;
 };
--- a/src/libjobs/worker.h
+++ b/src/libjobs/worker.h
@@ -118,10 +118,17 @@
 
   /** Runs that may be present, with the resources that they occupy. */
   std::map<TaskId, Resources> runs;
-  /** Those of `runs` of which no incarnation has shown that it has them, with
-   * the latest time at which their start may arrive. An incarnation that has
-   * not answered yet may run them under a lease of any length. */
-  std::map<TaskId, Time> unsettled_runs;
+  /** Start of a run of which no incarnation has shown that it has the run. */
+  struct UnsettledStart {
+    RunNumber run;
+    /** Latest time at which the start may arrive. */
+    Time arrives_by;
+    /** It was sent and got no answer. */
+    bool unanswered = false;
+  };
+  /** Those of `runs` that are unsettled. An incarnation that has not answered
+   * yet may run them under a lease of any length. */
+  std::map<TaskId, UnsettledStart> unsettled_runs;
   /** Start of a run that was given up, which may still arrive. */
   struct LateStart {
     RunNumber run;
@@ -132,6 +139,8 @@
     Time stop_sent_at;
   };
   std::map<TaskId, LateStart> late_starts;
+  /** The store may have a record of starts without an answer. */
+  bool unanswered_starts_recorded = false;
   /** Sum of the resources of `runs`. */
   Resources used;
   /** Runs whose tasks may crash the worker, with the number of workers that
