--- a/src/libjobs/pool_engine_late_starts.cc
+++ b/src/libjobs/pool_engine_late_starts.cc
@@ -64,7 +64,7 @@
         task->worker == id) {
       worker.unsettled_runs[it.task] = {it.run, arrives_by, true};
     } else {
-      worker.late_starts[it.task] = {it.run, arrives_by};
+      worker.late_starts[it.task] = {it.run, arrives_by, false, Time()};
     }
   }
 }
--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -752,14 +752,9 @@
       answer(OrderResult::kUnknown, std::chrono::milliseconds(600));
       const auto delay = std::chrono::milliseconds(
           std::uniform_int_distribution<int>(2000, 6000)(random_));
-      // The order is held up on a connection, which ends with the worker's
-      // process.
+      // It also reaches a worker that has started again under its id.
       After(delay,
-            [this, fence_token, order, incarnation = worker.entry.incarnation] {
-              if (workers[order.worker].entry.incarnation == incarnation) {
-                DoStart(fence_token, order, now);
-              }
-            });
+            [this, fence_token, order] { DoStart(fence_token, order, now); });
       return;
     }
     const auto result = DoStart(fence_token, order, now);
