libjobs: exclude late starts once the list shows a new process

The stops were sent again only when the new process had answered a poll, up to 0.9 s after its start.

--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -341,6 +341,9 @@
   /** Takes over the starts without an answer of former owners. */
   void AdoptUnansweredStarts(const WorkerId& id,
                              const std::vector<UnansweredStart>& starts);
+  /** Notes that a new incarnation knows of no stop that the former one has
+   * answered. */
+  static void ReadmitLateStarts(Worker& worker);
   /** Sends stops of the runs whose starts the present incarnation may carry
    * out, so that it refuses them. */
   void ExcludeLateStarts(Worker& worker);
--- a/src/libjobs/pool_engine_crashes.cc
+++ b/src/libjobs/pool_engine_crashes.cc
@@ -31,11 +31,7 @@
   // the clock of the previous one, which the worker limits to its maximum
   // lease.
   worker.lease_sent_ms = report.clock_ms + tuning_.max_lease.count() / 1000;
-  // A stop that the former incarnation has answered excludes nothing now.
-  for (auto& [id, start] : worker.late_starts) {
-    start.excluded = false;
-    start.stop_sent_at = Time();
-  }
+  ReadmitLateStarts(worker);
   ExcludeLateStarts(worker);
   for (const auto& [id, resources] : worker.runs) {
     const auto found = jobs_.find(id.job);
--- a/src/libjobs/pool_engine_late_starts.cc
+++ b/src/libjobs/pool_engine_late_starts.cc
@@ -69,6 +69,13 @@
   }
 }
 
+void PoolEngine::ReadmitLateStarts(Worker& worker) {
+  for (auto& [id, start] : worker.late_starts) {
+    start.excluded = false;
+    start.stop_sent_at = Time();
+  }
+}
+
 void PoolEngine::ExcludeLateStarts(Worker& worker) {
   for (auto& [id, start] : worker.late_starts) {
     if (start.excluded || worker.entry.address.empty() ||
--- a/src/libjobs/pool_engine_workers.cc
+++ b/src/libjobs/pool_engine_workers.cc
@@ -87,6 +87,8 @@
             fmt::format("worker={} born={} former_born={} runs={}",
                         it.id.value(), it.incarnation, worker.incarnation,
                         worker.runs.size()));
+        ReadmitLateStarts(worker);
+        ExcludeLateStarts(worker);
       }
       worker.fence_confirmed = false;
       worker.next_poll_at = now_;
