tests: deliver held orders to the next process of a worker

Callers of a restarted worker saw a task run twice. The simulated world dropped an order that was held up when the worker restarted meanwhile, which the platform does not. Starts, stops and polls now also reach the next process; polls that acknowledge ends stay bound to the process whose connection they use.

--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -527,16 +527,9 @@
   }
 
   /** Carries an order out once the worker's connections are no longer held up,
-   * unless its process has ended by then. */
+   * also if the worker has started again by then. */
   void AfterHold(const WorkerId& id, std::function<void()> action) {
-    const auto& worker = workers.at(id);
-    After(worker.orders_held_until - now,
-          [this, id, incarnation = worker.entry.incarnation,
-           action = std::move(action)] {
-            if (workers.at(id).entry.incarnation == incarnation) {
-              action();
-            }
-          });
+    After(workers.at(id).orders_held_until - now, std::move(action));
   }
 
   bool Chance(double share) {
@@ -653,9 +646,14 @@
     }
     if (now < worker.orders_held_until) {
       fail(OrderResult::kUnknown, std::chrono::milliseconds(600));
-      AfterHold(poll.worker, [this, fence_token, poll] {
+      AfterHold(poll.worker, [this, fence_token, poll,
+                              incarnation = worker.entry.incarnation] {
         auto& held = workers.at(poll.worker);
-        if (held.up && fence_token >= held.highest_token) {
+        // A poll that acknowledges ends is only sent on a connection that an
+        // earlier poll opened, which ends with the process.
+        const bool arrives = poll.acknowledged_ends == 0 ||
+                             held.entry.incarnation == incarnation;
+        if (arrives && held.up && fence_token >= held.highest_token) {
           held.highest_token = fence_token;
           held.ExtendLeases(poll.lease_until_ms, tuning.max_lease, now);
         }
