tests: simulate stops and polls that are carried out late

The simulation had late starts only; the platform may carry out any call without an answer seconds later, in a later process of the worker and after a change of owners. Adds the faults late_stop and late_poll to the mixes with late orders.

--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -22,10 +22,13 @@
 struct SimFaults {
   /** An order is carried out, but its answer is lost. */
   double lost_answer = 0;
-  /** An order gets no answer and is carried out 2 to 6 s later. */
+  /** A start gets no answer and is carried out 2 to 6 s later. */
   double late_order = 0;
   /** A run fails. */
   double failing_run = 0;
+  /** As late_order, for a stop and for a poll. */
+  double late_stop = 0;
+  double late_poll = 0;
 };
 
 /** How a task crashes each worker that starts it. */
@@ -532,6 +535,14 @@
     After(workers.at(id).orders_held_until - now, std::move(action));
   }
 
+  /** Carries a late order out, also if the worker has started again or the
+   * owner has been replaced by then. */
+  void AfterLateDelay(std::function<void()> action) {
+    After(std::chrono::milliseconds(
+              std::uniform_int_distribution<int>(2000, 6000)(random_)),
+          std::move(action));
+  }
+
   bool Chance(double share) {
     return std::uniform_real_distribution<double>(0, 1)(random_) < share;
   }
@@ -628,10 +639,42 @@
     });
   }
 
+  /** Carries out a poll, of whatever owner, whose answer arrives nowhere. */
+  void DoUnansweredPoll(std::int64_t fence_token,
+                        const PollWorker& poll,
+                        std::int64_t incarnation) {
+    auto& worker = workers.at(poll.worker);
+    // A poll that acknowledges ends is only sent on a connection that an
+    // earlier poll opened, which ends with the process.
+    const bool arrives =
+        poll.acknowledged_ends == 0 || worker.entry.incarnation == incarnation;
+    if (arrives && worker.up && fence_token >= worker.highest_token) {
+      DoPoll(worker, fence_token, poll);
+    }
+  }
+
+  void DoPoll(SimWorker& worker,
+              std::int64_t fence_token,
+              const PollWorker& poll) {
+    worker.highest_token = fence_token;
+    for (const auto& it : worker.ended) {
+      if (it.number <= poll.acknowledged_ends &&
+          it.number > worker.expired_ends && it.kind == EndKind::kDone) {
+        acknowledged_done.insert(it.task);
+      }
+    }
+    std::erase_if(worker.ended, [&](const auto& it) {
+      return it.number <= poll.acknowledged_ends;
+    });
+    worker.ExtendLeases(poll.lease_until_ms, tuning.max_lease, now);
+  }
+
+  /** Answers a poll that arrives or, unless `is_new`, waits. */
   void AnswerPoll(const Engine& owner,
                   std::int64_t fence_token,
                   const PollWorker& poll,
-                  Time deadline) {
+                  Time deadline,
+                  bool is_new = true) {
     auto& worker = workers[poll.worker];
     const auto fail = [&](OrderResult result, Duration delay) {
       FinishPoll(owner, fence_token, poll, result, delay);
@@ -648,15 +691,7 @@
       fail(OrderResult::kUnknown, std::chrono::milliseconds(600));
       AfterHold(poll.worker, [this, fence_token, poll,
                               incarnation = worker.entry.incarnation] {
-        auto& held = workers.at(poll.worker);
-        // A poll that acknowledges ends is only sent on a connection that an
-        // earlier poll opened, which ends with the process.
-        const bool arrives = poll.acknowledged_ends == 0 ||
-                             held.entry.incarnation == incarnation;
-        if (arrives && held.up && fence_token >= held.highest_token) {
-          held.highest_token = fence_token;
-          held.ExtendLeases(poll.lease_until_ms, tuning.max_lease, now);
-        }
+        DoUnansweredPoll(fence_token, poll, incarnation);
       });
       return;
     }
@@ -668,24 +703,23 @@
       fail(OrderResult::kNoConnection, std::chrono::milliseconds(1));
       return;
     }
-    worker.connected = fence_token;
-    worker.highest_token = fence_token;
-    for (const auto& it : worker.ended) {
-      if (it.number <= poll.acknowledged_ends &&
-          it.number > worker.expired_ends && it.kind == EndKind::kDone) {
-        acknowledged_done.insert(it.task);
-      }
+    if (is_new && Chance(faults.late_poll)) {
+      worker.connected = 0;
+      fail(OrderResult::kUnknown, std::chrono::milliseconds(600));
+      AfterLateDelay(
+          [this, fence_token, poll, incarnation = worker.entry.incarnation] {
+            DoUnansweredPoll(fence_token, poll, incarnation);
+          });
+      return;
     }
-    std::erase_if(worker.ended, [&](const auto& it) {
-      return it.number <= poll.acknowledged_ends;
-    });
-    worker.ExtendLeases(poll.lease_until_ms, tuning.max_lease, now);
+    worker.connected = fence_token;
+    DoPoll(worker, fence_token, poll);
     if (worker.ended.empty() && now < deadline) {
       auto again = poll;
       again.lease_until_ms.reset();
       After(std::chrono::milliseconds(10),
             [this, owner, fence_token, again, deadline] {
-              AnswerPoll(owner, fence_token, again, deadline);
+              AnswerPoll(owner, fence_token, again, deadline, false);
             });
       return;
     }
@@ -748,11 +782,8 @@
     }
     if (Chance(faults.late_order)) {
       answer(OrderResult::kUnknown, std::chrono::milliseconds(600));
-      const auto delay = std::chrono::milliseconds(
-          std::uniform_int_distribution<int>(2000, 6000)(random_));
-      // It also reaches a worker that has started again under its id.
-      After(delay,
-            [this, fence_token, order] { DoStart(fence_token, order, now); });
+      AfterLateDelay(
+          [this, fence_token, order] { DoStart(fence_token, order, now); });
       return;
     }
     const auto result = DoStart(fence_token, order, now);
@@ -939,6 +970,12 @@
                 [this, fence_token, order] { DoStop(fence_token, order); });
       return;
     }
+    if (Chance(faults.late_stop)) {
+      answer(OrderResult::kUnknown, std::chrono::milliseconds(600));
+      AfterLateDelay(
+          [this, fence_token, order] { DoStop(fence_token, order); });
+      return;
+    }
     const auto result = DoStop(fence_token, order);
     answer(result == OrderResult::kDone && Chance(faults.lost_answer)
                ? OrderResult::kUnknown
--- a/tests/job_world_test.cc
+++ b/tests/job_world_test.cc
@@ -102,6 +102,21 @@
   EXPECT_TRUE(IsCarriedOut());
 }
 
+// A late order arrives although its owner is gone.
+TEST_P(OrderForFormerProcessTest, ArrivesLate) {
+  Send([&] {
+    world.faults.late_order = 1;
+    world.faults.late_stop = 1;
+    world.faults.late_poll = 1;
+  });
+  world.Crash(id);
+  world.Restart(id);
+  RemoveOwner();
+  ASSERT_FALSE(IsCarriedOut());
+  world.Advance(seconds(7));
+  EXPECT_TRUE(IsCarriedOut());
+}
+
 INSTANTIATE_TEST_SUITE_P(Orders,
                          OrderForFormerProcessTest,
                          testing::Values(OrderCase{"Start", Order::kStart},
--- a/tests/pool_engine_property_test.cc
+++ b/tests/pool_engine_property_test.cc
@@ -162,10 +162,10 @@
 };
 
 const FaultMix kMixes[] = {
-    {"none", {0, 0, 0}},
-    {"lost answers", {0.15, 0, 0}},
-    {"late orders", {0, 0.1, 0}},
-    {"failing runs", {0.05, 0.05, 0.1}},
+    {"none", {}},
+    {"lost answers", {0.15}},
+    {"late orders", {0, 0.1, 0, 0.1, 0.02}},
+    {"failing runs", {0.05, 0.05, 0.1, 0.05, 0.01}},
 };
 
 class Scenario {
