tests: deliver orders that connect once a host is back

An order sent to a host that is down and silent always failed in the simulation. A connection that is being opened then is completed when the worker is back within the order's timeout, so that its next process carries the order out and answers it. Adds the fault late_connection. The new cases ArrivesWhenHostIsBack pass for start, stop and poll.

--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -29,6 +29,9 @@
   /** As late_order, for a stop and for a poll. */
   double late_stop = 0;
   double late_poll = 0;
+  /** An order to a host that is down connects if the host's worker is back
+   * within kOrderTimeout. */
+  double late_connection = 0;
 };
 
 /** How a task crashes each worker that starts it. */
@@ -51,6 +54,9 @@
  * age of its last renewal at which it stops. */
 inline constexpr Duration kFormerOrderLimit = std::chrono::milliseconds(4000);
 
+/** Time after which an order without an answer fails. */
+inline constexpr Duration kOrderTimeout = std::chrono::milliseconds(600);
+
 /** Time until the other members of a gang end when one has crashed. */
 inline constexpr Duration kGangEndDelay = std::chrono::milliseconds(200);
 
@@ -535,6 +541,26 @@
     After(workers.at(id).orders_held_until - now, std::move(action));
   }
 
+  /** Sends an order to a host that is down as soon as its worker is back, or
+   * gives it up at `deadline`. */
+  void Connect(const WorkerId& id,
+               std::int64_t fence_token,
+               Time deadline,
+               std::function<void()> send,
+               std::function<void()> give_up) {
+    const auto& worker = workers.at(id);
+    if (now >= deadline) {
+      give_up();
+    } else if (worker.up && worker.IsReachedBy(fence_token)) {
+      send();
+    } else {
+      After(std::chrono::milliseconds(10),
+            [this, id, fence_token, deadline, send, give_up] {
+              Connect(id, fence_token, deadline, send, give_up);
+            });
+    }
+  }
+
   /** Carries a late order out, also if the worker has started again or the
    * owner has been replaced by then. */
   void AfterLateDelay(std::function<void()> action) {
@@ -683,12 +709,24 @@
       fail(OrderResult::kNotSent, std::chrono::milliseconds(2));
       return;
     }
+    if (!worker.up && is_new && Chance(faults.late_connection)) {
+      Connect(
+          poll.worker, fence_token, now + kOrderTimeout,
+          [this, owner, fence_token, poll, deadline] {
+            AnswerPoll(owner, fence_token, poll, deadline);
+          },
+          [this, owner, fence_token, poll] {
+            FinishPoll(owner, fence_token, poll, OrderResult::kUnknown,
+                       Duration(0));
+          });
+      return;
+    }
     if (!worker.up || !worker.IsReachedBy(fence_token)) {
-      fail(OrderResult::kUnknown, std::chrono::milliseconds(600));
+      fail(OrderResult::kUnknown, kOrderTimeout);
       return;
     }
     if (now < worker.orders_held_until) {
-      fail(OrderResult::kUnknown, std::chrono::milliseconds(600));
+      fail(OrderResult::kUnknown, kOrderTimeout);
       AfterHold(poll.worker, [this, fence_token, poll,
                               incarnation = worker.entry.incarnation] {
         DoUnansweredPoll(fence_token, poll, incarnation);
@@ -705,7 +743,7 @@
     }
     if (is_new && Chance(faults.late_poll)) {
       worker.connected = 0;
-      fail(OrderResult::kUnknown, std::chrono::milliseconds(600));
+      fail(OrderResult::kUnknown, kOrderTimeout);
       AfterLateDelay(
           [this, fence_token, poll, incarnation = worker.entry.incarnation] {
             DoUnansweredPoll(fence_token, poll, incarnation);
@@ -725,7 +763,7 @@
     }
     if (Chance(faults.lost_answer)) {
       worker.connected = 0;
-      fail(OrderResult::kUnknown, std::chrono::milliseconds(600));
+      fail(OrderResult::kUnknown, kOrderTimeout);
       return;
     }
     WorkerReport report;
@@ -749,6 +787,22 @@
   }
 
   void Execute(const Engine& owner, std::int64_t fence_token, StartRun& start) {
+    if (!MayOrder(owner)) {
+      After(std::chrono::milliseconds(1),
+            [this, owner, fence_token, order = start] {
+              Post(owner, fence_token,
+                   StartFinished{order.worker, order.task, order.run,
+                                 OrderResult::kNotSent, std::nullopt});
+            });
+      return;
+    }
+    Deliver(owner, fence_token, start, now);
+  }
+
+  void Deliver(const Engine& owner,
+               std::int64_t fence_token,
+               const StartRun& start,
+               Time ordered_at) {
     const auto order = start;
     const auto answer = [this, owner, fence_token, order](
                             OrderResult result, Duration delay,
@@ -760,38 +814,43 @@
                            clock_ms});
       });
     };
-    if (!MayOrder(owner)) {
-      answer(OrderResult::kNotSent, std::chrono::milliseconds(1));
-      return;
-    }
     auto& worker = workers[start.worker];
     if (RefusesConnections(worker)) {
       answer(OrderResult::kNotSent, std::chrono::milliseconds(2));
       return;
     }
+    if (!worker.up && Chance(faults.late_connection)) {
+      Connect(
+          start.worker, fence_token, now + kOrderTimeout,
+          [this, owner, fence_token, order, ordered_at] {
+            Deliver(owner, fence_token, order, ordered_at);
+          },
+          [answer] { answer(OrderResult::kUnknown, Duration(0)); });
+      return;
+    }
     if (!worker.up || !worker.IsReachedBy(fence_token)) {
-      answer(OrderResult::kUnknown, std::chrono::milliseconds(600));
+      answer(OrderResult::kUnknown, kOrderTimeout);
       return;
     }
     if (now < worker.orders_held_until) {
-      answer(OrderResult::kUnknown, std::chrono::milliseconds(600));
-      AfterHold(start.worker, [this, fence_token, order, ordered_at = now] {
+      answer(OrderResult::kUnknown, kOrderTimeout);
+      AfterHold(start.worker, [this, fence_token, order, ordered_at] {
         DoStart(fence_token, order, ordered_at);
       });
       return;
     }
     if (Chance(faults.late_order)) {
-      answer(OrderResult::kUnknown, std::chrono::milliseconds(600));
+      answer(OrderResult::kUnknown, kOrderTimeout);
       AfterLateDelay(
           [this, fence_token, order] { DoStart(fence_token, order, now); });
       return;
     }
-    const auto result = DoStart(fence_token, order, now);
+    const auto result = DoStart(fence_token, order, ordered_at);
     if (!worker.up) {
       // It crashed on the start, which closed the connection.
       answer(OrderResult::kUnknown, std::chrono::milliseconds(2));
     } else if (Chance(faults.lost_answer)) {
-      answer(OrderResult::kUnknown, std::chrono::milliseconds(600));
+      answer(OrderResult::kUnknown, kOrderTimeout);
     } else {
       answer(result, std::chrono::milliseconds(2), worker.ClockAt(now));
     }
@@ -942,6 +1001,21 @@
   }
 
   void Execute(const Engine& owner, std::int64_t fence_token, StopRun& stop) {
+    if (!MayOrder(owner)) {
+      After(std::chrono::milliseconds(1),
+            [this, owner, fence_token, order = stop] {
+              Post(owner, fence_token,
+                   StopFinished{order.worker, order.task, order.run,
+                                OrderResult::kNotSent, order.incarnation});
+            });
+      return;
+    }
+    Deliver(owner, fence_token, stop);
+  }
+
+  void Deliver(const Engine& owner,
+               std::int64_t fence_token,
+               const StopRun& stop) {
     const auto order = stop;
     auto& worker = workers[stop.worker];
     const auto answer = [this, owner, fence_token, order](OrderResult result,
@@ -952,26 +1026,31 @@
                           order.incarnation});
       });
     };
-    if (!MayOrder(owner)) {
-      answer(OrderResult::kNotSent, std::chrono::milliseconds(1));
-      return;
-    }
     if (RefusesConnections(worker)) {
       answer(OrderResult::kNotSent, std::chrono::milliseconds(2));
       return;
     }
+    if (!worker.up && Chance(faults.late_connection)) {
+      Connect(
+          stop.worker, fence_token, now + kOrderTimeout,
+          [this, owner, fence_token, order] {
+            Deliver(owner, fence_token, order);
+          },
+          [answer] { answer(OrderResult::kUnknown, Duration(0)); });
+      return;
+    }
     if (!worker.up || !worker.IsReachedBy(fence_token)) {
-      answer(OrderResult::kUnknown, std::chrono::milliseconds(600));
+      answer(OrderResult::kUnknown, kOrderTimeout);
       return;
     }
     if (now < worker.orders_held_until) {
-      answer(OrderResult::kUnknown, std::chrono::milliseconds(600));
+      answer(OrderResult::kUnknown, kOrderTimeout);
       AfterHold(stop.worker,
                 [this, fence_token, order] { DoStop(fence_token, order); });
       return;
     }
     if (Chance(faults.late_stop)) {
-      answer(OrderResult::kUnknown, std::chrono::milliseconds(600));
+      answer(OrderResult::kUnknown, kOrderTimeout);
       AfterLateDelay(
           [this, fence_token, order] { DoStop(fence_token, order); });
       return;
--- a/tests/job_world_test.cc
+++ b/tests/job_world_test.cc
@@ -117,6 +117,20 @@
   EXPECT_TRUE(IsCarriedOut());
 }
 
+// The connection is opened while the host is down.
+TEST_P(OrderForFormerProcessTest, ArrivesWhenHostIsBack) {
+  Send([&] {
+    world.Crash(id);
+    world.faults.late_connection = 1;
+  });
+  world.Advance(milliseconds(200));
+  world.Restart(id);
+  RemoveOwner();
+  ASSERT_FALSE(IsCarriedOut());
+  world.Advance(milliseconds(100));
+  EXPECT_TRUE(IsCarriedOut());
+}
+
 INSTANTIATE_TEST_SUITE_P(Orders,
                          OrderForFormerProcessTest,
                          testing::Values(OrderCase{"Start", Order::kStart},
