tests: add a property for workers that restart and are cut off

Callers saw a task run twice when workers restarted under their ids and were cut off within a second. The fault late_connection joins the mixes of faults.

--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -346,6 +346,21 @@
           });
   }
 
+  /** Crashes a worker that is back after `down_for`, and is cut off from all
+   * owners `cut_off_after` later. */
+  void CrashAndCutOff(const WorkerId& id,
+                      Duration down_for,
+                      Duration cut_off_after) {
+    const auto former = workers.at(id).entry.incarnation;
+    CrashFor(id, down_for);
+    After(down_for + cut_off_after, [this, id, former] {
+      auto& worker = workers.at(id);
+      if (worker.up && worker.entry.incarnation != former) {
+        worker.reachable = false;
+      }
+    });
+  }
+
   /** Restarts a crashed worker under its id. */
   void Restart(const WorkerId& id) {
     auto& worker = workers.at(id);
--- a/tests/pool_engine_property_test.cc
+++ b/tests/pool_engine_property_test.cc
@@ -45,6 +45,10 @@
   kTakeOverBriefly,
   kTakeOverCutOff,
   kExtendedCount,
+  // Actions of RestartProperty only.
+  kRestartSoon = kExtendedCount,
+  kRestartAndCut,
+  kAllCount,
 };
 
 struct Step {
@@ -78,7 +82,9 @@
                                     "slow-lists",
                                     "slow-commits",
                                     "take-over-briefly",
-                                    "take-over-cut-off"};
+                                    "take-over-cut-off",
+                                    "restart-soon",
+                                    "restart-and-cut"};
   os << kNames[static_cast<int>(step.action)] << "(" << step.which << ", "
      << step.wait_ms << " ms)";
 }
@@ -156,6 +162,16 @@
   return task;
 }
 
+/** Time until a worker of RestartProperty is back, up to 1 s. */
+Duration RestartDelay(int which) {
+  return milliseconds(which % 32 * 32);
+}
+
+/** Time from then until it is cut off, up to 1 s. */
+Duration CutDelay(int which) {
+  return milliseconds(which / 32 * 32);
+}
+
 struct FaultMix {
   const char* name;
   SimFaults faults;
@@ -163,9 +179,9 @@
 
 const FaultMix kMixes[] = {
     {"none", {}},
-    {"lost answers", {0.15}},
-    {"late orders", {0, 0.1, 0, 0.1, 0.02}},
-    {"failing runs", {0.05, 0.05, 0.1, 0.05, 0.01}},
+    {"lost answers", {0.15, 0, 0, 0, 0, 0.5}},
+    {"late orders", {0, 0.1, 0, 0.1, 0.02, 0.5}},
+    {"failing runs", {0.05, 0.05, 0.1, 0.05, 0.01, 0.2}},
 };
 
 class Scenario {
@@ -284,6 +300,13 @@
         world.commit_answer_delay =
             milliseconds(step.which % kMaxCommitDelayMs);
         break;
+      case Action::kRestartSoon:
+        world.CrashFor(worker, RestartDelay(step.which));
+        break;
+      case Action::kRestartAndCut:
+        world.CrashAndCutOff(worker, RestartDelay(step.which),
+                             CutDelay(step.which));
+        break;
       case Action::kStoreDown:
         world.store_up = false;
         break;
@@ -388,5 +411,14 @@
                                             GenStep(Action::kExtendedCount))));
 }
 
+// Guards against taking what was ordered of, granted to or answered by a worker
+// for another process under the same id. Covers workers that are back within a
+// second, before their owners notice, and are cut off soon after.
+RC_GTEST_PROP(RestartProperty, KeepsInvariants, (unsigned seed)) {
+  CheckInvariants(
+      seed, *rc::gen::resize(kMaxSteps, rc::gen::container<std::vector<Step>>(
+                                            GenStep(Action::kAllCount))));
+}
+
 }  // namespace
 }  // namespace baobab
