tests: end a waiting poll with the process that received it

In the simulation the next process of a worker answered a poll that waited in the former one, so owners learned of an immediate restart within a second. The poll now ends without an answer. WaitingPollTest failed before, passes now; the five cases of UnnoticedRestartTest pass with it.

--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -710,16 +710,22 @@
     worker.ExtendLeases(poll.lease_until_ms, tuning.max_lease, now);
   }
 
-  /** Answers a poll that arrives or, unless `is_new`, waits. */
+  /** Answers a poll that arrives or, if `waits_at` names a process, waits
+   * there. Another process does not answer it. */
   void AnswerPoll(const Engine& owner,
                   std::int64_t fence_token,
                   const PollWorker& poll,
                   Time deadline,
-                  bool is_new = true) {
+                  std::int64_t waits_at = 0) {
     auto& worker = workers[poll.worker];
+    const bool is_new = waits_at == 0;
     const auto fail = [&](OrderResult result, Duration delay) {
       FinishPoll(owner, fence_token, poll, result, delay);
     };
+    if (!is_new && worker.up && worker.entry.incarnation != waits_at) {
+      fail(OrderResult::kUnknown, kOrderTimeout);
+      return;
+    }
     if (RefusesConnections(worker)) {
       fail(OrderResult::kNotSent, std::chrono::milliseconds(2));
       return;
@@ -771,8 +777,9 @@
       auto again = poll;
       again.lease_until_ms.reset();
       After(std::chrono::milliseconds(10),
-            [this, owner, fence_token, again, deadline] {
-              AnswerPoll(owner, fence_token, again, deadline, false);
+            [this, owner, fence_token, again, deadline,
+             incarnation = worker.entry.incarnation] {
+              AnswerPoll(owner, fence_token, again, deadline, incarnation);
             });
       return;
     }
--- a/tests/job_world_test.cc
+++ b/tests/job_world_test.cc
@@ -138,5 +138,21 @@
                                          OrderCase{"Poll", Order::kPoll}),
                          [](const auto& it) { return it.param.name; });
 
+// Guards against an answer to a poll by a process that never received it.
+TEST(WaitingPollTest, EndsWithItsProcess) {
+  JobWorld world;
+  const auto id = world.AddWorker("w0");
+  world.TakeOver();
+  world.Advance(seconds(5));
+  world.Submit("j1", OneTask());
+  world.Advance(seconds(3));
+  ASSERT_EQ(world.workers.at(id).connected, world.token);
+  world.Crash(id);
+  world.Restart(id);
+  world.engine = std::make_shared<PoolEngine>(world.shard, world.tuning);
+  world.Advance(seconds(2));
+  EXPECT_EQ(world.workers.at(id).connected, 0);
+}
+
 }  // namespace
 }  // namespace baobab
