--- a/src/libjobs/pool_engine_tasks.cc
+++ b/src/libjobs/pool_engine_tasks.cc
@@ -464,12 +464,16 @@
       NoteUnseenGrant(worker, now_);
       if (event.result == OrderResult::kDone) {
         it->second.arrives_by = now_;
-        LogRun("start-unsettled", event.task,
-               fmt::format("task={} run={} worker={} born={} clock_ms={} "
-                           "expected_clock_ms={}",
-                           ToString(event.task), event.run.value(),
-                           event.worker.value(), task.incarnation,
-                           event.clock_ms.value_or(0), worker.ClockAt(now_)));
+        if (event.clock_ms &&
+            worker.IsClockBehind(*event.clock_ms, now_, tuning_.clock_drift)) {
+          LogRun("start-at-unseen-process", event.task,
+                 fmt::format("task={} run={} worker={} born={} clock_ms={} "
+                             "expected_clock_ms={}",
+                             ToString(event.task), event.run.value(),
+                             event.worker.value(), task.incarnation,
+                             *event.clock_ms, worker.ClockAt(now_)));
+          worker.next_poll_at = now_;
+        }
         return;
       }
       break;
--- a/src/libjobs/worker.cc
+++ b/src/libjobs/worker.cc
@@ -47,6 +47,12 @@
   clock_at_ = now;
 }
 
+bool Worker::IsClockBehind(std::int64_t clock_ms,
+                           Time now,
+                           double drift) const {
+  return clock_ms_ && clock_ms < MinClockAt(now, drift) - kClockToleranceMs;
+}
+
 bool Worker::IsClockOfIncarnation(std::int64_t clock_ms,
                                   Time now,
                                   double drift) const {
@@ -57,7 +63,7 @@
       static_cast<double>(Milliseconds(now - clock_at_)) * drift);
   return *clock_ms_ - first_clock_ms_ >=
              kMaxReportAgeMs + kClockToleranceMs + deviation &&
-         clock_ms >= MinClockAt(now, drift) - kClockToleranceMs;
+         !IsClockBehind(clock_ms, now, drift);
 }
 
 std::string_view Worker::Rack() const {
--- a/src/libjobs/worker.h
+++ b/src/libjobs/worker.h
@@ -27,6 +27,9 @@
    * slow by a fraction of at most `drift` could show. */
   void SetClock(std::int64_t clock_ms, Time now, double drift);
   bool KnowsClock() const { return clock_ms_.has_value(); }
+  /** Returns whether a reading of the clock that arrived at `now` is too low
+   * for the incarnation which sent the last report. */
+  bool IsClockBehind(std::int64_t clock_ms, Time now, double drift) const;
   /** Returns whether a reading of the clock that arrived at `now` shows that
    * the incarnation which sent the last report was still up. The clock of a
    * later one is behind by the age that the former one had reached. */
--- a/tests/restarted_worker_test.cc
+++ b/tests/restarted_worker_test.cc
@@ -70,5 +70,76 @@
                     UnnoticedRestartCase{"Ms800", milliseconds(800)}),
     [](const auto& it) { return it.param.name; });
 
+/** When the held start of LateStartTest arrives, from when it was sent. */
+constexpr Duration kLateStartDelay = seconds(8);
+
+/** When the worker restarts, from then. */
+constexpr Duration kRestartDelay = seconds(6);
+
+struct LateStartCase {
+  const char* name;
+  /** The owner changes between the restart and the arrival. */
+  bool new_owner = false;
+  /** The worker answers nothing until the start arrives. */
+  bool is_silent = false;
+  /** The first run is done on the other worker before the start arrives. */
+  bool ends_before = false;
+};
+
+void PrintTo(const LateStartCase& it, std::ostream* os) {
+  *os << it.name;
+}
+
+class LateStartTest : public testing::TestWithParam<LateStartCase> {};
+
+// A start gets no answer, and its worker restarts before the start arrives.
+// Guards against a second run of a task that was placed on another worker
+// meanwhile.
+TEST_P(LateStartTest, RunsNoTaskTwice) {
+  const auto& param = GetParam();
+  JobWorld world;
+  const auto id = world.AddWorker("w0");
+  world.TakeOver();
+  world.Advance(seconds(5));
+  auto& worker = world.workers.at(id);
+  worker.orders_held_until = world.now + kLateStartDelay;
+  world.Submit("j1", LongJob(param.ends_before ? seconds(1) : seconds(20)));
+  world.Advance(milliseconds(30));
+  world.AddWorker("w1");
+  if (!param.is_silent) {
+    worker.orders_held_until = Time::min();
+    // The task is placed on the other worker.
+    worker.entry.draining = true;
+  }
+  world.Advance(kRestartDelay);
+  if (!param.is_silent) {
+    ASSERT_EQ(world.StartsOf(JobId("j1")), 1);
+    ASSERT_EQ(world.RunsOf({JobId("j1"), 0, 0, 0}), param.ends_before ? 0 : 1);
+  }
+  const auto held_until = worker.orders_held_until;
+  world.Crash(id);
+  world.Restart(id);
+  worker.orders_held_until = held_until;
+  if (param.new_owner) {
+    world.TakeOver();
+  }
+  world.Advance(kLateStartDelay - kRestartDelay);
+  worker.reachable = false;
+  world.Advance(seconds(60));
+  EXPECT_TRUE(world.violations.empty()) << world.violations.front();
+  EXPECT_EQ(world.State("j1"), JobState::kCompleted);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Starts,
+    LateStartTest,
+    testing::Values(LateStartCase{"RunsElsewhere"},
+                    LateStartCase{"RunsElsewhereForNewOwner", true},
+                    LateStartCase{"IsDoneElsewhere", false, false, true},
+                    LateStartCase{"IsDoneElsewhereForNewOwner", true, false,
+                                  true},
+                    LateStartCase{"WorkerIsSilent", false, true}),
+    [](const auto& it) { return it.param.name; });
+
 }  // namespace
 }  // namespace baobab
