libjobs: use no worker by the entry of another incarnation

A minion that starts again under its id may be of another kind. Once a poll had shown the new process, it got starts by the capacity and the labels of the former one until the next list, also from a new owner with an older list. Cause: the entry of a worker was used whichever incarnation had written it. Change: a worker gets runs only if its entry is that of the incarnation which answered. An idle worker whose entry is of another one is polled with each list, as the clock of its host may have been set back. Test: former_entry_test failed before in the four cases of ChangedKindTest ("over capacity", starts without the label). SetBackClockTest passed before; it fails in the idle case without the second part. Conclusion: the time until the list has the new entry is lost for placement. An idle worker that restarts as a smaller kind may still get a start before either shows it.

--- a/src/libjobs/pool_engine_workers.cc
+++ b/src/libjobs/pool_engine_workers.cc
@@ -92,6 +92,11 @@
       }
       worker.fence_confirmed = false;
       worker.next_poll_at = now_;
+    } else if (it.incarnation != worker.incarnation && worker.runs.empty()) {
+      // The list is behind the last report, or the clock of the host was set
+      // back. An idle worker is not polled otherwise.
+      worker.fence_confirmed = false;
+      worker.next_poll_at = now_;
     }
   }
   for (auto it = workers_.begin(); it != workers_.end();) {
--- a/src/libjobs/worker.cc
+++ b/src/libjobs/worker.cc
@@ -76,8 +76,10 @@
 }
 
 bool Worker::IsUsable(Time now) const {
-  return listed && !superseded && fence_confirmed && !entry.draining &&
-         !reserved && missed_polls == 0 && now >= avoid_until;
+  // The entry of another incarnation may have other labels and more capacity.
+  return listed && !superseded && fence_confirmed &&
+         entry.incarnation == incarnation && !entry.draining && !reserved &&
+         missed_polls == 0 && now >= avoid_until;
 }
 
 bool Worker::IsUsableSoon() const {
