libjobs: keep runs of a new process when its former address refuses an order

A worker starts again at another address, and another one listens at the former address. An order that was sent there is refused (421) after the new process has got runs; these were given up and started again while they ran. Cause: the refusal was taken to hold for the id of the worker. Change: the refusal of a start or of a stop ends runs only if the incarnation for which it was sent is still the one that answers. Conclusion: polls are sent one at a time, and an incarnation changes only with the answer to the newest one, so their refusals need no such check.

--- a/src/libjobs/pool_engine_tasks.cc
+++ b/src/libjobs/pool_engine_tasks.cc
@@ -494,6 +494,8 @@
   Job& job = found->second;
   Worker& worker = known->second;
   SettleStart(worker, *task, event);
+  // A later incarnation may listen at another address.
+  const bool of_incarnation = task->incarnation == worker.incarnation;
   if (event.result == OrderResult::kDone) {
     job.begun = true;
     task->confirmed = true;
@@ -536,7 +538,7 @@
     advice_.RejectTicket(
         {event.task.job, event.task.occurrence, event.task.step}, event.worker);
   }
-  if (event.result == OrderResult::kWrongIncarnation) {
+  if (event.result == OrderResult::kWrongIncarnation && of_incarnation) {
     LoseRuns(worker, "address-reused", WorkerFate::kCrashed);
     worker.fence_confirmed = false;
   }
--- a/src/libjobs/pool_engine_workers.cc
+++ b/src/libjobs/pool_engine_workers.cc
@@ -714,10 +714,10 @@
       task->phase != TaskPhase::kStopping) {
     return;
   }
+  if (!of_incarnation) {
+    return;
+  }
   if (event.result == OrderResult::kDone) {
-    if (!of_incarnation) {
-      return;
-    }
     task->stop_answered = true;
     task->answered_at = now_;
     MaybePollWorker(known->second);
