libjobs: count no crash for a run that started after the report

A task that was started on a worker which had just started again was counted as crashed with the former process, and so came under suspicion, although its run was alive. Cause: the first report of a new incarnation counted all runs that it lacks, also those whose start was still under way when it was made. Conclusion: a crash is counted one poll later in these cases.

--- a/src/libjobs/pool_engine_workers.cc
+++ b/src/libjobs/pool_engine_workers.cc
@@ -377,11 +377,12 @@
       worker.RemoveRun(id);
       continue;
     }
-    if (task->phase != TaskPhase::kPlaced &&
+    const bool answered = task->answered_at < worker.poll_sent_at;
+    // Otherwise the start may have reached the new incarnation since.
+    if (answered && task->phase != TaskPhase::kPlaced &&
         task->incarnation < worker.incarnation) {
       RecordCrash(id, *task);
     }
-    const bool answered = task->answered_at < worker.poll_sent_at;
     switch (task->phase) {
       case TaskPhase::kInherited:
         // The worker has answered this owner and refuses orders of former ones,
