libjobs: hold a task until a start without an answer can no longer arrive

What callers could see: a task that is started again although it is done or at work on another worker. Cause: three calls that were meant for a former process of a worker. - A start without an answer counted as excluded once one process had answered a stop. The next process may carry it out before the stop is sent again. - A late poll or start extends the leases of everything on the process that it reaches, also of runs that are settled there. - While a start was unsettled, polls extended no leases as long as the lease in the start would have been enough, also if that start never arrived: sound runs lapsed. Change: a finite task is not placed again, nor its job handed over, before the start can no longer arrive. Calls meant for former processes count as grants to the present one. Polls leave leases alone only while a lease that has certainly arrived has time left. A long-running task waits only for a start that nothing holds up, since it may not be without a run for long.

--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -212,8 +212,9 @@
     /** Cancel requests that the other cell is to carry out. */
     std::vector<ReplyId> cancels;
   };
-  /** Returns whether a run of the job may be present at a worker. */
-  static bool HasRuns(const Job& job);
+  /** Returns whether a run of the job may be present at a worker, or arrive
+   * there. */
+  bool HasRuns(const Job& job) const;
   /** Begins to hand over jobs that have no runs and have waited for some time
    * for workers that this cell does not have. */
   void HandOverMisplacedJobs();
@@ -291,9 +292,12 @@
   bool LeaseHasExpired(const Worker& worker) const;
   /** Returns the longest time for which a worker may keep a lease. */
   Duration LongestLease() const;
-  /** Returns whether an incarnation of the worker that has not answered yet may
-   * have the run, under a lease that has not ended. */
-  bool MayRunUnseen(const Worker& worker, const TaskId& id) const;
+  /** Returns whether the run may be at work although its lease on the clock of
+   * the known incarnation has ended: at one that has not answered yet, or under
+   * a lease that was meant for a former one. */
+  bool MayOutlastLease(const Worker& worker,
+                       const TaskId& id,
+                       const StepSpec& spec) const;
   /** Notes that the worker may keep all runs that a later incarnation has until
    * the longest lease from `arrives_by` on has ended. */
   static void NoteUnseenGrant(Worker& worker, Time arrives_by);
@@ -333,6 +337,13 @@
                      const TaskId& id,
                      RunNumber run,
                      Time arrives_by);
+  /** Gives up a run whose start got no answer. A finite task is not placed
+   * again before the start can no longer arrive. */
+  void GiveUpStart(Worker& worker,
+                   const Job& job,
+                   const TaskId& id,
+                   Task& task,
+                   Time arrives_by);
   /** Forgets the starts that can no longer arrive, also in the store. */
   void ForgetLateStarts(Worker& worker);
   /** Returns the starts to the worker that may still arrive, with the time that
--- a/src/libjobs/pool_engine_crashes.cc
+++ b/src/libjobs/pool_engine_crashes.cc
@@ -31,6 +31,16 @@
   // the clock of the previous one, which the worker limits to its maximum
   // lease.
   worker.lease_sent_ms = report.clock_ms + tuning_.max_lease.count() / 1000;
+  worker.former_calls_arrive_by =
+      std::max(worker.former_calls_arrive_by, worker.grant_arrives_by);
+  for (const auto& [id, start] : worker.unsettled_runs) {
+    worker.former_calls_arrive_by =
+        std::max(worker.former_calls_arrive_by, start.arrives_by);
+  }
+  for (const auto& [id, start] : worker.late_starts) {
+    worker.former_calls_arrive_by =
+        std::max(worker.former_calls_arrive_by, start.arrives_by);
+  }
   ReadmitLateStarts(worker);
   ExcludeLateStarts(worker);
   for (const auto& [id, resources] : worker.runs) {
@@ -65,7 +75,8 @@
       UndoPlacement(found->second, id, *task);
       continue;
     }
-    if (!worker.superseded && MayRunUnseen(worker, id)) {
+    if (fate == WorkerFate::kUnknown &&
+        MayOutlastLease(worker, id, found->second.Step(id.step))) {
       continue;
     }
     Log("run-lost", id.job,
--- a/src/libjobs/pool_engine_late_starts.cc
+++ b/src/libjobs/pool_engine_late_starts.cc
@@ -26,6 +26,18 @@
   staged_.unanswered_starts.insert(worker.entry.id);
 }
 
+void PoolEngine::GiveUpStart(Worker& worker,
+                             const Job& job,
+                             const TaskId& id,
+                             Task& task,
+                             Time arrives_by) {
+  KeepLateStart(worker, id, task.run, arrives_by);
+  if (!job.Step(id.step).long_running) {
+    // An incarnation that has not answered the stop may carry the start out.
+    task.not_before = arrives_by;
+  }
+}
+
 void PoolEngine::ForgetLateStarts(Worker& worker) {
   std::erase_if(worker.late_starts, [this](const auto& it) {
     return it.second.arrives_by <= now_;
@@ -59,12 +71,16 @@
   for (const auto& it : starts) {
     const Time arrives_by = now_ + it.left;
     const auto job = jobs_.find(it.task.job);
-    const Task* task = job == jobs_.end() ? nullptr : job->second.Find(it.task);
+    Task* task = job == jobs_.end() ? nullptr : job->second.Find(it.task);
     if (task && task->phase == TaskPhase::kInherited && task->run == it.run &&
         task->worker == id) {
-      worker.unsettled_runs[it.task] = {it.run, arrives_by, true};
+      worker.unsettled_runs[it.task] = {it.run, now_, arrives_by, 0, true};
     } else {
       worker.late_starts[it.task] = {it.run, arrives_by, false, Time()};
+      if (task && task->phase == TaskPhase::kWaiting &&
+          !job->second.Step(it.task.step).long_running) {
+        task->not_before = std::max(task->not_before, arrives_by);
+      }
     }
   }
 }
--- a/src/libjobs/pool_engine_tasks.cc
+++ b/src/libjobs/pool_engine_tasks.cc
@@ -306,7 +306,8 @@
   RunNumber run;
   for (const auto& it : tasks) {
     // A member of the previous run may still be present.
-    if (it.phase != TaskPhase::kWaiting || AwaitsFateOfWorkers(it)) {
+    if (it.phase != TaskPhase::kWaiting || it.not_before > now_ ||
+        AwaitsFateOfWorkers(it)) {
       return false;
     }
     run = std::max(run, it.run);
@@ -423,7 +424,8 @@
   task->percent = 0;
   const auto lease_until = worker.ClockAt(now_) + tuning_.lease.count() / 1000;
   worker.lease_sent_ms = std::max(worker.lease_sent_ms, lease_until);
-  worker.unsettled_runs[id] = {run, now_ + tuning_.max_call_delay};
+  worker.unsettled_runs[id] = {run, now_, now_ + tuning_.max_call_delay,
+                               lease_until};
   LogRun("start-run", id,
          fmt::format("task={} run={} worker={} born={} listed_born={} host={} "
                      "shard={} lease_until_ms={} free_cpu={} waited_ms={} "
@@ -456,6 +458,10 @@
     case OrderResult::kWrongIncarnation:
       break;
     default:
+      if (event.result == OrderResult::kDone) {
+        worker.lease_delivered_ms =
+            std::max(worker.lease_delivered_ms, it->second.lease_until_ms);
+      }
       if (event.clock_ms && worker.IsClockOfIncarnation(*event.clock_ms, now_,
                                                         tuning_.clock_drift)) {
         break;
--- a/src/libjobs/pool_engine_workers.cc
+++ b/src/libjobs/pool_engine_workers.cc
@@ -145,10 +145,13 @@
   Worker& worker = found->second;
   worker.polling = false;
   if (worker.poll_extends_leases) {
-    if (event.result == OrderResult::kUnknown) {
-      NoteUnseenGrant(worker, worker.poll_sent_at + tuning_.max_call_delay);
-    } else if (event.result != OrderResult::kDone) {
-      NoteUnseenGrant(worker, now_);
+    if (event.result == OrderResult::kDone) {
+      worker.lease_delivered_ms =
+          std::max(worker.lease_delivered_ms, worker.poll_lease_ms);
+    } else {
+      NoteUnseenGrant(worker, event.result == OrderResult::kUnknown
+                                  ? worker.poll_sent_at + tuning_.max_call_delay
+                                  : now_);
     }
   }
   switch (event.result) {
@@ -384,14 +387,21 @@
       RecordCrash(id, *task);
     }
     switch (task->phase) {
-      case TaskPhase::kInherited:
+      case TaskPhase::kInherited: {
         // The worker has answered this owner and refuses orders of former ones,
         // as long as it does not start again.
-        KeepLateStart(
-            worker, id, task->run,
-            loaded_at_ + tuning_.former_owner_grace + tuning_.max_call_delay);
+        const auto start = worker.unsettled_runs.find(id);
+        if (start != worker.unsettled_runs.end()) {
+          GiveUpStart(worker, found->second, id, *task,
+                      start->second.arrives_by);
+        } else {
+          KeepLateStart(
+              worker, id, task->run,
+              loaded_at_ + tuning_.former_owner_grace + tuning_.max_call_delay);
+        }
         EndRun(found->second, id, *task, EndKind::kLeaseExpired, "");
         break;
+      }
       case TaskPhase::kStarting:
         if (answered) {
           // The start had not arrived.
@@ -412,7 +422,8 @@
         if (task->stop_answered && answered) {
           if (const auto start = worker.unsettled_runs.find(id);
               start != worker.unsettled_runs.end()) {
-            KeepLateStart(worker, id, task->run, start->second.arrives_by);
+            GiveUpStart(worker, found->second, id, *task,
+                        start->second.arrives_by);
           }
           EndRun(found->second, id, *task, EndKind::kStopped, "");
         }
@@ -447,7 +458,9 @@
   poll.worker = worker.entry.id;
   poll.address = worker.entry.address;
   poll.poll = ++polls_;
-  poll.acknowledged_ends = worker.connected ? worker.stored_ends : 0;
+  // A worker that is only polled for late starts may have another owner now.
+  const bool is_ours = worker.listed || !worker.runs.empty();
+  poll.acknowledged_ends = worker.connected && is_ours ? worker.stored_ends : 0;
   const bool responsive = worker.fence_confirmed && worker.missed_polls == 0;
   // After an unanswered poll the leases are not extended until the worker
   // answers, so that the runs of an unreachable worker can expire.
@@ -459,12 +472,13 @@
   // longest lease, so none is sent while the others have enough time left.
   const auto lease_ms = tuning_.lease.count() / 1000;
   worker.poll_extends_leases =
-      may_extend &&
-      (worker.unsettled_runs.empty() ||
-       worker.lease_sent_ms - worker.ClockAt(now_) < lease_ms * kMinLeaseLeft);
+      may_extend && (worker.unsettled_runs.empty() ||
+                     worker.lease_delivered_ms - worker.ClockAt(now_) <
+                         lease_ms * kMinLeaseLeft);
   if (worker.poll_extends_leases) {
     poll.lease_until_ms = worker.ClockAt(now_) + lease_ms;
     worker.lease_sent_ms = std::max(worker.lease_sent_ms, *poll.lease_until_ms);
+    worker.poll_lease_ms = *poll.lease_until_ms;
   }
   if ((may_extend || (responsive && !worker.late_starts.empty())) &&
       !worker.ends_pending && !worker.answer_awaited) {
@@ -532,11 +546,23 @@
   return Duration(static_cast<Duration::rep>(longest)) + kLeaseMargin;
 }
 
-bool PoolEngine::MayRunUnseen(const Worker& worker, const TaskId& id) const {
+bool PoolEngine::MayOutlastLease(const Worker& worker,
+                                 const TaskId& id,
+                                 const StepSpec& spec) const {
   const auto it = worker.unsettled_runs.find(id);
-  return it != worker.unsettled_runs.end() &&
-         now_ <= std::max(it->second.arrives_by, worker.grant_arrives_by) +
-                     LongestLease();
+  const bool settled = it == worker.unsettled_runs.end();
+  if (spec.long_running) {
+    return !settled && now_ <= std::min(it->second.arrives_by,
+                                        it->second.sent_at +
+                                            tuning_.max_prompt_call_delay) +
+                                   LongestLease();
+  }
+  Time arrives_by = worker.former_calls_arrive_by;
+  if (!settled) {
+    arrives_by =
+        std::max({arrives_by, worker.grant_arrives_by, it->second.arrives_by});
+  }
+  return now_ <= arrives_by + LongestLease();
 }
 
 void PoolEngine::NoteUnseenGrant(Worker& worker, Time arrives_by) {
--- a/src/libjobs/pool_tuning.h
+++ b/src/libjobs/pool_tuning.h
@@ -27,6 +27,9 @@
   /** Maximum time from sending a call until a worker carries it out, if the
    * call gets no answer. */
   Duration max_call_delay = std::chrono::milliseconds(12'500);
+  /** The same for a call that nothing holds up. A long-running task is not kept
+   * from its next run for longer than that by a call that may be held up. */
+  Duration max_prompt_call_delay = std::chrono::milliseconds(1000);
   /** Maximum fraction by which a worker's clock may be slow. */
   double clock_drift = 0.02;
   /** Maximum time after a takeover for which a former owner extends leases: it
--- a/src/libjobs/stored_job.cc
+++ b/src/libjobs/stored_job.cc
@@ -335,9 +335,9 @@
 std::string EncodeUnansweredStarts(const std::vector<UnansweredStart>& starts) {
   Json rows = Json::array();
   for (const auto& it : starts) {
-    rows.push_back(Json::array({it.task.job.value(), it.task.occurrence,
-                                it.task.step, it.task.index, it.run.value(),
-                                it.left.count()}));
+    rows.push_back(
+        Json::array({it.task.job.value(), it.task.occurrence, it.task.step,
+                     it.task.index, it.run.value(), it.left.count()}));
   }
   return Pack(Json::array({kFormatVersion, std::move(rows)}));
 }
--- a/src/libjobs/worker.cc
+++ b/src/libjobs/worker.cc
@@ -144,6 +144,7 @@
   incarnation = new_incarnation;
   fence_confirmed = false;
   lease_sent_ms = 0;
+  lease_delivered_ms = 0;
   applied_ends = 0;
   stored_ends = 0;
   acknowledged_ends = 0;
--- a/src/libjobs/worker.h
+++ b/src/libjobs/worker.h
@@ -83,6 +83,11 @@
   /** Latest time at which a lease that was not answered by the current
    * incarnation may reach another one. */
   Time grant_arrives_by;
+  /** Latest time at which a call that was meant for a former incarnation may
+   * extend the leases of the current one. */
+  Time former_calls_arrive_by;
+  /** Latest lease end that has certainly reached the worker, on its clock. */
+  std::int64_t lease_delivered_ms = 0;
   /** When the leases that former owners may have granted have ended, even if
    * the worker does not answer. */
   Time inherited_until;
@@ -105,6 +110,8 @@
   bool polling = false;
   /** Whether that poll extends leases. */
   bool poll_extends_leases = false;
+  /** Lease end in that poll, if so. */
+  std::int64_t poll_lease_ms = 0;
   Time poll_sent_at;
   /** No poll is sent earlier than this. */
   Time next_poll_at;
@@ -124,8 +131,10 @@
   /** Start of a run of which no incarnation has shown that it has the run. */
   struct UnsettledStart {
     RunNumber run;
+    Time sent_at;
     /** Latest time at which the start may arrive. */
     Time arrives_by;
+    std::int64_t lease_until_ms = 0;
     /** It was sent and got no answer. */
     bool unanswered = false;
   };
