tests: soak workers that start again under their ids

Change: a worker's process ends with all its runs and starts again under the same id and address, as an object of its own: its clock starts from zero, its ends are numbered from 1, and it has seen no fencing token and no stop. Calls on connections that were opened while the process was down, or to the former process, are lost, or wait for the next one; lost ones are refused or stay silent. Nodes and workers are cut off from each other, often soon after a restart, while some calls are still carried out without an answer. Eight clients submit smaller tasks and workers have more room, so that tasks are started while a restart is not known yet.

--- a/tests/soak/fault_schedule.h
+++ b/tests/soak/fault_schedule.h
@@ -24,6 +24,14 @@
     for (auto at = from_ms; at < until_ms; at += Draw(200, 3000)) {
       DrawFault(at);
     }
+    for (auto at = from_ms; at < until_ms; at += Draw(500, 7000)) {
+      ++count_;
+      if (Draw(0, 4) == 0) {
+        CutFromNodes(DrawWorker(), at, Draw(2000, 10000));
+      } else {
+        RestartWorkers(at);
+      }
+    }
   }
 
   /** Begins and ends the faults that are due. Returns false when all are over.
@@ -77,7 +85,8 @@
       case 7:
         return HangStore(at);
       case 8:
-        return DelayOrders(at);
+        return DelayOrders(DrawWorker(), Percent{30}, at,
+                           at + Draw(2000, 8000));
       default:
         // Cuts and a change of owners at the same time.
         CutWorker(DrawWorker(), at, Draw(6000, 12000));
@@ -101,7 +110,7 @@
   }
 
   void CutWorker(SoakWorker& worker, std::int64_t at, std::int64_t for_ms) {
-    const auto machine = worker.minion().machine();
+    const auto machine = worker.machine();
     At(at, machine + " loses the store", [&worker] { worker.CutFromStore(); });
     At(at + for_ms, machine + " reaches the store",
        [&worker] { worker.RejoinStore(); });
@@ -135,12 +144,61 @@
     }
   }
 
-  void DelayOrders(std::int64_t at) {
-    SoakWorker& worker = DrawWorker();
-    Apply(worker.relay(), Delaying{Draw(500, 5000), Percent{30}},
-          "orders to " + worker.minion().machine(), at, at + Draw(2000, 8000));
+  void DelayOrders(SoakWorker& worker,
+                   Percent affected,
+                   std::int64_t at,
+                   std::int64_t end) {
+    Apply(worker.relay(), Delaying{Draw(2000, Relay::kMaxDelayMs), affected},
+          "orders to " + worker.machine(), at, end);
+  }
+
+  void CutFromNodes(SoakWorker& worker, std::int64_t at, std::int64_t for_ms) {
+    Apply(worker.relay(), Cutting{DrawShare(), DrawShare()},
+          worker.machine() + " is cut off from the nodes", at, at + for_ms);
+  }
+
+  /** Restarts of one or more workers, in a row or overlapping, and further ones
+   * of a worker that is just back. */
+  void RestartWorkers(std::int64_t at) {
+    for (auto left = Draw(1, 2); left > 0; --left, at += Draw(0, 1500)) {
+      SoakWorker& worker = DrawWorker();
+      auto begin = at;
+      for (bool again = true; again; again = Draw(0, 2) == 0) {
+        begin = RestartWorker(worker, begin) + Draw(200, 4000);
+      }
+    }
+  }
+
+  /** Orders may be late before the worker's process ends, and the worker may be
+   * cut off soon after its return. Returns the time of the return. */
+  std::int64_t RestartWorker(SoakWorker& worker, std::int64_t at) {
+    if (Draw(0, 1) == 1) {
+      DelayOrders(worker, Percent{60}, at - Draw(0, 3000), at + Draw(0, 1000));
+    }
+    auto has_crashed = std::make_shared<bool>(false);
+    const TargetLoss loss{DrawShare(), Draw(0, 1) == 1};
+    const auto back_at = at + (Draw(0, 2) > 0 ? Draw(0, 800) : Draw(0, 8000));
+    At(at, worker.machine() + " crashes", [this, &worker, loss, has_crashed] {
+      *has_crashed = world_.Crash(worker, loss);
+    });
+    At(back_at, worker.machine() + " starts again", [&worker, has_crashed] {
+      if (*has_crashed) {
+        worker.Restart();
+      }
+    });
+    if (Draw(0, 2) > 0) {
+      const auto cut_at = back_at + Draw(0, 800);
+      const auto cut_ms = Draw(4000, 12000);
+      CutFromNodes(worker, cut_at, cut_ms);
+      if (Draw(0, 1) == 1) {
+        CutWorker(worker, cut_at, cut_ms);
+      }
+    }
+    return back_at;
   }
 
+  Percent DrawShare() { return Percent{static_cast<int>(Draw(0, 2)) * 50}; }
+
   void Apply(Relay& relay,
              const RelayFault& fault,
              const std::string& text,
--- a/tests/soak/run_checks.h
+++ b/tests/soak/run_checks.h
@@ -39,6 +39,14 @@
     return n;
   }
 
+  /** Returns how many runs of a task have ended with their worker's process. */
+  int CountCrashes(const std::string& task) {
+    const auto all = runs_.Copy();
+    return static_cast<int>(std::count_if(
+        all.begin(), all.end(),
+        [&](const auto& it) { return it.task == task && it.how == "gone"; }));
+  }
+
   /** Writes all runs of the tasks that ran more than once. */
   void WriteRepeats(review::Record& record) {
     for (const auto& [task, runs] : ByTask()) {
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -23,7 +23,7 @@
 /** Time after the last fault in which all jobs must complete. */
 constexpr std::int64_t kSettleMs = 60000;
 constexpr std::int64_t kTickMs = 20;
-constexpr int kClients = 4;
+constexpr int kClients = 8;
 
 int RunSoak(const NodeFiles& files, std::uint64_t seed, std::int64_t seconds) {
   const auto folder = EnterSoakFolder(files);
--- a/tests/soak/soak_client.h
+++ b/tests/soak/soak_client.h
@@ -145,7 +145,7 @@
     job.body =
         review::Deployment::JobBody("work " + std::to_string(work_ms) + " " +
                                         std::to_string(work_ms + 2000),
-                                    job.tasks, Draw(1, 3) * 1000, work_ms);
+                                    job.tasks, Draw(1, 3) * 500, work_ms);
     bool may_be_stored = false;
     const auto until = review::Now() + kSubmitTimeMs;
     while (review::Now() < until && !ends_) {
--- a/tests/soak/soak_node.h
+++ b/tests/soak/soak_node.h
@@ -26,7 +26,7 @@
            const std::string& advice,
            std::uint64_t seed)
       : name_(name),
-        relay_(seed),
+        relay_(record, name, seed),
         node_(record, name, folder, relay_.address(), hosts, advice) {
     relay_.SetTargetPort(store_port);
     Start();
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -3,6 +3,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <cstdlib>
 #include <filesystem>
@@ -48,7 +49,8 @@
   static constexpr char kPrefix[] = "/deposits/";
   static constexpr int kNodes = 4;
   static constexpr int kWorkers = 6;
-  static constexpr int kWorkerCpuMilli = 16000;
+  static constexpr int kWorkerCpuMilli = 32000;
+  static constexpr int kMaxCrashesOfTask = 2;
 
   SoakWorld(const std::filesystem::path& folder, std::uint64_t seed)
       : record(folder / "record.txt"),
@@ -86,6 +88,20 @@
     }
   }
 
+  /** Ends the worker's process, unless a task on it would have its third crash,
+   * after which the nodes end the job. Returns whether it has ended. */
+  bool Crash(SoakWorker& worker, const TargetLoss& loss) {
+    const auto tasks = worker.Running();
+    if (std::any_of(tasks.begin(), tasks.end(), [this](const auto& it) {
+          return checks.CountCrashes(it) >= kMaxCrashesOfTask;
+        })) {
+      record.Line("worker " + worker.machine() + ": crash is left out");
+      return false;
+    }
+    worker.Crash(loss);
+    return true;
+  }
+
   /** Lets the nodes continue what is due and checks what was seen so far. */
   void Tick() {
     for (auto& it : nodes) {
@@ -122,7 +138,7 @@
   review::Response ServeHosts() {
     review::Json list = review::Json::array();
     for (const auto& it : workers) {
-      list.push_back(it->minion().Machine());
+      list.push_back(it->Host());
     }
     const review::Json body = {{"machines", list}, {"next_token", nullptr}};
     return review::Answer(200, body.dump());
