libjobs: do not count hosts as busy while late starts may arrive

A worker to which late starts may arrive was polled with polls that wait, so its host had a poll in flight all the time and did not count as empty: moves and maintenance were delayed by up to 17 s. Such polls no longer wait.

--- a/src/libjobs/pool_engine_tasks.cc
+++ b/src/libjobs/pool_engine_tasks.cc
@@ -424,6 +424,9 @@
   task->percent = 0;
   const auto lease_until = worker.ClockAt(now_) + tuning_.lease.count() / 1000;
   worker.lease_sent_ms = std::max(worker.lease_sent_ms, lease_until);
+  if (!worker.late_starts.empty()) {
+    worker.next_poll_at = now_;
+  }
   worker.unsettled_runs[id] = {run, now_, now_ + tuning_.max_call_delay,
                                lease_until};
   LogRun("start-run", id,
--- a/src/libjobs/pool_engine_workers.cc
+++ b/src/libjobs/pool_engine_workers.cc
@@ -19,6 +19,10 @@
 /** Time from the end of a stopped run until its worker's report arrives. */
 constexpr Duration kStopReportDelay = std::chrono::milliseconds(150);
 
+/** Poll interval of an idle worker to which late starts may arrive. Its polls
+ * do not wait, since a host with a poll in flight does not count as empty. */
+constexpr Duration kLateStartPollInterval = std::chrono::milliseconds(500);
+
 /** Fraction of a lease that is left from which it is extended in any case. */
 constexpr double kMinLeaseLeft = 0.6;
 
@@ -166,6 +170,9 @@
       worker.missed_polls = 0;
       worker.next_poll_at =
           load_.IsBusy() ? now_ + tuning_.busy_poll_interval : now_;
+      if (worker.runs.empty() && !worker.late_starts.empty()) {
+        worker.next_poll_at = now_ + kLateStartPollInterval;
+      }
       worker.answered_at = now_;
       ApplyReport(worker, event);
       StoreAwaitingPlacements(worker);
@@ -480,8 +487,7 @@
     worker.lease_sent_ms = std::max(worker.lease_sent_ms, *poll.lease_until_ms);
     worker.poll_lease_ms = *poll.lease_until_ms;
   }
-  if ((may_extend || (responsive && !worker.late_starts.empty())) &&
-      !worker.ends_pending && !worker.answer_awaited) {
+  if (may_extend && !worker.ends_pending && !worker.answer_awaited) {
     poll.wait = tuning_.poll_wait;
   }
   worker.acknowledged_ends =
