libjobs: begin the trial wait when a task may be placed

A task that is held until a late start can no longer arrive had no time left in which it may get a worker of its own, so a crash would have brought others under suspicion.

--- a/src/libjobs/pool_engine_tasks.cc
+++ b/src/libjobs/pool_engine_tasks.cc
@@ -33,7 +33,9 @@
 
 void PoolEngine::ReturnToWaiting(Job& job, const TaskId& id, Task& task) {
   task.phase = TaskPhase::kWaiting;
-  task.waiting_since = now_;
+  // A task that is held back cannot use the time in which it may get a worker
+  // of its own.
+  task.waiting_since = std::max(now_, task.not_before);
   task.stop_answered = false;
   task.confirmed = false;
   if (job.end == JobEnd::kOpen) {
