tests: report the incarnation of the listed entry in the simulated platform

Its workers reported incarnation 1, whatever their entries said, so that all but the first looked like workers of which the list has an older process. MovedQueueTest failed in 5 of 6 cases with 503 since such workers get no runs; 6 of 6 pass.

--- a/tests/fleet_fakes.h
+++ b/tests/fleet_fakes.h
@@ -424,7 +424,11 @@
             auto& sim = platform.sim_workers[poll.worker];
             Expire(sim);
             WorkerReport report;
-            report.incarnation = 1;
+            for (const auto& it : platform.workers->entries) {
+              if (it.id == poll.worker) {
+                report.incarnation = it.incarnation;
+              }
+            }
             report.clock_ms = SteadyNow().time_since_epoch().count() / 1000;
             for (const auto& it : sim.running) {
               report.running.push_back({it.task, it.run, "", 1, 0});
