Review: case 6, the records of a gang end each owner of its shard (LOST)

Cause: FinishTask erases a finished occurrence whose step is still in the set of ready steps, since a member of its gang was lost before another one's end was read; scheduling then throws, and again at each next owner. Change: the case.

--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -19,6 +19,7 @@
       {"odd-entry", OddEntry},
       {"crashed-workers", CrashedWorkers},
       {"late-start", LateStart},
+      {"gang-done", GangDone},
       {"soak", Soak}};
   const auto found = cases.find(argv[1]);
   if (found == cases.end()) {
