Review: case 8, a start of a killed owner runs beside a second run (TWICE)

Cause: a start is stored as unanswered only when its time-out has passed, so the next owner does not know of one that was under way when its owner was killed.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -7,7 +7,7 @@
 [ -x "$root/target/baobabfront" ] || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-timeout -k 2 118 "$here/../build-2/world" crashed-workers "$root" "$folder" "$here/record.txt"
+timeout -k 2 118 "$here/../build-2/world" former-start "$root" "$folder" "$here/record.txt"
 code=$?
 [ $code -le 2 ] || code=2
 exit $code
--- a/review/standin-2/cases.h
+++ b/review/standin-2/cases.h
@@ -12,9 +12,9 @@
 constexpr int kNotPlayed = 2;
 
 int OddEntry(World& world, bool trouble);
-int CrashedWorkers(World& world, bool trouble);
 int LateStart(World& world, bool trouble);
 int GangDone(World& world, bool trouble);
+int FormerStart(World& world, bool trouble);
 int Soak(World& world, bool trouble);
 
 }  // namespace review2
--- a/review/standin-2/gang_done.cpp
+++ b/review/standin-2/gang_done.cpp
@@ -28,7 +28,7 @@
       return kNotPlayed;
     }
   }
-  // Twelve jobs with a gang of two, which come three times.
+  // Twenty-four jobs with a gang of two, which come three times.
   const Json step = {{"count", 2},         {"cpu", 3500},
                      {"mem_mb", 500},      {"estimate_ms", 3000},
                      {"anti_affinity", 1}, {"gang", true}};
@@ -37,7 +37,7 @@
                     {"repeats", 3},
                     {"start_ms", WallMs() + 1500},
                     {"interval_ms", 8000}};
-  constexpr int kGangs = 12;
+  constexpr int kGangs = 24;
   std::vector<std::string> gangs;
   for (int i = 0; i < kGangs; ++i) {
     char id[17];
@@ -82,7 +82,7 @@
     world.minions.front()->Crash();
     SleepMs(600);
     world.minions.front()->Start();
-    SleepMs(3000);
+    SleepMs(2000);
     world.StartNode(*owner);
   }
   SleepMs(25000);
--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -17,9 +17,9 @@
   }
   const std::map<std::string, int (*)(World&, bool)> cases = {
       {"odd-entry", OddEntry},
-      {"crashed-workers", CrashedWorkers},
       {"late-start", LateStart},
       {"gang-done", GangDone},
+      {"former-start", FormerStart},
       {"soak", Soak}};
   const auto found = cases.find(argv[1]);
   if (found == cases.end()) {
--- a/review/standin-2/minion.h
+++ b/review/standin-2/minion.h
@@ -120,7 +120,7 @@
 
 class Minion {
  public:
-  enum class Fate { kAnswer, kLate };
+  enum class Fate { kAnswer, kLate, kCut };
   static constexpr std::int64_t kMaxHoldMs = 6000;
   static constexpr std::int64_t kStopMs = 60;
   static constexpr std::int64_t kHeartbeatMs = 1500;
@@ -147,16 +147,18 @@
   std::int64_t born() const { return born_; }
 
   /** Decides on an order that has arrived, before it is carried out. If it is
-   * late, it gets no answer and is carried out after `late_ms`. */
+   * late, it gets no answer and is carried out after `late_ms`; if the minion
+   * is cut off, it gets no answer and is never carried out. */
   std::function<Fate(const Request&, std::int64_t* late_ms)> on_order;
 
-  /** Starts a life of the minion; its first entry is written at once. */
-  void Start() {
+  /** Starts a life of the minion, or joins one that began `age_ms` ago; its
+   * first entry is written at once. */
+  void Start(std::int64_t age_ms = 0) {
     {
       std::lock_guard lock(mutex_);
       life_ = std::make_shared<Life>();
-      life_->began_ms = SteadyMs();
-      born_ = WallMs();
+      life_->began_ms = SteadyMs() - age_ms;
+      born_ = WallMs() - age_ms;
     }
     do {
       const int port =
@@ -371,7 +373,13 @@
 
   Reply Serve(const Request& request) {
     std::int64_t late_ms = 0;
-    if (on_order && on_order(request, &late_ms) == Fate::kLate) {
+    const auto fate = on_order ? on_order(request, &late_ms) : Fate::kAnswer;
+    if (fate == Fate::kCut) {
+      Reply none;
+      none.silent = true;
+      return none;
+    }
+    if (fate == Fate::kLate) {
       std::thread([this, request, late_ms] {
         SleepMs(late_ms);
         if (up_) {
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -46,7 +46,9 @@
   }
 
   /** Adds a machine with its minion, which starts at once. */
-  Minion& AddMinion(const std::string& id, const std::string& rack) {
+  Minion& AddMinion(const std::string& id,
+                    const std::string& rack,
+                    std::int64_t age_ms = 0) {
     MinionOptions options;
     options.id = id;
     options.service = kService;
@@ -54,7 +56,7 @@
     options.rack = rack;
     minions.push_back(
         std::make_unique<Minion>(options, store, runs, book, record));
-    minions.back()->Start();
+    minions.back()->Start(age_ms);
     return *minions.back();
   }
 
