--- a/review/standin-2/gang_done.cpp
+++ b/review/standin-2/gang_done.cpp
@@ -7,7 +7,8 @@
 int GangDone(World& world, bool trouble) {
   for (int i = 1; i <= 9; ++i) {
     world.AddMinion("i-" + std::to_string(1000 + i),
-                    "r1-" + std::to_string((i + 3) / 4));
+                    "r1-" + std::to_string((i + 3) / 4), 0,
+                    "zone-" + std::to_string((i + 2) % 3 + 1));
   }
   world.WriteConfig(1);
   for (int i = 0; i < 3; ++i) {
--- a/review/standin-2/http.h
+++ b/review/standin-2/http.h
@@ -163,18 +163,20 @@
   return address;
 }
 
-/** Returns ports that were free a moment ago. */
+/** Returns a port that was free a moment ago, below those that the system
+ * gives to connections. */
 inline int FreePort() {
-  static std::set<int> given;
+  constexpr int kFirst = 10000;
+  constexpr int kCount = 20000;
+  static int next = static_cast<int>(::getpid()) * 41 % kCount;
   for (;;) {
-    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-    auto address = Loopback(0);
-    ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-    socklen_t size = sizeof(address);
-    ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
+    const int port = kFirst + next++ % kCount;
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const auto address = Loopback(port);
+    const bool is_free = ::bind(fd, reinterpret_cast<const sockaddr*>(&address),
+                                sizeof(address)) == 0;
     ::close(fd);
-    const int port = ntohs(address.sin_port);
-    if (given.insert(port).second) {
+    if (is_free) {
       return port;
     }
   }
--- a/review/standin-2/minion.h
+++ b/review/standin-2/minion.h
@@ -116,6 +116,7 @@
   std::string rack;
   std::int64_t cpu = 64000;
   std::int64_t mem_mb = 262144;
+  std::string zone = "zone-1";
 };
 
 class Minion {
@@ -128,6 +129,8 @@
   static constexpr std::int64_t kGangWaitMs = 3000;
   static constexpr std::int64_t kCheckpointMs = 2000;
   static constexpr std::int64_t kRestoreMs = 250;
+  /** Way there and back between zones; all nodes are in zone-1. */
+  static constexpr std::int64_t kBetweenZonesUs = 1800;
 
   Minion(MinionOptions options,
          Store& store,
@@ -209,7 +212,7 @@
     std::lock_guard lock(mutex_);
     return {{"service", options_.service},
             {"address", "127.0.0.1:" + std::to_string(port_)},
-            {"zone", "zone-1"},
+            {"zone", options_.zone},
             {"version", "v1"},
             {"slots", 8},
             {"state", "ready"},
@@ -396,6 +399,9 @@
       none.silent = true;
       return none;
     }
+    if (options_.zone != "zone-1") {
+      std::this_thread::sleep_for(std::chrono::microseconds(kBetweenZonesUs));
+    }
     return Handle(request);
   }
 
@@ -565,7 +571,7 @@
   std::atomic<std::int64_t> heartbeat_at_ms_{0};
   std::int64_t seq_ = 0;
   Server server_;
-  int port_ = 0;
+  int port_ = FreePort();
 };
 
 }  // namespace review2
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -48,12 +48,14 @@
   /** Adds a machine with its minion, which starts at once. */
   Minion& AddMinion(const std::string& id,
                     const std::string& rack,
-                    std::int64_t age_ms = 0) {
+                    std::int64_t age_ms = 0,
+                    const std::string& zone = "zone-1") {
     MinionOptions options;
     options.id = id;
     options.service = kService;
     options.machine = "m-" + id;
     options.rack = rack;
+    options.zone = zone;
     minions.push_back(
         std::make_unique<Minion>(options, store, runs, book, record));
     minions.back()->Start(age_ms);
