libjobs: hold a task until a late start has no effect any more

A task may run twice at the same time (TWICE).

Cause: a start that got no answer, and whose run was stopped at the process of the worker that answered, held its finite task until the start could no longer arrive. A start that arrives shortly before that runs for up to the longest lease from then on. If the worker has started again, cut off from the owner, nobody stops that run, and the task is started elsewhere beside it. Only runs that were never stopped were held until the end of that lease.

Change: the task is held back (Task::held_back) until its worker has answered a poll that was sent when the start could no longer arrive, and does not list the run, or until the longest lease from that time on has ended, or until its host shows a newer worker. Before, that was Task::not_before; the hold is now derived from Worker::late_starts, which the consistency check compares. A start that its owner may not have sent (of a former owner, not known to be without an answer) is stored with that mark and holds no task back, as before at the first takeover; before, a second takeover held such tasks.

Also the simulated world: a late order reaches a process that its owner cannot reach, and JobWorld::max_late_delay can be raised to the platform's 12 s.

Cost: a task whose worker answers waits one poll longer (0.5 to 1 s), one whose worker never answers again 18.9 s instead of 12.5 s from the start.

Tried and dropped: placing the task at once at the process that has answered the stop, since a next run ends with that process.

--- a/src/libjobs/job.h
+++ b/src/libjobs/job.h
@@ -105,6 +105,9 @@
   Time placed_at;
   /** Earliest time of the next placement. */
   Time not_before;
+  /** Whether a finite task waits until starts of its former runs can no longer
+   * take effect; see Worker::late_starts. */
+  bool held_back = false;
   /** Whether the worker has confirmed the newest run. */
   bool confirmed = false;
   /** The placement is stored once its worker has answered another poll. */
--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -259,6 +259,10 @@
    */
   std::string FaultOfReadyStep(const ServiceId& service,
                                const ReadyStep& ready) const;
+  /** Returns the finite tasks whose `held_back` contradicts the workers'
+   * late starts. */
+  std::vector<TaskId> TasksWronglyHeldBack(const Job& job,
+                                           int occurrence) const;
   /** Sends the staged changes to the store, unless a commit is in flight or the
    * last one was sent too recently. */
   void FlushCommit();
@@ -346,18 +350,26 @@
   void KeepLateStart(Worker& worker,
                      const TaskId& id,
                      RunNumber run,
-                     Time arrives_by);
-  /** Gives up a run whose start got no answer. A finite task is not placed
-   * again before the start can no longer arrive. */
+                     Time arrives_by,
+                     bool maybe_unsent);
+  /** Forgets a start that can no longer take effect. */
+  void ForgetLateStart(Worker& worker, TaskId id, const char* why);
+  /** Returns whether starts of the task that were sent may still take effect
+   * somewhere. */
+  bool IsHeldBack(const TaskId& id) const;
+  /** Forgets starts that can no longer arrive and have not been carried out,
+   * according to a report with all runs of the worker. */
+  void SettleLateStarts(Worker& worker, const WorkerReport& report);
+  /** Gives up a run whose start got no answer. */
   void GiveUpStart(Worker& worker,
                    const Job& job,
                    const TaskId& id,
-                   Task& task,
-                   Time arrives_by);
-  /** Forgets the starts that can no longer arrive, also in the store. */
+                   Task& task);
+  /** Forgets the starts that can no longer take effect whatever the worker
+   * does, also in the store. */
   void ForgetLateStarts(Worker& worker);
-  /** Returns the starts to the worker that may still arrive, with the time that
-   * is left until then. */
+  /** Returns the starts to the worker that may still take effect, with the time
+   * that is left until they can no longer arrive. */
   std::vector<UnansweredStart> UnansweredStarts(const Worker& worker) const;
   /** Takes over the starts without an answer of former owners. */
   void AdoptUnansweredStarts(const WorkerId& id,
--- a/src/libjobs/pool_engine_consistency.cc
+++ b/src/libjobs/pool_engine_consistency.cc
@@ -24,6 +24,9 @@
       continue;
     }
     for (const auto& [number, occurrence] : job.occurrences) {
+      for (const auto& id : TasksWronglyHeldBack(job, number)) {
+        found.push_back(fmt::format("late starts of {}", ToString(id)));
+      }
       if (job.IsFinished(occurrence)) {
         found.push_back(
             fmt::format("finished occurrence {}.{}", id.value(), number));
@@ -63,6 +66,25 @@
              : "wrong place in the order";
 }
 
+std::vector<TaskId> PoolEngine::TasksWronglyHeldBack(const Job& job,
+                                                     int occurrence) const {
+  std::vector<TaskId> found;
+  const auto& steps = job.occurrences.at(occurrence).steps;
+  for (int step = 0; step < static_cast<int>(steps.size()); ++step) {
+    if (job.Step(step).long_running) {
+      continue;
+    }
+    const auto& tasks = steps[static_cast<std::size_t>(step)];
+    for (int i = 0; i < static_cast<int>(tasks.size()); ++i) {
+      const TaskId id{job.id, occurrence, step, i};
+      if (tasks[static_cast<std::size_t>(i)].held_back != IsHeldBack(id)) {
+        found.push_back(id);
+      }
+    }
+  }
+  return found;
+}
+
 bool PoolEngine::HasTasksToPlace(const Job& job,
                                  int occurrence,
                                  int step) const {
--- a/src/libjobs/pool_engine_hand_over.cc
+++ b/src/libjobs/pool_engine_hand_over.cc
@@ -37,8 +37,8 @@
 bool PoolEngine::HasRuns(const Job& job) const {
   for (const auto& [number, occurrence] : job.occurrences) {
     for (const auto& tasks : occurrence.steps) {
-      if (std::any_of(tasks.begin(), tasks.end(), [this](const auto& it) {
-            return HoldsResources(it.phase) || it.not_before > now_;
+      if (std::any_of(tasks.begin(), tasks.end(), [](const auto& it) {
+            return HoldsResources(it.phase) || it.held_back;
           })) {
         return true;
       }
--- a/src/libjobs/pool_engine_late_starts.cc
+++ b/src/libjobs/pool_engine_late_starts.cc
@@ -7,57 +7,108 @@
 
 // Starts without an answer whose runs were given up. The incarnation of the
 // worker that has answered a stop of the run refuses such a start, but a later
-// one knows nothing of the stop.
+// one knows nothing of the stop. A finite task is placed again once the start
+// has no effect any more: the worker has answered a poll that was sent when the
+// start could no longer arrive, or the longest lease from then on has ended.
 
 namespace baobab {
 
 void PoolEngine::KeepLateStart(Worker& worker,
                                const TaskId& id,
                                RunNumber run,
-                               Time arrives_by) {
+                               Time arrives_by,
+                               bool maybe_unsent) {
   if (arrives_by <= now_) {
     return;
   }
   Log("late-start-possible", id.job,
-      fmt::format("task={} run={} worker={} born={} for_ms={}", ToString(id),
-                  run.value(), worker.entry.id.value(), worker.incarnation,
-                  (arrives_by - now_).count() / 1000));
-  worker.late_starts[id] = {run, arrives_by, true, now_};
+      fmt::format("task={} run={} worker={} born={} for_ms={} maybe_unsent={}",
+                  ToString(id), run.value(), worker.entry.id.value(),
+                  worker.incarnation, (arrives_by - now_).count() / 1000,
+                  maybe_unsent));
+  worker.late_starts[id] = {run, arrives_by, true, now_, maybe_unsent};
   staged_.unanswered_starts.insert(worker.entry.id);
 }
 
+void PoolEngine::ForgetLateStart(Worker& worker, TaskId id, const char* why) {
+  const auto late = worker.late_starts.find(id);
+  Log("late-start-over", id.job,
+      fmt::format("task={} run={} worker={} why={}", ToString(id),
+                  late->second.run.value(), worker.entry.id.value(), why));
+  worker.late_starts.erase(late);
+  const auto job = jobs_.find(id.job);
+  Task* task = job == jobs_.end() ? nullptr : job->second.Find(id);
+  if (task && task->held_back && !IsHeldBack(id)) {
+    task->held_back = false;
+    // A task that was held back could not use the time in which it may get a
+    // worker of its own.
+    task->waiting_since = now_;
+    schedule_needed_ = true;
+  }
+}
+
+bool PoolEngine::IsHeldBack(const TaskId& id) const {
+  return std::any_of(workers_.begin(), workers_.end(), [&](const auto& it) {
+    const auto late = it.second.late_starts.find(id);
+    return late != it.second.late_starts.end() && !late->second.maybe_unsent;
+  });
+}
+
 void PoolEngine::GiveUpStart(Worker& worker,
                              const Job& job,
                              const TaskId& id,
-                             Task& task,
-                             Time arrives_by) {
-  KeepLateStart(worker, id, task.run, arrives_by);
-  if (!job.Step(id.step).long_running) {
-    // An incarnation that has not answered the stop may carry the start out.
-    task.not_before = arrives_by;
+                             Task& task) {
+  const auto start = worker.unsettled_runs.find(id);
+  if (start == worker.unsettled_runs.end()) {
+    return;
   }
+  KeepLateStart(worker, id, task.run, start->second.arrives_by,
+                start->second.maybe_unsent);
+  task.held_back = !job.Step(id.step).long_running && IsHeldBack(id);
 }
 
 void PoolEngine::ForgetLateStarts(Worker& worker) {
-  std::erase_if(worker.late_starts, [this](const auto& it) {
-    return it.second.arrives_by <= now_;
-  });
+  std::vector<TaskId> over;
+  for (const auto& [id, start] : worker.late_starts) {
+    if (now_ > start.arrives_by + LongestLease()) {
+      over.push_back(id);
+    }
+  }
+  for (const auto& id : over) {
+    ForgetLateStart(worker, id, "lease-expired");
+  }
   if (worker.unanswered_starts_recorded && UnansweredStarts(worker).empty()) {
     staged_.unanswered_starts.insert(worker.entry.id);
   }
 }
 
+void PoolEngine::SettleLateStarts(Worker& worker, const WorkerReport& report) {
+  std::vector<TaskId> over;
+  for (const auto& [id, start] : worker.late_starts) {
+    const bool present = std::any_of(
+        report.running.begin(), report.running.end(),
+        [&](const auto& it) { return it.task == id && it.run == start.run; });
+    if (!present && worker.poll_sent_at > start.arrives_by) {
+      over.push_back(id);
+    }
+  }
+  for (const auto& id : over) {
+    ForgetLateStart(worker, id, "not-at-worker");
+  }
+}
+
 std::vector<UnansweredStart> PoolEngine::UnansweredStarts(
     const Worker& worker) const {
   std::vector<UnansweredStart> starts;
   for (const auto& [id, start] : worker.late_starts) {
-    if (start.arrives_by > now_) {
-      starts.push_back({id, start.run, start.arrives_by - now_});
-    }
+    starts.push_back({id, start.run,
+                      std::max(Duration(0), start.arrives_by - now_),
+                      start.maybe_unsent});
   }
   for (const auto& [id, start] : worker.unsettled_runs) {
     if (start.unanswered && start.arrives_by > now_) {
-      starts.push_back({id, start.run, start.arrives_by - now_});
+      starts.push_back(
+          {id, start.run, start.arrives_by - now_, start.maybe_unsent});
     }
   }
   return starts;
@@ -74,12 +125,14 @@
     Task* task = job == jobs_.end() ? nullptr : job->second.Find(it.task);
     if (task && task->phase == TaskPhase::kInherited && task->run == it.run &&
         task->worker == id) {
-      worker.unsettled_runs[it.task] = {it.run, now_, arrives_by, 0, true};
+      worker.unsettled_runs[it.task] = {it.run, now_, arrives_by,
+                                        0,      true, it.maybe_unsent};
     } else {
-      worker.late_starts[it.task] = {it.run, arrives_by, false, Time()};
-      if (task && task->phase == TaskPhase::kWaiting &&
-          !job->second.Step(it.task.step).long_running) {
-        task->not_before = std::max(task->not_before, arrives_by);
+      worker.late_starts[it.task] = {it.run, arrives_by, false, Time(),
+                                     it.maybe_unsent};
+      if (task) {
+        task->held_back =
+            !job->second.Step(it.task.step).long_running && IsHeldBack(it.task);
       }
     }
   }
--- a/src/libjobs/pool_engine_room.cc
+++ b/src/libjobs/pool_engine_room.cc
@@ -51,7 +51,8 @@
                             .steps[static_cast<std::size_t>(it.step)];
       const auto waiting = static_cast<int>(
           std::count_if(all.begin(), all.end(), [this](const auto& task) {
-            return task.phase == TaskPhase::kWaiting && task.not_before <= now_;
+            return task.phase == TaskPhase::kWaiting &&
+                   task.not_before <= now_ && !task.held_back;
           }));
       const bool lacks_host =
           waiting > 0 &&
--- a/src/libjobs/pool_engine_tasks.cc
+++ b/src/libjobs/pool_engine_tasks.cc
@@ -220,7 +220,7 @@
     // The fate of the workers decides whether the job has failed.
     const bool on_hold =
         task.unexplained_losses > 0 && task.Suspicion() >= tuning_.max_crashes;
-    if (task.not_before > now_ || on_hold) {
+    if (task.not_before > now_ || task.held_back || on_hold) {
       all = false;
       continue;
     }
@@ -314,7 +314,7 @@
   for (const auto& it : tasks) {
     // A member of the previous run may still be present.
     if (it.phase != TaskPhase::kWaiting || it.not_before > now_ ||
-        AwaitsFateOfWorkers(it)) {
+        it.held_back || AwaitsFateOfWorkers(it)) {
       return false;
     }
     run = std::max(run, it.run);
--- a/src/libjobs/pool_engine_waits.cc
+++ b/src/libjobs/pool_engine_waits.cc
@@ -67,10 +67,12 @@
   const auto& tasks = job.occurrences.at(ready.occurrence)
                           .steps[static_cast<std::size_t>(ready.step)];
   int backing_off = 0;
+  int late_starts = 0;
   int on_hold = 0;
   for (const auto& it : tasks) {
     if (it.phase == TaskPhase::kWaiting) {
       backing_off += it.not_before > now_ ? 1 : 0;
+      late_starts += it.held_back ? 1 : 0;
       on_hold +=
           it.unexplained_losses > 0 && it.Suspicion() >= tuning_.max_crashes
               ? 1
@@ -80,11 +82,12 @@
   const auto counts = placement.CountFits(job, ready.occurrence, ready.step);
   const auto late = late_work_cores_.find(job.service);
   return fmt::format(
-      "backing_off={} on_hold={} usable={} cpu={} memory={} label={} "
+      "backing_off={} late_starts={} on_hold={} usable={} cpu={} memory={} "
+      "label={} "
       "below_limit={} fitting={} cpu_milli={} mem_mb={} late_cores={:.0f} "
       "commit_ms={}",
-      backing_off, on_hold, counts.usable, counts.cpu, counts.memory,
-      counts.label, counts.below_limit, counts.all,
+      backing_off, late_starts, on_hold, counts.usable, counts.cpu,
+      counts.memory, counts.label, counts.below_limit, counts.all,
       job.Step(ready.step).need.cpu_milli, job.Step(ready.step).need.mem_mb,
       late == late_work_cores_.end() ? 0.0 : late->second.cores,
       in_flight_ ? (now_ - commit_sent_at_).count() / 1000 : 0);
--- a/src/libjobs/pool_engine_workers.cc
+++ b/src/libjobs/pool_engine_workers.cc
@@ -112,8 +112,9 @@
       // A host runs one worker at a time.
       LoseRuns(worker, "host-has-new-worker", WorkerFate::kCrashed);
     }
-    if (worker.superseded) {
-      worker.late_starts.clear();
+    while (worker.superseded && !worker.late_starts.empty()) {
+      ForgetLateStart(worker, worker.late_starts.begin()->first,
+                      "host-has-new-worker");
     }
     if (!listed.contains(id)) {
       if (std::exchange(worker.listed, false)) {
@@ -236,6 +237,7 @@
                     worker.runs.size()));
   } else {
     ApplyAbsent(worker, present);
+    SettleLateStarts(worker, report);
   }
   ThrottleBackgroundRuns(worker, report);
   if (worker.lease_wait_recorded) {
@@ -394,21 +396,19 @@
       RecordCrash(id, *task);
     }
     switch (task->phase) {
-      case TaskPhase::kInherited: {
+      case TaskPhase::kInherited:
         // The worker has answered this owner and refuses orders of former ones,
         // as long as it does not start again.
-        const auto start = worker.unsettled_runs.find(id);
-        if (start != worker.unsettled_runs.end()) {
-          GiveUpStart(worker, found->second, id, *task,
-                      start->second.arrives_by);
+        if (worker.unsettled_runs.contains(id)) {
+          GiveUpStart(worker, found->second, id, *task);
         } else {
           KeepLateStart(
               worker, id, task->run,
-              loaded_at_ + tuning_.former_owner_grace + tuning_.max_call_delay);
+              loaded_at_ + tuning_.former_owner_grace + tuning_.max_call_delay,
+              true);
         }
         EndRun(found->second, id, *task, EndKind::kLeaseExpired, "");
         break;
-      }
       case TaskPhase::kStarting:
         if (answered) {
           // The start had not arrived.
@@ -427,11 +427,7 @@
         break;
       case TaskPhase::kStopping:
         if (task->stop_answered && answered) {
-          if (const auto start = worker.unsettled_runs.find(id);
-              start != worker.unsettled_runs.end()) {
-            GiveUpStart(worker, found->second, id, *task,
-                        start->second.arrives_by);
-          }
+          GiveUpStart(worker, found->second, id, *task);
           EndRun(found->second, id, *task, EndKind::kStopped, "");
         }
         break;
--- a/src/libjobs/stored_job.cc
+++ b/src/libjobs/stored_job.cc
@@ -335,9 +335,9 @@
 std::string EncodeUnansweredStarts(const std::vector<UnansweredStart>& starts) {
   Json rows = Json::array();
   for (const auto& it : starts) {
-    rows.push_back(
-        Json::array({it.task.job.value(), it.task.occurrence, it.task.step,
-                     it.task.index, it.run.value(), it.left.count()}));
+    rows.push_back(Json::array({it.task.job.value(), it.task.occurrence,
+                                it.task.step, it.task.index, it.run.value(),
+                                it.left.count(), it.maybe_unsent}));
   }
   return Pack(Json::array({kFormatVersion, std::move(rows)}));
 }
@@ -460,7 +460,9 @@
           {TaskId{JobId(it.at(0).get<std::string>()), it.at(1).get<int>(),
                   it.at(2).get<int>(), it.at(3).get<int>()},
            RunNumber(it.at(4).get<std::int64_t>()),
-           Duration(it.at(5).get<std::int64_t>())});
+           Duration(it.at(5).get<std::int64_t>()),
+           // Absent in records of earlier releases.
+           it.size() > 6 && it.at(6).get<bool>()});
     }
   });
   return loaded;
--- a/src/libjobs/stored_job.h
+++ b/src/libjobs/stored_job.h
@@ -81,6 +81,8 @@
   RunNumber run;
   /** Time until which it may arrive, from when it is stored. */
   Duration left{0};
+  /** Its owner may have ended before it sent the start. */
+  bool maybe_unsent = false;
 
   bool operator==(const UnansweredStart&) const = default;
 };
--- a/src/libjobs/worker.h
+++ b/src/libjobs/worker.h
@@ -135,13 +135,16 @@
     /** Latest time at which the start may arrive. */
     Time arrives_by;
     std::int64_t lease_until_ms = 0;
-    /** It was sent and got no answer. */
+    /** It got no answer; the store has a record of it. */
     bool unanswered = false;
+    /** A former owner may have ended before it sent the start. */
+    bool maybe_unsent = false;
   };
   /** Those of `runs` that are unsettled. An incarnation that has not answered
    * yet may run them under a lease of any length. */
   std::map<TaskId, UnsettledStart> unsettled_runs;
-  /** Start of a run that was given up, which may still arrive. */
+  /** Start of a run that was given up. It may still arrive, or a process that
+   * has not answered may have carried it out. */
   struct LateStart {
     RunNumber run;
     /** Latest time at which it may arrive. */
@@ -149,6 +152,9 @@
     /** The current incarnation refuses it, as it has answered a stop. */
     bool excluded = false;
     Time stop_sent_at;
+    /** A former owner may have ended before it sent the start. Then the task is
+     * not held back once its worker has answered without having the run. */
+    bool maybe_unsent = false;
   };
   std::map<TaskId, LateStart> late_starts;
   /** The store may have a record of starts without an answer. */
--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -22,7 +22,8 @@
 struct SimFaults {
   /** An order is carried out, but its answer is lost. */
   double lost_answer = 0;
-  /** A start gets no answer and is carried out 2 to 6 s later. */
+  /** A start gets no answer and is carried out 2 s later, or up to
+   * JobWorld::max_late_delay. */
   double late_order = 0;
   /** A run fails. */
   double failing_run = 0;
@@ -515,6 +516,9 @@
   /** Entries of crashed workers lapse. */
   bool drops_crashed = false;
   SimFaults faults;
+  /** Longest time for which a late order is under way; the platform's is 12 s.
+   */
+  Duration max_late_delay = std::chrono::milliseconds(6000);
   PoolTuning tuning;
   ServiceId service{"service"};
   /** Null if the pool is one cell. */
@@ -591,8 +595,8 @@
   /** Carries a late order out, also if the worker has started again or the
    * owner has been replaced by then. */
   void AfterLateDelay(std::function<void()> action) {
-    After(std::chrono::milliseconds(
-              std::uniform_int_distribution<int>(2000, 6000)(random_)),
+    After(std::chrono::milliseconds(std::uniform_int_distribution<int>(
+              2000, static_cast<int>(max_late_delay.count() / 1000))(random_)),
           std::move(action));
   }
 
@@ -874,7 +878,7 @@
     if (now < worker.orders_held_until) {
       answer(OrderResult::kUnknown, kOrderTimeout);
       AfterHold(start.worker, [this, fence_token, order, ordered_at] {
-        DoStart(fence_token, order, ordered_at);
+        DoLateStart(fence_token, order, ordered_at);
       });
       return;
     }
@@ -885,7 +889,7 @@
     if (Chance(faults.late_order)) {
       answer(OrderResult::kUnknown, kOrderTimeout);
       AfterLateDelay(
-          [this, fence_token, order] { DoStart(fence_token, order, now); });
+          [this, fence_token, order] { DoLateStart(fence_token, order, now); });
       return;
     }
     const auto result = DoStart(fence_token, order, ordered_at);
@@ -899,15 +903,22 @@
     }
   }
 
+  /** Carries out a start that was held up, if its worker is up, also in a
+   * process that its owner cannot reach. */
+  void DoLateStart(std::int64_t fence_token,
+                   const StartRun& start,
+                   Time ordered_at) {
+    if (workers.at(start.worker).up) {
+      DoStart(fence_token, start, ordered_at);
+    }
+  }
+
   /** Carries out a start, which must fit in what the owner could count on when
    * it was ordered. */
   OrderResult DoStart(std::int64_t fence_token,
                       const StartRun& start,
                       Time ordered_at) {
     auto& worker = workers[start.worker];
-    if (!worker.up || !worker.IsReachedBy(fence_token)) {
-      return OrderResult::kUnknown;
-    }
     if (fence_token < worker.highest_token) {
       return OrderResult::kFenced;
     }
@@ -1159,7 +1170,7 @@
 
   OrderResult DoStop(std::int64_t fence_token, const StopRun& stop) {
     auto& worker = workers.at(stop.worker);
-    if (!worker.up || !worker.IsReachedBy(fence_token)) {
+    if (!worker.up) {
       return OrderResult::kUnknown;
     }
     if (fence_token < worker.highest_token) {
--- a/tests/restarted_worker_test.cc
+++ b/tests/restarted_worker_test.cc
@@ -138,6 +138,40 @@
                     HeldStartCase{"WorkerIsSilent", false, true}),
     [](const auto& it) { return it.param.name; });
 
+// A start gets no answer and its process answers a stop of the run; then it
+// crashes, and the next one, which is cut off from its owner, carries the start
+// out. Guards against a second run while that one holds its lease.
+TEST(LateStartTest, RunsNoTaskTwiceIfTheNextProcessIsCutOff) {
+  int violated = 0;
+  std::string first;
+  for (int held_ms = 6000; held_ms <= 12'000; held_ms += 1000) {
+    JobWorld world;
+    const auto id = world.AddWorker("w0");
+    world.TakeOver();
+    world.Advance(seconds(5));
+    auto& worker = world.workers.at(id);
+    worker.orders_held_until = world.now + milliseconds(held_ms);
+    world.Submit("j1", LongJob(seconds(20)));
+    world.Advance(milliseconds(30));
+    worker.orders_held_until = Time::min();
+    world.AddWorker("w1");
+    // The next run is to be on the other worker.
+    worker.entry.draining = true;
+    world.Advance(seconds(5));
+    ASSERT_EQ(world.RunsOf({JobId("j1"), 0, 0, 0}), 0);
+    world.Crash(id);
+    world.Restart(id);
+    worker.reachable = false;
+    world.Advance(seconds(60));
+    if (!world.violations.empty()) {
+      ++violated;
+      first = first.empty() ? world.violations.front() : first;
+    }
+    EXPECT_EQ(world.State("j1"), JobState::kCompleted) << held_ms;
+  }
+  EXPECT_EQ(violated, 0) << first;
+}
+
 struct LateStartCase {
   const char* name;
   /** Duration of the task: the next run is still present, or done. */
