libjobs: store which starts may be under way when their owner ends

A start gets no answer; its owner is killed 0.1 s later; the worker crashes and is back under its id, cut off from all nodes, and carries the start out 11 s after it was sent, while the next owner has started the task elsewhere.

Cause: that a start may still arrive was stored only once its call had timed out. A placement whose owner ended before read like one whose start was answered, and its run was given up with the leases of former owners, 10.9 s after the load.

Change: placements are numbered in the order in which they are stored. The record n/settled says up to which number each start was answered, was never sent, or is in an s/WORKER record; it goes along with any commit, and alone if there was none for 1 s. A new owner treats each inherited run with a higher number as a start without an answer that may arrive until 17 s after the load (4.5 s for a former owner that was paused, 12.5 s on the way), and stores that before it raises the number. The doubt ends when the worker lists the run. If the worker answers without it, the task is placed again at once as before, since most of these starts were never sent. The record holds no time, so no clock of two processes is compared.

Members that this makes needless: KeepLateStart() for each inherited run that a worker does not list; only those in doubt are kept now. unsettled_runs and late_starts could become one list, grant_arrives_by and former_calls_arrive_by one bound of calls, inherited_until a special case of it; not done here.

Cost: a finite task whose start was not answered when its owner ended, on a worker that does not answer the next owner, waits 23.4 s from the load instead of 10.9 s.

--- a/src/libjobs/ids.h
+++ b/src/libjobs/ids.h
@@ -36,6 +36,10 @@
 /** Id of a batch of records that is sent to the store. */
 using CommitId = StrongId<struct CommitTag, std::uint64_t>;
 
+/** Number of a placement among all of a shard, in the order in which they were
+ * stored; 0 for one stored by a release that did not number them. */
+using PlacementNumber = StrongId<struct PlacementNumberTag, std::uint64_t>;
+
 /** Identifies a task of a step of an occurrence of a job; all numbers count
  * from 0. */
 struct TaskId {
--- a/src/libjobs/job.h
+++ b/src/libjobs/job.h
@@ -95,6 +95,8 @@
    * incarnation is 0 once the run is counted as crashed. */
   HostId host;
   std::int64_t incarnation = 0;
+  /** Number of the placement of the newest run. */
+  PlacementNumber placement;
   /** Address of that worker. A new owner asks the worker about the run there
    * while the list lacks it. */
   std::string address;
--- a/src/libjobs/pool_engine.cc
+++ b/src/libjobs/pool_engine.cc
@@ -113,6 +113,7 @@
     swept_at_ = now_;
     ExpireLeases();
     StoreLeaseWaits();
+    StoreSettledPlacements();
     EvacuateWorkers();
     RetryStops();
     LogWaits();
@@ -159,6 +160,7 @@
   for (const auto& [id, starts] : loaded.unanswered_starts) {
     AdoptUnansweredStarts(id, starts);
   }
+  DoubtUnsettledPlacements(loaded.settled_placements);
   for (const auto& [id, worker] : workers_) {
     Log("inherit-runs", JobId(),
         fmt::format("worker={} host={} runs={} {}", id.value(),
@@ -597,6 +599,22 @@
       it->second.unanswered_starts_recorded = !starts.empty();
     }
   }
+  // The placements of this commit are not settled before their starts are
+  // answered. What this record says of starts without an answer is in the
+  // records before it.
+  if (const auto settled = SettledPlacements(last_placement_);
+      settled > stored_settled_) {
+    stored_settled_ = settled;
+    add(SettledPlacementsKey(), EncodeSettledPlacements(settled));
+  }
+  for (const auto& [id, run] : staged_.placed) {
+    const auto job = jobs_.find(id.job);
+    Task* task = job == jobs_.end() ? nullptr : job->second.Find(id);
+    if (task && task->phase == TaskPhase::kPlaced && task->run == run) {
+      last_placement_ = PlacementNumber(last_placement_.value() + 1);
+      task->placement = last_placement_;
+    }
+  }
   for (const auto& id : staged_.dirty) {
     const auto it = jobs_.find(id);
     if (it == jobs_.end()) {
--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -94,6 +94,9 @@
     std::set<WorkerId> ended_lease_waits;
     /** Workers whose starts without an answer are to be stored. */
     std::set<WorkerId> unanswered_starts;
+    /** Whether to store which placements are settled although nothing else is
+     * to be stored. */
+    bool settled_placements = false;
     /** Answers to callers that are sent once the commit is stored. */
     std::vector<PoolEffect> answers;
     /** Runs that are started once the commit is stored. */
@@ -113,7 +116,7 @@
       return dirty.empty() && accepted.empty() && dropped.empty() &&
              delegated.empty() && lease_waits.empty() &&
              ended_lease_waits.empty() && unanswered_starts.empty() &&
-             ends.empty();
+             !settled_placements && ends.empty();
     }
   };
 
@@ -374,6 +377,15 @@
   /** Takes over the starts without an answer of former owners. */
   void AdoptUnansweredStarts(const WorkerId& id,
                              const std::vector<UnansweredStart>& starts);
+  /** Treats starts of former owners that may still be under way as starts
+   * without an answer. */
+  void DoubtUnsettledPlacements(PlacementNumber settled);
+  /** Returns the highest placement up to `last` that is settled with all before
+   * it. */
+  PlacementNumber SettledPlacements(PlacementNumber last) const;
+  /** Stores which placements are settled if no other commit has done so for
+   * some time. */
+  void StoreSettledPlacements();
   /** Notes that a new incarnation knows of no stop that the former one has
    * answered. */
   static void ReadmitLateStarts(Worker& worker);
@@ -519,6 +531,11 @@
   StagedChanges staged_;
   /** Changes of the commit that awaits the store. */
   std::optional<StagedChanges> in_flight_;
+  /** Number of the last placement that was sent to the store. */
+  PlacementNumber last_placement_;
+  /** Highest one that is settled with all before it, as last sent to the store.
+   */
+  PlacementNumber stored_settled_;
   /** Id of the last commit sent to the store. */
   CommitId commit_;
   Time commit_sent_at_;
--- a/src/libjobs/pool_engine_late_starts.cc
+++ b/src/libjobs/pool_engine_late_starts.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include <fmt/format.h>
@@ -13,6 +14,14 @@
 
 namespace baobab {
 
+namespace {
+
+/** Time after the last commit from which a commit is sent only to store which
+ * placements are settled. */
+constexpr Duration kSettledInterval = std::chrono::milliseconds(1000);
+
+}  // namespace
+
 void PoolEngine::KeepLateStart(Worker& worker,
                                const TaskId& id,
                                RunNumber run,
@@ -138,6 +147,59 @@
   }
 }
 
+void PoolEngine::DoubtUnsettledPlacements(PlacementNumber settled) {
+  last_placement_ = settled;
+  stored_settled_ = settled;
+  // A former owner may give orders for some time after this one has loaded.
+  const Time arrives_by =
+      now_ + tuning_.former_owner_grace + tuning_.max_call_delay;
+  for (auto& [worker_id, worker] : workers_) {
+    for (const auto& [id, resources] : worker.runs) {
+      const auto job = jobs_.find(id.job);
+      const Task* task = job == jobs_.end() ? nullptr : job->second.Find(id);
+      if (!task || task->phase != TaskPhase::kInherited) {
+        continue;
+      }
+      last_placement_ = std::max(last_placement_, task->placement);
+      const bool is_settled =
+          task->placement.value() != 0 && task->placement <= settled;
+      if (is_settled || worker.unsettled_runs.contains(id)) {
+        continue;
+      }
+      Log("start-in-doubt", id.job,
+          fmt::format("task={} run={} worker={} placement={} settled={} "
+                      "for_ms={}",
+                      ToString(id), task->run.value(), worker_id.value(),
+                      task->placement.value(), settled.value(),
+                      (arrives_by - now_).count() / 1000));
+      worker.unsettled_runs[id] = {task->run, now_, arrives_by, 0, true, true};
+      staged_.unanswered_starts.insert(worker_id);
+    }
+  }
+}
+
+PlacementNumber PoolEngine::SettledPlacements(PlacementNumber last) const {
+  auto settled = last;
+  for (const auto& [worker_id, worker] : workers_) {
+    for (const auto& [id, start] : worker.unsettled_runs) {
+      const auto job = jobs_.find(id.job);
+      const Task* task = job == jobs_.end() ? nullptr : job->second.Find(id);
+      if (task && !start.unanswered && start.arrives_by > now_ &&
+          task->placement <= settled) {
+        settled = PlacementNumber(task->placement.value() - 1);
+      }
+    }
+  }
+  return settled;
+}
+
+void PoolEngine::StoreSettledPlacements() {
+  if (!in_flight_ && now_ - commit_sent_at_ >= kSettledInterval &&
+      SettledPlacements(last_placement_) > stored_settled_) {
+    staged_.settled_placements = true;
+  }
+}
+
 void PoolEngine::ReadmitLateStarts(Worker& worker) {
   for (auto& [id, start] : worker.late_starts) {
     start.excluded = false;
--- a/src/libjobs/pool_engine_workers.cc
+++ b/src/libjobs/pool_engine_workers.cc
@@ -399,14 +399,7 @@
       case TaskPhase::kInherited:
         // The worker has answered this owner and refuses orders of former ones,
         // as long as it does not start again.
-        if (worker.unsettled_runs.contains(id)) {
-          GiveUpStart(worker, found->second, id, *task);
-        } else {
-          KeepLateStart(
-              worker, id, task->run,
-              loaded_at_ + tuning_.former_owner_grace + tuning_.max_call_delay,
-              true);
-        }
+        GiveUpStart(worker, found->second, id, *task);
         EndRun(found->second, id, *task, EndKind::kLeaseExpired, "");
         break;
       case TaskPhase::kStarting:
--- a/src/libjobs/stored_job.cc
+++ b/src/libjobs/stored_job.cc
@@ -148,6 +148,7 @@
   }
   if (open_run) {
     row.push_back(it.address);
+    row.push_back(it.placement.value());
   }
   return row;
 }
@@ -214,6 +215,9 @@
   if (row.size() > 14) {
     task->address = row.at(14).get<std::string>();
   }
+  if (row.size() > 15) {
+    task->placement = PlacementNumber(row.at(15).get<std::uint64_t>());
+  }
 }
 
 /** Returns the numbers of the open occurrences, which are below `created`. */
@@ -342,6 +346,14 @@
   return Pack(Json::array({kFormatVersion, std::move(rows)}));
 }
 
+std::string SettledPlacementsKey() {
+  return "n/settled";
+}
+
+std::string EncodeSettledPlacements(PlacementNumber settled) {
+  return Pack(Json::array({kFormatVersion, settled.value()}));
+}
+
 std::string EncodeAcceptance(const Job& job) {
   Json steps = Json::array();
   for (const auto& it : job.spec.steps) {
@@ -453,6 +465,10 @@
     loaded.lease_waits[WorkerId(worker.value())] =
         Duration(json.at(1).get<std::int64_t>());
   });
+  decode('n', false, [&](const JobId&, const Json& json) {
+    loaded.settled_placements =
+        PlacementNumber(json.at(1).get<std::uint64_t>());
+  });
   decode('s', false, [&](const JobId& worker, const Json& json) {
     auto& starts = loaded.unanswered_starts[WorkerId(worker.value())];
     for (const auto& it : json.at(1)) {
--- a/src/libjobs/stored_job.h
+++ b/src/libjobs/stored_job.h
@@ -91,6 +91,13 @@
 std::string UnansweredStartsKey(const WorkerId& id);
 std::string EncodeUnansweredStarts(const std::vector<UnansweredStart>& starts);
 
+/** Key and value of the record of the highest placement that is settled with
+ * all before it: the start of its run was answered or never sent, or is among
+ * those without an answer. Any other start may still be under way when the next
+ * owner loads the shard. */
+std::string SettledPlacementsKey();
+std::string EncodeSettledPlacements(PlacementNumber settled);
+
 /** The jobs decoded from the records of a shard. */
 struct LoadedJobs {
   std::map<JobId, Job> jobs;
@@ -102,6 +109,8 @@
   std::map<WorkerId, Duration> lease_waits;
   /** Starts without an answer, by worker. */
   std::map<WorkerId, std::vector<UnansweredStart>> unanswered_starts;
+  /** The highest placement that is settled with all before it. */
+  PlacementNumber settled_placements;
   /** Records that could not be decoded, as "key: reason". */
   std::vector<std::string> faults;
 };
--- a/tests/stored_job_test.cc
+++ b/tests/stored_job_test.cc
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <string>
+#include <vector>
 
 #include "libjobs/jobs.h"
 
@@ -108,6 +109,33 @@
   EXPECT_EQ(loaded.lease_waits.at(worker), wait);
 }
 
+// Guards against a start that the next owner takes for answered although it may
+// be on its way, and against one of which an earlier release has stored
+// nothing.
+TEST(StoredJobTest, NewOwnerLoadsWhichStartsMayBeOnTheirWay) {
+  Job job = MakeJob();
+  auto& tasks = job.occurrences.at(0).steps[0];
+  tasks[0].phase = TaskPhase::kStarting;
+  tasks[0].run = RunNumber(1);
+  tasks[0].placement = PlacementNumber(300);
+  const WorkerId worker("w1");
+  const std::vector<UnansweredStart> starts = {
+      {{job.id, 0, 0, 0}, RunNumber(1), std::chrono::seconds(3), true},
+      {{job.id, 0, 0, 1}, RunNumber(2), std::chrono::seconds(0), false}};
+  const auto loaded = DecodeJobs(
+      {{AcceptanceKey(job.id), EncodeAcceptance(job)},
+       {ProgressKey(job.id), EncodeProgress(job)},
+       {SettledPlacementsKey(), EncodeSettledPlacements(PlacementNumber(299))},
+       {UnansweredStartsKey(worker), EncodeUnansweredStarts(starts)}});
+  ASSERT_TRUE(loaded.faults.empty());
+  EXPECT_EQ(loaded.settled_placements, PlacementNumber(299));
+  const auto& got = loaded.jobs.at(job.id).occurrences.at(0).steps[0];
+  EXPECT_EQ(got[0].placement, PlacementNumber(300));
+  EXPECT_EQ(got[1].placement, PlacementNumber());
+  EXPECT_EQ(loaded.unanswered_starts.at(worker), starts);
+  EXPECT_EQ(DecodeJobs({}).settled_placements, PlacementNumber());
+}
+
 // Guards against one damaged record that keeps a whole shard from loading.
 TEST(StoredJobTest, SkipsRecordsThatCannotBeRead) {
   const Job job = MakeJob();
