libfleet: set aside a job at which owners fail

Callers saw: no job of a shard is served on any node.

Cause: nothing told the next owner which job the error belonged to.

Change: an owner that fails while it works on a job stores a count for the job (`f/ID`) before it gives the shard up, and names job, event, occurrence and step in `shard-failed`. After two failures the next owner decides nothing on the job: no start, stop or end. Its runs keep their leases, their ends are stored and acknowledged, its state is shown, a cancel is refused. The record counts for one release. `set-aside-job` in the log, its metric, and `set-aside` in /status show it.

Before: FailingJobTest.OtherJobsOfTheShardAreServed failed: 23 shard-failed lines in 12 s, the other job refused (503).

Conclusion: an error at one job no longer stops the others. Ending the job as failed, or skipping its records, was weighed and not taken (docs/platform.md, section 6).

--- a/src/libfleet/fleet_node.cc
+++ b/src/libfleet/fleet_node.cc
@@ -374,10 +374,11 @@
     const auto report = shard->engine().Report(now);
     text += fmt::format(
         "shard {} token {} loaded {} jobs {} ended {} waiting-steps {} "
-        "workers {} usable {} runs {}\n",
+        "workers {} usable {} runs {} set-aside {}\n",
         id.value(), shard->token().value(), shard->IsLoaded() ? "yes" : "no",
         report.open_jobs, report.ended_jobs, report.waiting_steps,
-        report.workers, report.usable_workers, report.runs);
+        report.workers, report.usable_workers, report.runs,
+        report.set_aside_jobs);
   }
   return text;
 }
--- a/src/libfleet/fleet_node_calls.cc
+++ b/src/libfleet/fleet_node_calls.cc
@@ -246,6 +246,10 @@
   forward->deadline = SteadyNow() + OwnerTimeBudget(time_left);
   forward->retry_until = forward->deadline;
   forward->local = [job](ShardOwner& owner, auto settle) {
+    if (owner.engine().IsSetAside(job)) {
+      settle(tl::unexpected(PeerFault::kNotDone));
+      return;
+    }
     owner.Cancel(job, [settle](Result<CancelAnswer> answer) {
       if (answer) {
         settle(*answer);
--- a/src/libfleet/peer_calls.cc
+++ b/src/libfleet/peer_calls.cc
@@ -18,6 +18,8 @@
 constexpr int kNotOwner = 421;
 /** The plan is of a planner that was replaced. */
 constexpr int kFormerPlanner = 409;
+/** The job is set aside. */
+constexpr int kSetAside = 423;
 /** The owner lost the shard while it handled the request. */
 constexpr int kOutcomeUnknown = 504;
 
@@ -120,10 +122,13 @@
 void ServeCancel(ShardOwner& owner,
                  const Json& body,
                  std::function<void(HttpResponse)> respond) {
-  owner.Cancel(JobId(body.at(1).get<std::string>()), [respond =
-                                                          std::move(respond)](
-                                                         Result<CancelAnswer>
-                                                             answer) {
+  const JobId job(body.at(1).get<std::string>());
+  if (owner.engine().IsSetAside(job)) {
+    respond({kSetAside, {}, ""});
+    return;
+  }
+  owner.Cancel(job, [respond =
+                         std::move(respond)](Result<CancelAnswer> answer) {
     if (!answer) {
       respond({kOutcomeUnknown, {}, ""});
       return;
--- a/src/libfleet/shard_owner.cc
+++ b/src/libfleet/shard_owner.cc
@@ -28,6 +28,10 @@
 /** Bytes of a record in a call beside its key and value. */
 constexpr std::size_t kRecordHeaderBytes = 5;
 
+/** Time after which a caller may come back to a shard whose owner has failed:
+ * about as long as until the next one has loaded it. */
+constexpr Duration kFailedRetryAfter = std::chrono::milliseconds(1000);
+
 /** Splits the records into calls of at most `max_bytes` each. */
 std::deque<std::vector<StoredRecord>> SplitRecords(
     std::vector<StoredRecord> records,
@@ -46,6 +50,22 @@
   return batches;
 }
 
+/** Returns the job that an effect is about, or an empty id. */
+struct JobOfEffect {
+  template <typename T>
+  JobId operator()(const T& effect) const {
+    if constexpr (requires { effect.task.job; }) {
+      return effect.task.job;
+    } else if constexpr (requires { effect.step.job; }) {
+      return effect.step.job;
+    } else if constexpr (requires { effect.offer.job; }) {
+      return effect.offer.job;
+    } else {
+      return JobId();
+    }
+  }
+};
+
 Error ShardMovedError(ShardId shard) {
   return {"own shard", std::to_string(shard.value()), "the shard has moved"};
 }
@@ -150,6 +170,11 @@
                         JobSpec spec,
                         std::optional<Duration> delegated_ago,
                         SubmitDone done) {
+  if (failing_) {
+    done(SubmitAnswer{SubmitVerdict::kRefused, kFailedRetryAfter,
+                      "shard-failed"});
+    return;
+  }
   const ReplyId reply(++last_reply_id_);
   submits_.emplace(reply, std::move(done));
   Post(SubmitRequested{reply, job, queue, std::move(spec),
@@ -169,6 +194,10 @@
 }
 
 void ShardOwner::TakeJob(JobOffer offer, OfferDone done) {
+  if (failing_) {
+    done(false);
+    return;
+  }
   const ReplyId reply(++last_reply_id_);
   offers_.emplace(reply, std::move(done));
   Post(JobOffered{reply, std::move(offer)});
@@ -209,25 +238,53 @@
 }
 
 void ShardOwner::Post(PoolEventBody body) {
-  if (stopped_) {
+  if (stopped_ || failing_) {
     return;
   }
+  JobId job;
   try {
     auto effects =
         engine_.Apply({SteadyNow(), WallMilliseconds(), std::move(body)});
     for (auto& it : effects) {
+      job = std::visit(JobOfEffect(), it);
       Execute(it);
     }
   } catch (const std::exception& error) {
-    // The state may be incomplete; the next owner loads it from the store.
-    ports_.log.Write(
-        "shard-failed", "",
-        fmt::format("shard={} fault=\"{}\"", shard_.value(), error.what()));
+    Fail(job.value().empty() ? engine_.subject().job : job, error.what());
+  }
+}
+
+void ShardOwner::Fail(const JobId& job, const char* fault) {
+  if (std::exchange(failing_, true)) {
+    return;
+  }
+  // The state may be incomplete; the next owner loads it from the store.
+  const auto& subject = engine_.subject();
+  ports_.log.Write(
+      "shard-failed", job.value(),
+      fmt::format("shard={} event={} occurrence={} step={} "
+                  "failures={} fault=\"{}\"",
+                  shard_.value(), subject.event, subject.occurrence,
+                  subject.step, engine_.FailuresAt(job) + 1, fault));
+  if (job.value().empty()) {
     ports_.on_failed(shard_);
+    return;
+  }
+  // An append may be in flight; what follows it in its commit is left out.
+  const bool appending = !batches_.empty();
+  batches_.resize(appending ? 1 : 0);
+  batches_.push_back(
+      {{JobFailuresKey(job), EncodeJobFailures(engine_.FailuresAt(job) + 1)}});
+  if (!appending) {
+    Append();
   }
 }
 
 void ShardOwner::Append() {
+  if (batches_.empty() && failing_) {
+    ports_.on_failed(shard_);
+    return;
+  }
   if (batches_.empty()) {
     ports_.log.metrics().Observe(
         "commit_seconds",
--- a/src/libfleet/shard_owner.h
+++ b/src/libfleet/shard_owner.h
@@ -72,7 +72,7 @@
    * outcome is unknown. */
   void Stop();
 
-  bool IsLoaded() const { return engine_.IsLoaded() && !stopped_; }
+  bool IsLoaded() const { return engine_.IsLoaded() && !stopped_ && !failing_; }
   FenceToken token() const { return token_; }
   const PoolEngine& engine() const { return engine_; }
 
@@ -106,6 +106,9 @@
   /** Goes on after the store has rejected the first batch for good: stores its
    * records one by one, and leaves out a single one. */
   void LeaveOutRejected();
+  /** Gives the shard up after an unexpected error. If that belongs to a job,
+   * the next owner finds in the store how often owners have failed at it. */
+  void Fail(const JobId& job, const char* fault);
   /** Passes an event to the engine and executes its effects. */
   void Post(PoolEventBody body);
   void Execute(PoolEffect& effect);
@@ -119,6 +122,8 @@
   LoopTimer retry_timer_;
   LoopTimer wake_timer_;
   bool stopped_ = false;
+  /** After an unexpected error, until the shard is released. */
+  bool failing_ = false;
 
   /** Sequence number of the next append. */
   std::uint64_t sequence_ = 0;
--- a/src/libjobs/pool_engine.cc
+++ b/src/libjobs/pool_engine.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
+#include <variant>
 
 #include <fmt/format.h>
 
@@ -24,6 +26,43 @@
 /** Bytes that the store adds to a key and a value. */
 constexpr std::size_t kRecordHeaderBytes = 1;
 
+/** Names of the events in the order of PoolEventBody, for the log. */
+constexpr const char* kEventNames[] = {"tick",
+                                       "shard-loaded",
+                                       "policies-changed",
+                                       "division-changed",
+                                       "workers-listed",
+                                       "submit",
+                                       "cancel",
+                                       "job-offered",
+                                       "offer-finished",
+                                       "hosts-planned",
+                                       "commit-stored",
+                                       "poll-finished",
+                                       "start-finished",
+                                       "stop-finished",
+                                       "throttle-finished",
+                                       "advice"};
+static_assert(std::size(kEventNames) == std::variant_size_v<PoolEventBody>);
+
+/** Returns the job that the event is about, or an empty id. */
+struct JobOfEvent {
+  template <typename T>
+  JobId operator()(const T& event) const {
+    if constexpr (requires { event.task.job; }) {
+      return event.task.job;
+    } else if constexpr (requires { event.step.job; }) {
+      return event.step.job;
+    } else if constexpr (requires { event.offer.job; }) {
+      return event.offer.job;
+    } else if constexpr (requires { event.job; }) {
+      return event.job;
+    } else {
+      return JobId();
+    }
+  }
+};
+
 Duration FromMilliseconds(std::int64_t ms) {
   return std::chrono::milliseconds(ms);
 }
@@ -36,12 +75,15 @@
 PoolEffects PoolEngine::Apply(const PoolEvent& event) {
   now_ = event.at;
   wall_ms_ = event.wall_ms;
+  subject_.event = kEventNames[event.body.index()];
+  NoteSubject(std::visit(JobOfEvent(), event.body));
   std::visit([this](const auto& it) { Handle(it); }, event.body);
   if (loaded_) {
     if (schedule_needed_) {
       schedule_needed_ = false;
       Schedule();
     }
+    NoteSubject();
     FlushCommit();
   }
   return std::exchange(effects_, {});
@@ -78,6 +120,7 @@
   PoolReport report;
   for (const auto& [id, job] : jobs_) {
     ++(job.end == JobEnd::kOpen ? report.open_jobs : report.ended_jobs);
+    report.set_aside_jobs += IsSetAside(id) ? 1 : 0;
   }
   for (const auto& [service, steps] : ready_.by_service()) {
     report.waiting_steps += static_cast<int>(steps.size());
@@ -107,8 +150,10 @@
     UsePlan({});
   }
   for (const auto& id : std::set<JobId>(scheduled_jobs_)) {
+    NoteSubject(id);
     BeginDueOccurrences(jobs_.at(id));
   }
+  NoteSubject();
   if (now_ - swept_at_ >= kSweepInterval) {
     swept_at_ = now_;
     ExpireLeases();
@@ -135,6 +180,7 @@
   loaded_at_ = now_;
   jobs_ = std::move(loaded.jobs);
   delegated_ = std::move(loaded.delegations);
+  job_failures_ = std::move(loaded.job_failures);
   for (auto& it : loaded.lost_runs) {
     it.lost_at = now_;
     lost_runs_.Add(it);
@@ -146,8 +192,10 @@
     if (job.end == JobEnd::kOpen && delegated_.contains(id)) {
       Freeze(job);
     }
+    NoteSubject(id);
     AdoptJob(job);
   }
+  NoteSubject();
   for (const auto& [id, wait] : loaded.lease_waits) {
     if (const auto it = workers_.find(id); it != workers_.end()) {
       it->second.inherited_until =
@@ -200,9 +248,18 @@
         }
       }
     }
-    if (job.end == JobEnd::kOpen) {
-      AddReadySteps(job, number);
-    }
+  }
+  if (IsSetAside(job.id)) {
+    Log("set-aside-job", job.id,
+        fmt::format("queue={} failures={}", job.queue.value(),
+                    FailuresAt(job.id)));
+    return;
+  }
+  if (job.end == JobEnd::kOpen && !leaving_.contains(job.id)) {
+    EndWhatIsDone(job);
+  }
+  for (const auto& [number, occurrence] : job.occurrences) {
+    AddReadySteps(job, number);
   }
   if (job.end == JobEnd::kOpen && job.created < job.OccurrenceCount() &&
       !leaving_.contains(job.id)) {
@@ -525,7 +582,7 @@
 void PoolEngine::AddReadySteps(Job& job, int occurrence) {
   const auto it = job.occurrences.find(occurrence);
   if (it == job.occurrences.end() || job.end != JobEnd::kOpen ||
-      leaving_.contains(job.id)) {
+      leaving_.contains(job.id) || IsSetAside(job.id)) {
     return;
   }
   for (int step = 0; step < static_cast<int>(job.spec.steps.size()); ++step) {
@@ -572,6 +629,9 @@
     }
     add(AcceptanceKey(id), "");
     add(ProgressKey(id), "");
+    if (job_failures_.erase(id) > 0) {
+      add(JobFailuresKey(id), "");
+    }
     for (const int part : parts) {
       add(ProgressPartKey(id, part), "");
     }
@@ -621,6 +681,7 @@
       continue;
     }
     Job& job = it->second;
+    NoteSubject(id);
     add(ProgressKey(id), EncodeProgress(job, lost_runs_));
     auto digests = ProgressDigests(job);
     for (const auto& [part, digest] : digests) {
@@ -638,6 +699,7 @@
     job.stored_parts = std::move(digests);
   }
   for (const auto& id : staged_.accepted) {
+    NoteSubject(id);
     add(AcceptanceKey(id), EncodeAcceptance(jobs_.at(id)));
   }
   in_flight_ = std::exchange(staged_, {});
--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -33,6 +33,7 @@
   int workers = 0;
   int usable_workers = 0;
   int runs = 0;
+  int set_aside_jobs = 0;
   std::uint64_t violations = 0;
 };
 
@@ -72,6 +73,21 @@
   const Workers& workers() const { return workers_; }
   const DurationModel& durations() const { return durations_; }
   const std::map<JobId, Job>& jobs() const { return jobs_; }
+  /** What the engine was working on, for the report of an unexpected error. */
+  struct Subject {
+    const char* event = "";
+    /** Empty if the error belongs to no job. */
+    JobId job;
+    /** Occurrence and step; -1 for the whole job. */
+    int occurrence = -1;
+    int step = -1;
+  };
+  const Subject& subject() const { return subject_; }
+  /** Returns how often owners of this release have failed at the job. */
+  int FailuresAt(const JobId& job) const;
+  /** Returns whether no decisions are made on the job, since owners have failed
+   * at it repeatedly. Its runs go on, and their ends are noted. */
+  bool IsSetAside(const JobId& job) const;
   /** Returns what is kept beside the tasks and contradicts them; empty unless
    * the program is at fault. Takes a pass over all tasks. */
   std::vector<std::string> FindInconsistencies() const;
@@ -232,6 +248,14 @@
   void Freeze(const Job& job);
   /** Sends the jobs that are being handed over, again if needed. */
   void OfferLeavingJobs();
+  /** Notes which job the engine works on from now on; none by default. */
+  void NoteSubject(const JobId& job = JobId(),
+                   int occurrence = -1,
+                   int step = -1);
+  /** Ends occurrences, or the job, if all that it takes is stored and only the
+   * end itself is missing. An owner for which the job was set aside has noted
+   * ends of runs only. */
+  void EndWhatIsDone(Job& job);
   /** Begins to decide on a job that was read from records. */
   void AdoptJob(Job& job);
 
@@ -572,6 +596,9 @@
   std::map<JobId, Leaving> leaving_;
   /** Since when no worker of the cell could take a task of the job. */
   std::map<JobId, Time> lacking_since_;
+  /** How often owners have failed at a job. */
+  std::map<JobId, int> job_failures_;
+  Subject subject_;
   HostPlan plan_;
   /** Highest fencing token of a planner that has sent a plan. */
   FenceToken planner_;
--- a/src/libjobs/pool_engine_consistency.cc
+++ b/src/libjobs/pool_engine_consistency.cc
@@ -20,7 +20,7 @@
     }
   }
   for (const auto& [id, job] : jobs_) {
-    if (job.end != JobEnd::kOpen || leaving_.contains(id)) {
+    if (job.end != JobEnd::kOpen || leaving_.contains(id) || IsSetAside(id)) {
       continue;
     }
     for (const auto& [number, occurrence] : job.occurrences) {
@@ -51,7 +51,8 @@
     return "no such job";
   }
   const Job& job = found->second;
-  if (job.end != JobEnd::kOpen || leaving_.contains(ready.job)) {
+  if (job.end != JobEnd::kOpen || leaving_.contains(ready.job) ||
+      IsSetAside(ready.job)) {
     return "its job places no tasks";
   }
   if (!job.occurrences.contains(ready.occurrence)) {
--- a/src/libjobs/pool_engine_crashes.cc
+++ b/src/libjobs/pool_engine_crashes.cc
@@ -61,6 +61,7 @@
     ids.push_back(id);
   }
   for (const auto& id : ids) {
+    NoteSubject(id.job, id.occurrence, id.step);
     if (!worker.runs.contains(id)) {
       // Undone with another member of its gang.
       continue;
@@ -93,6 +94,7 @@
     }
     EndRun(found->second, id, *task, EndKind::kLeaseExpired, "");
   }
+  NoteSubject();
 }
 
 void PoolEngine::StoreAwaitingPlacements(Worker& worker) {
@@ -202,7 +204,7 @@
     const auto found = jobs_.find(it.task.job);
     Task* task = found == jobs_.end() ? nullptr : found->second.Find(it.task);
     if (!task || found->second.end != JobEnd::kOpen ||
-        task->phase == TaskPhase::kDone) {
+        task->phase == TaskPhase::kDone || IsSetAside(it.task.job)) {
       continue;
     }
     task->unexplained_losses = std::max(0, task->unexplained_losses - 1);
--- a/src/libjobs/pool_engine_tasks.cc
+++ b/src/libjobs/pool_engine_tasks.cc
@@ -67,6 +67,13 @@
     task.phase = TaskPhase::kWaiting;
     return;
   }
+  if (IsSetAside(job.id)) {
+    task.phase = kind == EndKind::kDone && !spec.long_running
+                     ? TaskPhase::kDone
+                     : TaskPhase::kWaiting;
+    task.failures += kind == EndKind::kFailed ? 1 : 0;
+    return;
+  }
   if (kind == EndKind::kDone || kind == EndKind::kFailed) {
     task.crashes = 0;
     task.doubtful_crashes = 0;
@@ -143,6 +150,7 @@
     const auto* lacking =
         steps.size() > kMaxMisfits ? &StepsLackingHosts(service) : nullptr;
     for (const auto& it : steps) {
+      NoteSubject(it.job, it.occurrence, it.step);
       const bool lacks =
           lacking && lacking->contains({it.job, it.occurrence, it.step});
       (lacks ? without_host : by_lateness)[LatenessOf(it, now_)].push_back(it);
@@ -167,6 +175,7 @@
       if (misfits >= kMaxMisfits || allowance <= 0) {
         return;
       }
+      NoteSubject(it.job, it.occurrence, it.step);
       misfits += PlaceStep(service, placement, it, allowance) ? 0 : 1;
       if (lateness == kDeferred) {
         late_work_cores_[service].cores = allowance;
--- a/src/libjobs/pool_engine_workers.cc
+++ b/src/libjobs/pool_engine_workers.cc
@@ -222,13 +222,16 @@
   }
 
   for (const auto& it : report.ended) {
+    NoteSubject(it.task.job, it.task.occurrence, it.task.step);
     ApplyEnded(worker, it);
   }
   std::set<TaskId> present;
   for (const auto& it : report.running) {
     present.insert(it.task);
+    NoteSubject(it.task.job, it.task.occurrence, it.task.step);
     ApplyRunning(worker, it);
   }
+  NoteSubject();
   if (report.has_more_ends) {
     Log("ends-in-part", JobId(),
         fmt::format("worker={} ends={} last={} stored={} runs={}",
@@ -382,6 +385,7 @@
     }
   }
   for (const auto& id : ids) {
+    NoteSubject(id.job, id.occurrence, id.step);
     const auto found = jobs_.find(id.job);
     Task* task = found == jobs_.end() ? nullptr : found->second.Find(id);
     if (!task || task->worker != worker.entry.id) {
@@ -428,6 +432,7 @@
         break;
     }
   }
+  NoteSubject();
 }
 
 void PoolEngine::MaybePollWorkers() {
--- a/src/libjobs/stored_job.cc
+++ b/src/libjobs/stored_job.cc
@@ -354,6 +354,14 @@
   return Pack(Json::array({kFormatVersion, settled.value()}));
 }
 
+std::string JobFailuresKey(const JobId& id) {
+  return "f/" + id.value();
+}
+
+std::string EncodeJobFailures(int failures) {
+  return Pack(Json::array({kFormatVersion, failures, BAOBAB_VERSION}));
+}
+
 std::string EncodeAcceptance(const Job& job) {
   Json steps = Json::array();
   for (const auto& it : job.spec.steps) {
@@ -465,6 +473,11 @@
     loaded.lease_waits[WorkerId(worker.value())] =
         Duration(json.at(1).get<std::int64_t>());
   });
+  decode('f', false, [&](const JobId& id, const Json& json) {
+    if (json.at(2).get<std::string>() == BAOBAB_VERSION) {
+      loaded.job_failures[id] = json.at(1).get<int>();
+    }
+  });
   decode('n', false, [&](const JobId&, const Json& json) {
     loaded.settled_placements =
         PlacementNumber(json.at(1).get<std::uint64_t>());
--- a/src/libjobs/stored_job.h
+++ b/src/libjobs/stored_job.h
@@ -98,6 +98,12 @@
 std::string SettledPlacementsKey();
 std::string EncodeSettledPlacements(PlacementNumber settled);
 
+/** Key and value of the record of how often owners have ended with an
+ * unexpected error while they worked on the job. It counts for this release
+ * only. */
+std::string JobFailuresKey(const JobId& id);
+std::string EncodeJobFailures(int failures);
+
 /** The jobs decoded from the records of a shard. */
 struct LoadedJobs {
   std::map<JobId, Job> jobs;
@@ -111,6 +117,8 @@
   std::map<WorkerId, std::vector<UnansweredStart>> unanswered_starts;
   /** The highest placement that is settled with all before it. */
   PlacementNumber settled_placements;
+  /** How often owners of this release have failed at a job. */
+  std::map<JobId, int> job_failures;
   /** Records that could not be decoded, as "key: reason". */
   std::vector<std::string> faults;
 };
--- a/tests/fleet_fakes.h
+++ b/tests/fleet_fakes.h
@@ -248,6 +248,8 @@
   int stops = 0;
   /** Number of start orders, from the first, whose call throws. */
   int throwing_starts = 0;
+  /** Each start of a task of this job throws. */
+  JobId fails_on_start_of;
   /** Members whose calls to the store get no answer. */
   std::set<std::string> cut_off;
   /** Time until such a call fails: that of a refused connection, or the timeout
@@ -445,6 +447,9 @@
       --platform_.throwing_starts;
       throw std::runtime_error("start failed");
     }
+    if (start.task.job == platform_.fails_on_start_of) {
+      throw std::runtime_error("start of a failing job");
+    }
     platform_.ordered_at[member_] = SteadyNow();
     auto& sim = platform_.sim_workers[start.worker];
     auto result = OrderResult::kFenced;
