libjobs: keep a host that holds a task back from being moved away

Cause: a task whose start got no answer is held back until its worker has answered a poll that was sent when the start could last arrive. The planner saw that worker as idle and moved its host to a standby pool; then only the end of the longest lease (10 s there) could end the wait.

Change: while a start holds a task back, the usage report shows its host as in use, until the start can last arrive.

Conclusion: the doubt ends with the answer of its worker again. It still takes the longest lease if the worker is gone for another reason (docs/platform.md, section 8).

--- a/src/libjobs/pool_engine_late_starts.cc
+++ b/src/libjobs/pool_engine_late_starts.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <chrono>
+#include <optional>
 #include <utility>
 
 #include <fmt/format.h>
@@ -63,6 +64,19 @@
   });
 }
 
+std::optional<Time> PoolEngine::HoldsBackUntil(const Worker& worker) const {
+  std::optional<Time> until;
+  for (const auto& [id, start] : worker.late_starts) {
+    const auto job = jobs_.find(id.job);
+    const Task* task = job == jobs_.end() ? nullptr : job->second.Find(id);
+    if (task && task->held_back && !start.maybe_unsent &&
+        job->second.end == JobEnd::kOpen) {
+      until = std::max(until.value_or(Time::min()), start.arrives_by);
+    }
+  }
+  return until;
+}
+
 void PoolEngine::GiveUpStart(Worker& worker,
                              const Job& job,
                              const TaskId& id,
--- a/src/libjobs/pool_usage.h
+++ b/src/libjobs/pool_usage.h
@@ -53,7 +53,8 @@
   HostId host;
   WorkerId worker;
   ServiceId service;
-  /** Nothing runs on the host and all run ends are acknowledged. */
+  /** Nothing runs on the host, all run ends are acknowledged, and no task waits
+   * for what its worker answers. */
   bool empty = false;
   /** The host has long-running tasks. */
   bool long_running = false;
@@ -63,7 +64,8 @@
   bool draining = false;
   /** Cores taken by runs. */
   double used = 0;
-  /** Expected time until the last finite run on the host ends. */
+  /** Expected time until the last finite run on the host ends, and until no
+   * start that holds a task back can arrive there. */
   Duration busy_for{0};
 };
 
--- a/tests/restarted_worker_test.cc
+++ b/tests/restarted_worker_test.cc
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <chrono>
 #include <ostream>
 
@@ -172,6 +173,40 @@
   EXPECT_EQ(violated, 0) << first;
 }
 
+// A start gets no answer and its process answers a stop of the run. Guards
+// against a host that is moved away as idle although only its worker can show
+// that the task may be placed again, which then waits for the longest lease.
+TEST(LateStartTest, HostIsInUseWhileItHoldsATaskBack) {
+  JobWorld world;
+  const auto id = world.AddWorker("w0");
+  world.TakeOver();
+  world.Advance(seconds(5));
+  auto& worker = world.workers.at(id);
+  worker.orders_held_until = world.now + seconds(9);
+  world.Submit("j1", LongJob(seconds(1)));
+  world.Advance(milliseconds(30));
+  worker.orders_held_until = Time::min();
+  world.AddWorker("w1");
+  // The next run is to be on the other worker.
+  worker.entry.draining = true;
+  world.Advance(seconds(5));
+  ASSERT_TRUE(worker.runs.empty());
+  ASSERT_EQ(world.State("j1"), JobState::kQueued);
+  const auto host = [&] {
+    const auto usage = world.engine->Usage(world.now);
+    const auto it =
+        std::find_if(usage.hosts.begin(), usage.hosts.end(),
+                     [&](const auto& host) { return host.worker == id; });
+    return it == usage.hosts.end() ? HostUsage() : *it;
+  };
+  EXPECT_FALSE(host().empty);
+  EXPECT_GT(host().busy_for, seconds(5));
+  world.Advance(seconds(12));
+  EXPECT_EQ(world.State("j1"), JobState::kCompleted);
+  EXPECT_TRUE(host().empty);
+  EXPECT_EQ(host().busy_for, seconds(0));
+}
+
 struct LateStartCase {
   const char* name;
   /** Duration of the task: the next run is still present, or done. */
