--- a/tests/damaged_message_test.cc
+++ b/tests/damaged_message_test.cc
@@ -70,10 +70,11 @@
         R"("services":{"s":{"standby":true}},"limits":{}})"));
     platform::DecodeWorker(
         "i",
-        DamagedText(R"({"service":"s","address":"10.0.0.1:80","zone":"z",)"
-                    R"("version":"v1","slots":8,"state":"ready","seq":4,)"
-                    R"("born":1700000000000,"machine":"m","labels":["a","r1"],)"
-                    R"("capacity":{"cpu":64000,"mem_mb":1000}})"));
+        DamagedText(
+            R"({"service":"s","address":"10.0.0.1:80","zone":"z",)"
+            R"("version":"v1","slots":8,"state":"ready","seq":4,"cold_left_ms":0,)"
+            R"("born":1700000000000,"machine":"m","labels":["a","r1"],)"
+            R"("capacity":{"cpu":64000,"mem_mb":1000}})"));
     platform::DecodeWave(DamagedText(
         R"({"wave":1,"machines":["m1","m2"],"within_s":25.0,"maximum":3})"));
     platform::DecodeHosts(DamagedText(
--- a/tests/odd_entry_test.cc
+++ b/tests/odd_entry_test.cc
@@ -125,7 +125,8 @@
 class OddWorkerTest : public testing::TestWithParam<FieldCase> {
  protected:
   static constexpr char kWorker[] =
-      R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"ready",)"
+      R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1",)"
+      R"("slots":8,"state":"ready","cold_left_ms":0,"seq":4,)"
       R"("capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1"],)"
       R"("clock_ms":482113,"born":17,"machine":"m-1","remaining_ms":5})";
 };
@@ -180,9 +181,42 @@
         FieldCase{"LabelIsNoUtf8", "/labels", "[\"\xff\"]"},
         FieldCase{"ServiceEmpty", "/service", R"("")"},
         FieldCase{"MachineIsNumber", "/machine", "7"},
+        FieldCase{"ZoneIsNumber", "/zone", "7"},
+        FieldCase{"VersionIsNumber", "/version", "1"},
+        FieldCase{"SlotsAreText", "/slots", R"("8")"},
+        FieldCase{"SlotsNegative", "/slots", "-1"},
+        FieldCase{"ColdTimeIsText", "/cold_left_ms", R"("0")"},
+        FieldCase{"ColdTimeIsNull", "/cold_left_ms", "null"},
+        FieldCase{"SequenceIsText", "/seq", R"("4")"},
+        FieldCase{"SequenceIsFraction", "/seq", "4.5"},
         FieldCase{"RepeatedKey", "/zone", R"("z","zone":"y")"}),
     [](const auto& info) { return info.param.name; });
 
+class MissingFieldTest : public OddWorkerTest {};
+
+// Guards against an entry that lacks a field and is taken for the newest worker
+// of the host that it names, so that the runs there are started a second time.
+TEST_P(MissingFieldTest, NamesNoWorker) {
+  auto json = *ParseJson(kWorker);
+  ASSERT_EQ(json.erase(GetParam().field), 1u);
+  EXPECT_FALSE(platform::DecodeWorker("i", DumpJson(json)).has_value());
+}
+
+INSTANTIATE_TEST_SUITE_P(Fields,
+                         MissingFieldTest,
+                         testing::Values(FieldCase{"Service", "service", ""},
+                                         FieldCase{"Address", "address", ""},
+                                         FieldCase{"Zone", "zone", ""},
+                                         FieldCase{"Version", "version", ""},
+                                         FieldCase{"Slots", "slots", ""},
+                                         FieldCase{"State", "state", ""},
+                                         FieldCase{"ColdTime", "cold_left_ms",
+                                                   ""},
+                                         FieldCase{"Sequence", "seq", ""},
+                                         FieldCase{"Capacity", "capacity", ""},
+                                         FieldCase{"Labels", "labels", ""}),
+                         [](const auto& info) { return info.param.name; });
+
 class OddWorkerIdTest : public testing::TestWithParam<std::string> {};
 
 // Guards against an id that ends a line of the log or a header of a request.
@@ -190,6 +224,7 @@
   EXPECT_FALSE(platform::DecodeWorker(
                    GetParam(),
                    R"({"service":"s","address":"10.0.0.9:80","zone":"z",)"
+                   R"("version":"v1","slots":8,"cold_left_ms":0,"seq":4,)"
                    R"("state":"ready","capacity":{},"labels":[]})")
                    .has_value());
 }
@@ -210,7 +245,12 @@
   };
   const Json json = {{"service", "s"},
                      {"address", "10.0.0.9:80"},
+                     {"zone", "z"},
+                     {"version", "v1"},
+                     {"slots", 8},
                      {"state", "ready"},
+                     {"cold_left_ms", 0},
+                     {"seq", 4},
                      {"capacity", {{"cpu", number()}, {"mem_mb", number()}}},
                      {"labels", Json::array()},
                      {"born", number()},
--- a/tests/store_client_test.cc
+++ b/tests/store_client_test.cc
@@ -22,7 +22,8 @@
 using std::chrono::milliseconds;
 
 constexpr char kWorker[] =
-    R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"ready",)"
+    R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1",)"
+    R"("slots":8,"state":"ready","cold_left_ms":0,"seq":4,)"
     R"("capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1-3"],)"
     R"("clock_ms":482113,"born":17,"machine":"m-1"})";
 
