planner: move awaited hosts between pools, and only keep them from standby

Cause: reported a host to which a held-back start may arrive as in use.

Change: the usage report marks such a host as awaited instead. The planner does not return it to a standby pool, where no worker would answer, and moves it to other pools as before: the next worker on the host ends the doubt there (host-has-new-worker). Owners of earlier releases do not report it.

--- a/src/libfleet/planner_codec.cc
+++ b/src/libfleet/planner_codec.cc
@@ -75,7 +75,7 @@
     hosts.push_back(
         Json::array({it.host.value(), it.worker.value(), it.service.value(),
                      it.empty, it.long_running, it.reserved, it.draining,
-                     it.used, it.busy_for.count()}));
+                     it.used, it.busy_for.count(), it.awaited}));
   }
   return Json::array({services, hosts});
 }
@@ -112,7 +112,9 @@
          WorkerId(it.at(1).get<std::string>()),
          ServiceId(it.at(2).get<std::string>()), it.at(3).get<bool>(),
          it.at(4).get<bool>(), it.at(5).get<bool>(), it.at(6).get<bool>(),
-         it.at(7).get<double>(), Duration(it.at(8).get<std::int64_t>())});
+         it.at(7).get<double>(), Duration(it.at(8).get<std::int64_t>()),
+         // Owners of earlier versions do not report it.
+         it.size() > 9 && it.at(9).get<bool>()});
   }
   return usage;
 }
--- a/src/libjobs/host_planner.cc
+++ b/src/libjobs/host_planner.cc
@@ -276,7 +276,7 @@
     if (host != hosts_.end() && host->second.info.pool == it.service) {
       host->second.usage = it;
       host->second.usage_at = now_;
-      if (!it.empty) {
+      if (!it.empty || it.awaited) {
         host->second.empty_since.reset();
       } else if (!host->second.empty_since) {
         host->second.empty_since = now_;
--- a/src/libjobs/host_planner.h
+++ b/src/libjobs/host_planner.h
@@ -225,8 +225,8 @@
     /** Last report from the owner of the pool, and when it came. */
     std::optional<HostUsage> usage;
     Time usage_at;
-    /** Start of the period in which all usage reports show the host as empty;
-     * unset while it is not. */
+    /** Start of the period in which all usage reports show the host as empty
+     * and not awaited; unset while it is not. */
     std::optional<Time> empty_since;
 
     /** Set while the host is reserved. */
--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -384,9 +384,8 @@
   /** Returns whether starts of the task that were sent may still take effect
    * somewhere. */
   bool IsHeldBack(const TaskId& id) const;
-  /** Returns until when starts to the worker that hold tasks back may arrive,
-   * or nothing if there are none. */
-  std::optional<Time> HoldsBackUntil(const Worker& worker) const;
+  /** Returns whether tasks are held back by starts to the worker. */
+  bool HoldsTasksBack(const Worker& worker) const;
   /** Forgets starts that can no longer arrive and have not been carried out,
    * according to a report with all runs of the worker. */
   void SettleLateStarts(Worker& worker, const WorkerReport& report);
--- a/src/libjobs/pool_engine_demand.cc
+++ b/src/libjobs/pool_engine_demand.cc
@@ -40,11 +40,7 @@
     for (const auto& [task, room] : worker.runs) {
       AddRun(task, room, now, service, host);
     }
-    if (const auto held_until = HoldsBackUntil(worker)) {
-      // Only this worker can show that the starts have no effect any more.
-      host.empty = false;
-      host.busy_for = std::max(host.busy_for, *held_until - now);
-    }
+    host.awaited = HoldsTasksBack(worker);
     if (worker.IsUsable(now)) {
       ++service.workers;
       service.cores +=
--- a/src/libjobs/pool_engine_late_starts.cc
+++ b/src/libjobs/pool_engine_late_starts.cc
@@ -1,6 +1,5 @@
 #include <algorithm>
 #include <chrono>
-#include <optional>
 #include <utility>
 
 #include <fmt/format.h>
@@ -64,17 +63,16 @@
   });
 }
 
-std::optional<Time> PoolEngine::HoldsBackUntil(const Worker& worker) const {
-  std::optional<Time> until;
-  for (const auto& [id, start] : worker.late_starts) {
-    const auto job = jobs_.find(id.job);
-    const Task* task = job == jobs_.end() ? nullptr : job->second.Find(id);
-    if (task && task->held_back && !start.maybe_unsent &&
-        job->second.end == JobEnd::kOpen) {
-      until = std::max(until.value_or(Time::min()), start.arrives_by);
-    }
-  }
-  return until;
+bool PoolEngine::HoldsTasksBack(const Worker& worker) const {
+  return std::any_of(worker.late_starts.begin(), worker.late_starts.end(),
+                     [this](const auto& it) {
+                       const auto& [id, start] = it;
+                       const auto job = jobs_.find(id.job);
+                       const Task* task =
+                           job == jobs_.end() ? nullptr : job->second.Find(id);
+                       return task && task->held_back && !start.maybe_unsent &&
+                              job->second.end == JobEnd::kOpen;
+                     });
 }
 
 void PoolEngine::GiveUpStart(Worker& worker,
--- a/src/libjobs/pool_usage.h
+++ b/src/libjobs/pool_usage.h
@@ -53,8 +53,7 @@
   HostId host;
   WorkerId worker;
   ServiceId service;
-  /** Nothing runs on the host, all run ends are acknowledged, and no task waits
-   * for what its worker answers. */
+  /** Nothing runs on the host and all run ends are acknowledged. */
   bool empty = false;
   /** The host has long-running tasks. */
   bool long_running = false;
@@ -64,9 +63,11 @@
   bool draining = false;
   /** Cores taken by runs. */
   double used = 0;
-  /** Expected time until the last finite run on the host ends, and until no
-   * start that holds a task back can arrive there. */
+  /** Expected time until the last finite run on the host ends. */
   Duration busy_for{0};
+  /** A task is held back until its worker, or the next one on the host,
+   * answers. */
+  bool awaited = false;
 };
 
 /** Usage report from the owner of a shard to the planner. */
--- a/tests/host_planner_test.cc
+++ b/tests/host_planner_test.cc
@@ -106,6 +106,7 @@
         host.busy_for = std::max(Duration(0), late_until.at(id) - now);
       }
       host.reserved = IsReserved(id);
+      host.awaited = awaited.contains(id);
       usage.hosts.push_back(host);
     }
     Apply(PoolUsageRead{kCell, usage});
@@ -212,6 +213,8 @@
   std::map<HostId, HostInfo> hosts;
   std::map<HostId, Time> back_at;
   std::set<HostId> busy;
+  /** Hosts whose workers' answers are awaited. */
+  std::set<HostId> awaited;
   /** Hosts with runs of late jobs, and the ends of these runs. */
   std::map<HostId, Time> late_until;
   /** Cores that waiting tasks need, by pool. */
@@ -537,6 +540,31 @@
   EXPECT_GE(world.Cores("hot"), 64);
 }
 
+// Guards against a host that is switched off while a task waits for what its
+// worker answers, and against one that is kept from a pool with waiting work,
+// where its next worker answers.
+TEST(HostPlannerTest, ReturnsNoHostWhoseAnswerIsAwaited) {
+  PlannerWorld world;
+  for (int i = 0; i < 9; ++i) {
+    const auto id = "cold" + std::to_string(i);
+    world.AddHost(id, "cold");
+    world.awaited.insert(HostId(id));
+  }
+  world.AddHost("hot0", "hot");
+  world.AddHost("off0", "off");
+  world.Start();
+  world.Rounds(80);
+  EXPECT_TRUE(world.moves.empty());
+  world.demands["hot"] = 300;
+  world.Rounds(4);
+  EXPECT_GE(world.moves.size(), 3u);
+  world.demands["hot"] = 0;
+  world.awaited.clear();
+  world.moves.clear();
+  world.Rounds(80);
+  EXPECT_GE(world.moves.size(), 1u);
+}
+
 // Guards against runs that are placed on the worker of a host that has left the
 // pool: the platform lists it until three heartbeats are missing.
 TEST(HostPlannerTest, KeepsHostsReservedInThePoolThatTheyLeft) {
