--- a/src/libjobs/pool_engine_consistency.cc
+++ b/src/libjobs/pool_engine_consistency.cc
@@ -24,8 +24,8 @@
       continue;
     }
     for (const auto& [number, occurrence] : job.occurrences) {
-      for (const auto& id : TasksWronglyHeldBack(job, number)) {
-        found.push_back(fmt::format("late starts of {}", ToString(id)));
+      for (const auto& task : TasksWronglyHeldBack(job, number)) {
+        found.push_back(fmt::format("late starts of {}", ToString(task)));
       }
       if (job.IsFinished(occurrence)) {
         found.push_back(
--- a/src/libjobs/pool_engine_late_starts.cc
+++ b/src/libjobs/pool_engine_late_starts.cc
@@ -106,9 +106,11 @@
 void PoolEngine::SettleLateStarts(Worker& worker, const WorkerReport& report) {
   std::vector<TaskId> over;
   for (const auto& [id, start] : worker.late_starts) {
-    const bool present = std::any_of(
-        report.running.begin(), report.running.end(),
-        [&](const auto& it) { return it.task == id && it.run == start.run; });
+    const bool present =
+        std::any_of(report.running.begin(), report.running.end(),
+                    [&task = id, run = start.run](const auto& it) {
+                      return it.task == task && it.run == run;
+                    });
     if (!present && worker.poll_sent_at > start.arrives_by) {
       over.push_back(id);
     }
