--- a/review/standin-3/cases.cc
+++ b/review/standin-3/cases.cpp
@@ -27,7 +27,8 @@
   std::ifstream in("/proc/" + std::to_string(pid) + "/stat");
   std::string word;
   long user = 0, system = 0;
-  for (int i = 1; i <= 13; ++i) in >> word;
+  for (int i = 1; i <= 13; ++i)
+    in >> word;
   in >> user >> system;
   return (user + system) * 1000 / ::sysconf(_SC_CLK_TCK);
 }
@@ -50,13 +51,15 @@
     const json spec = {{"spec", "ms=1000"},
                        {"steps", {Step(2, 1000, 1000), second}}};
     const auto id = Id(0xa0 + i);
-    if (w.Submit(prefix, id, spec) != 200) return 2;
+    if (w.Submit(prefix, id, spec) != 200)
+      return 2;
     jobs.push_back(id);
   }
   // The job with many steps: each has one task, and none depends on another.
   const int steps = trouble ? 10'000 : 10;
   json list = json::array();
-  for (int i = 0; i < steps; ++i) list.push_back({{"count", 1}, {"cpu", 1}});
+  for (int i = 0; i < steps; ++i)
+    list.push_back({{"count", 1}, {"cpu", 1}});
   const json spec = {{"spec", "ms=20"}, {"steps", list}};
   w.Note("a job of " + std::to_string(steps) + " steps, " +
          std::to_string(spec.dump().size()) + " bytes");
@@ -65,7 +68,8 @@
   World::Sleep(20'000);
   w.Note("jobs are asked for");
   std::vector<long> used;
-  for (const auto& it : w.nodes) used.push_back(ProcessorMs(it.pid));
+  for (const auto& it : w.nodes)
+    used.push_back(ProcessorMs(it.pid));
   std::map<std::string, std::string> answers;
   const auto begin = SteadyMs();
   std::vector<std::thread> askers;
@@ -86,7 +90,8 @@
       }
     });
   }
-  for (auto& it : askers) it.join();
+  for (auto& it : askers)
+    it.join();
   sender.join();
   const auto passed = SteadyMs() - begin;
   for (std::size_t i = 0; i < w.nodes.size(); ++i) {
@@ -108,7 +113,8 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  if (argc < 5) return 2;
+  if (argc < 5)
+    return 2;
   const auto* variable = std::getenv("TROUBLE");
   trouble = !variable || std::string(variable) != "0";
   ::signal(SIGPIPE, SIG_IGN);
--- a/review/standin-3/platform.cc
+++ b/review/standin-3/platform.cpp
@@ -80,8 +80,10 @@
   std::string out;
   for (std::size_t i = 0; i < in.size(); i += 3) {
     unsigned n = static_cast<unsigned char>(in[i]) << 16;
-    if (i + 1 < in.size()) n |= static_cast<unsigned char>(in[i + 1]) << 8;
-    if (i + 2 < in.size()) n |= static_cast<unsigned char>(in[i + 2]);
+    if (i + 1 < in.size())
+      n |= static_cast<unsigned char>(in[i + 1]) << 8;
+    if (i + 2 < in.size())
+      n |= static_cast<unsigned char>(in[i + 2]);
     out += k[n >> 18];
     out += k[(n >> 12) & 63];
     out += i + 1 < in.size() ? k[(n >> 6) & 63] : '=';
@@ -121,30 +123,34 @@
   const bool keyed = topic.rfind("keyed.", 0) == 0;
   std::vector<std::string> records;
   for (std::size_t at = 0; at < r.body.size();) {
-    if (at + 4 > r.body.size()) return {400, "{}"};
+    if (at + 4 > r.body.size())
+      return {400, "{}"};
     std::uint32_t n = 0;
     for (int i = 0; i < 4; ++i) {
       n = n << 8 | static_cast<unsigned char>(r.body[at + i]);
     }
-    if (n > kRecordBytes) return {413, "{}"};
-    if (at + 4 + n > r.body.size()) return {400, "{}"};
+    if (n > kRecordBytes)
+      return {413, "{}"};
+    if (at + 4 + n > r.body.size())
+      return {400, "{}"};
     records.push_back(r.body.substr(at + 4, n));
     at += 4 + n;
   }
-  if (r.body.size() > kRequestBytes) return {413, "{}"};
+  if (r.body.size() > kRequestBytes)
+    return {413, "{}"};
   std::unique_lock lock(mutex);
   auto& part = parts[{topic, std::atoi(r.Query("part").c_str())}];
   // Appends of a partition are processed one at a time.
   const auto now_us = SteadyUs();
-  if (part.busy_until_us - now_us > 2'000'000) return {503, "{}"};
+  if (part.busy_until_us - now_us > 2'000'000)
+    return {503, "{}"};
   part.busy_until_us = std::max(part.busy_until_us, now_us) + 2000 +
                        static_cast<std::int64_t>(r.body.size()) / 20;
   const auto due = part.busy_until_us;
   lock.unlock();
   std::this_thread::sleep_for(std::chrono::microseconds(due - now_us));
   lock.lock();
-  if (r.query.count("at") &&
-      std::stoull(r.Query("at")) != part.end()) {
+  if (r.query.count("at") && std::stoull(r.Query("at")) != part.end()) {
     return {412, json{{"end_offset", part.end()}}.dump()};
   }
   Producer* producer = nullptr;
@@ -163,11 +169,12 @@
     }
     if (!records.empty()) {
       for (const auto& [n, answer] : producer->last) {
-        if (n == seq) return {200, answer};
+        if (n == seq)
+          return {200, answer};
       }
       if (producer->next >= 0 && seq != producer->next) {
-        return {409, json{{"reason", "seq"}, {"expected", producer->next}}
-                         .dump()};
+        return {409,
+                json{{"reason", "seq"}, {"expected", producer->next}}.dump()};
       }
     }
   }
@@ -177,13 +184,15 @@
     return {507, "{}"};
   }
   const auto offset = part.end();
-  for (auto& it : records) Add(part, keyed, std::move(it));
+  for (auto& it : records)
+    Add(part, keyed, std::move(it));
   const auto answer =
       json{{"offset", offset}, {"end_offset", part.end()}}.dump();
   if (producer && !records.empty()) {
     producer->next = seq + 1;
     producer->last.emplace_back(seq, answer);
-    if (producer->last.size() > 5) producer->last.pop_front();
+    if (producer->last.size() > 5)
+      producer->last.pop_front();
   }
   changed.notify_all();
   return {200, answer};
@@ -193,11 +202,12 @@
   std::unique_lock lock(mutex);
   auto& part = parts[{r.Query("topic"), std::atoi(r.Query("part").c_str())}];
   const auto from = std::stoull(r.Query("from"));
-  const auto wait = r.query.count("wait_ms") ? std::stoi(r.Query("wait_ms")) : 0;
+  const auto wait =
+      r.query.count("wait_ms") ? std::stoi(r.Query("wait_ms")) : 0;
   const auto until =
       std::chrono::steady_clock::now() + std::chrono::milliseconds(wait);
-  while (part.end() <= from && changed.wait_until(lock, until) ==
-                                   std::cv_status::no_timeout) {
+  while (part.end() <= from &&
+         changed.wait_until(lock, until) == std::cv_status::no_timeout) {
   }
   if (from < part.first) {
     return {410, json{{"first_offset", part.first}}.dump()};
@@ -245,7 +255,8 @@
 void Deal(Group& group) {
   ++group.generation;
   std::vector<std::string> names;
-  for (const auto& [name, it] : group.members) names.push_back(name);
+  for (const auto& [name, it] : group.members)
+    names.push_back(name);
   for (int i = 0; i < kParts; ++i) {
     group.target[i] = names.empty() ? "" : names[i % names.size()];
     if (!group.members.count(group.holder[i])) {
@@ -265,7 +276,8 @@
       ++it;
     }
   }
-  if (lost) Deal(group);
+  if (lost)
+    Deal(group);
 }
 
 Response Join(const Request& r, bool leave) {
@@ -275,16 +287,19 @@
   ExpireMembers(group);
   const std::string member = body.at("member");
   if (leave) {
-    if (group.members.erase(member) > 0) Deal(group);
+    if (group.members.erase(member) > 0)
+      Deal(group);
     return {200, "{}"};
   }
   const std::int64_t ttl = body.at("ttl_ms");
   const bool known = group.members.count(member) > 0;
   group.members[member] = {SteadyMs(), ttl};
-  if (!known) Deal(group);
+  if (!known)
+    Deal(group);
   if (body.value("generation", std::int64_t{0}) >= group.generation) {
     for (int i = 0; i < kParts; ++i) {
-      if (group.holder[i] == member) group.holder[i] = group.target[i];
+      if (group.holder[i] == member)
+        group.holder[i] = group.target[i];
     }
   }
   auto rows = json::array();
@@ -293,10 +308,10 @@
       rows.push_back({body.at("topics").at(0), i, 0});
     }
   }
-  return {200, json{{"generation", group.generation},
-                    {"ttl_ms", ttl},
-                    {"parts", rows}}
-                   .dump()};
+  return {
+      200,
+      json{{"generation", group.generation}, {"ttl_ms", ttl}, {"parts", rows}}
+          .dump()};
 }
 
 Response Owners(const Request& r) {
@@ -313,12 +328,18 @@
 }
 
 Response ServeStore(const Request& r) {
-  if (r.path == "/baobabfront/log-append") return Append(r);
-  if (r.path == "/baobabfront/log-read") return Read(r);
-  if (r.path == "/baobabfront/log-newest") return ReadNewest(r);
-  if (r.path == "/baobabfront/log-join") return Join(r, false);
-  if (r.path == "/baobabfront/log-leave") return Join(r, true);
-  if (r.path == "/baobabfront/log-owners") return Owners(r);
+  if (r.path == "/baobabfront/log-append")
+    return Append(r);
+  if (r.path == "/baobabfront/log-read")
+    return Read(r);
+  if (r.path == "/baobabfront/log-newest")
+    return ReadNewest(r);
+  if (r.path == "/baobabfront/log-join")
+    return Join(r, false);
+  if (r.path == "/baobabfront/log-leave")
+    return Join(r, true);
+  if (r.path == "/baobabfront/log-owners")
+    return Owners(r);
   // For the operator, the workers and the record of a case.
   if (r.path == "/put") {
     std::lock_guard lock(mutex);
@@ -330,9 +351,9 @@
   }
   if (r.path == "/figures") {
     std::lock_guard lock(mutex);
-    return {200,
-            json{{"stored_bytes", total}, {"refused_full", refused_full}}
-                .dump()};
+    return {
+        200,
+        json{{"stored_bytes", total}, {"refused_full", refused_full}}.dump()};
   }
   return {404, "{}"};
 }
@@ -340,7 +361,8 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  if (argc < 4) return 2;
+  if (argc < 4)
+    return 2;
   const std::string machines = argv[3];
   const auto cloud = [machines](const Request& r) -> Response {
     if (r.path == "/baobabfront/machines") {
@@ -354,5 +376,6 @@
       !Serve(std::atoi(argv[2]), cloud)) {
     return 2;
   }
-  for (;;) std::this_thread::sleep_for(std::chrono::hours(1));
+  for (;;)
+    std::this_thread::sleep_for(std::chrono::hours(1));
 }
--- a/review/standin-3/worker.cc
+++ b/review/standin-3/worker.cpp
@@ -2,10 +2,10 @@
 // worker ID PORT STORE_PORT SERVICE MACHINE RACK CPU MEM LOG [late_start]
 //
 // The spec of a task says how it behaves: "ms=N" is done after N ms of work,
-// "lasts" runs until it is stopped. LOG gets a line for each order and end, with
-// the wall clock in ms. `late_start` is a path: while it exists, the next start
-// order gets no answer and is carried out by the process that listens at the
-// port N ms later, N being the file's content; the file is removed.
+// "lasts" runs until it is stopped. LOG gets a line for each order and end,
+// with the wall clock in ms. `late_start` is a path: while it exists, the next
+// start order gets no answer and is carried out by the process that listens at
+// the port N ms later, N being the file's content; the file is removed.
 #include <condition_variable>
 #include <fstream>
 #include <iostream>
@@ -31,7 +31,9 @@
 std::string id, log_path, late_path;
 int port = 0;
 
-std::int64_t Clock() { return SteadyMs() - begin_ms + 1000; }
+std::int64_t Clock() {
+  return SteadyMs() - begin_ms + 1000;
+}
 
 struct Run {
   std::int64_t run = 0;
@@ -61,10 +63,12 @@
 // "saves=N": a checkpoint with each N ms of work, of 16 characters.
 std::string Checkpoint(const Run& it) {
   const auto saves = it.spec.find("saves=");
-  if (saves == std::string::npos) return it.carried;
+  if (saves == std::string::npos)
+    return it.carried;
   const auto each = std::atoll(it.spec.c_str() + saves + 6);
   const auto worked = it.before + Clock() - it.started;
-  if (worked < each) return it.carried;
+  if (worked < each)
+    return it.carried;
   char text[32];
   std::snprintf(text, sizeof(text), "%016llx",
                 static_cast<unsigned long long>(worked / each * each));
@@ -105,11 +109,13 @@
         over.emplace_back(task, "lapsed");
       } else if (it.stop_at != 0 && now >= it.stop_at) {
         over.emplace_back(task, "stopped");
-      } else if (ms != std::string::npos && it.before + now - it.started >= WorkMs(task, it)) {
+      } else if (ms != std::string::npos &&
+                 it.before + now - it.started >= WorkMs(task, it)) {
         over.emplace_back(task, "done");
       }
     }
-    for (const auto& [task, how] : over) End(task, how);
+    for (const auto& [task, how] : over)
+      End(task, how);
   }
 }
 
@@ -125,26 +131,35 @@
   const std::int64_t run = body.at("run");
   const std::int64_t token = body.value("fencing_token", std::int64_t{0});
   const std::int64_t deadline = body.at("deadline_ms");
-  if (token < fence) return Answer(409, {{"reason", "fence"}});
+  if (token < fence)
+    return Answer(409, {{"reason", "fence"}});
   fence = token;
-  if (deadline <= Clock()) return Answer(409, {{"reason", "late"}});
+  if (deadline <= Clock())
+    return Answer(409, {{"reason", "late"}});
   lease = std::max(lease, std::min(deadline, Clock() + kMaxHoldMs));
   const auto it = running.find(task);
-  if (it != running.end() && it->second.run == run) return Answer(200, {});
+  if (it != running.end() && it->second.run == run)
+    return Answer(200, {});
   if (run <= highest[task] || it != running.end()) {
     return Answer(409, {{"reason", "old"}});
   }
   const auto carried = body.value("last_checkpoint", std::string());
-  running[task] = {run, body.at("spec"), Clock(), 0,
-                   std::strtoll(carried.c_str(), nullptr, 16), carried};
+  running[task] = {run,
+                   body.at("spec"),
+                   Clock(),
+                   0,
+                   std::strtoll(carried.c_str(), nullptr, 16),
+                   carried};
   Note("start " + task + " run=" + std::to_string(run));
   return Answer(200, {});
 }
 
 Response ServeWorker(const Request& r) {
-  if (r.path == "/health") return {200, "{}"};
+  if (r.path == "/health")
+    return {200, "{}"};
   const auto expected = r.Header("x-expect-instance");
-  if (!expected.empty() && expected != id) return Answer(421, {});
+  if (!expected.empty() && expected != id)
+    return Answer(421, {});
   const auto body = json::parse(r.body);
   if (r.path == "/baobabfront/run-start") {
     std::ifstream late(late_path);
@@ -167,7 +182,8 @@
     const std::string task = body.at("task");
     const std::int64_t run = body.at("run");
     const std::int64_t token = body.value("fencing_token", std::int64_t{0});
-    if (token < fence) return Answer(409, {{"reason", "fence"}});
+    if (token < fence)
+      return Answer(409, {{"reason", "fence"}});
     fence = token;
     Note("stop " + task + " run=" + std::to_string(run));
     highest[task] = std::max(highest[task], run);
@@ -181,7 +197,8 @@
   if (r.path == "/baobabfront/hold") {
     std::unique_lock lock(mutex);
     const std::int64_t token = body.value("fencing_token", std::int64_t{0});
-    if (token < fence) return Answer(409, {{"reason", "fence"}});
+    if (token < fence)
+      return Answer(409, {{"reason", "fence"}});
     fence = token;
     const std::int64_t seen = body.value("last_seen", std::int64_t{0});
     std::erase_if(ended, [&](const auto& it) { return it.n <= seen; });
@@ -191,8 +208,8 @@
     }
     const auto until = std::chrono::steady_clock::now() +
                        std::chrono::milliseconds(body.value("wait_ms", 0));
-    while (ended.empty() && changed.wait_until(lock, until) ==
-                                std::cv_status::no_timeout) {
+    while (ended.empty() &&
+           changed.wait_until(lock, until) == std::cv_status::no_timeout) {
     }
     auto rows = json::array(), over = json::array();
     for (const auto& [task, it] : running) {
@@ -210,7 +227,8 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  if (argc < 10) return 2;
+  if (argc < 10)
+    return 2;
   id = argv[1];
   port = std::atoi(argv[2]);
   const int store = std::atoi(argv[3]);
@@ -218,26 +236,27 @@
   late_path = argc > 10 ? argv[10] : "";
   begin_ms = SteadyMs();
   born = WallMs();
-  if (!Serve(port, ServeWorker)) return 2;
+  if (!Serve(port, ServeWorker))
+    return 2;
   Note("up");
   std::thread(Work).detach();
   for (int seq = 1;; ++seq) {
-    const json entry = {
-        {"service", argv[4]},
-        {"address", "127.0.0.1:" + std::to_string(port)},
-        {"zone", "z1"},
-        {"version", "v1"},
-        {"slots", 8},
-        {"state", "ready"},
-        {"cold_left_ms", 0},
-        {"seq", seq},
-        {"machine", argv[5]},
-        {"born", born},
-        {"clock_ms", Clock()},
-        {"labels", {"a", argv[6]}},
-        {"capacity",
-         {{"cpu", std::atoll(argv[7])}, {"mem_mb", std::atoll(argv[8])},
-          {"gpu", 0}}}};
+    const json entry = {{"service", argv[4]},
+                        {"address", "127.0.0.1:" + std::to_string(port)},
+                        {"zone", "z1"},
+                        {"version", "v1"},
+                        {"slots", 8},
+                        {"state", "ready"},
+                        {"cold_left_ms", 0},
+                        {"seq", seq},
+                        {"machine", argv[5]},
+                        {"born", born},
+                        {"clock_ms", Clock()},
+                        {"labels", {"a", argv[6]}},
+                        {"capacity",
+                         {{"cpu", std::atoll(argv[7])},
+                          {"mem_mb", std::atoll(argv[8])},
+                          {"gpu", 0}}}};
     s3::Call(store, "POST", "/put?topic=keyed.servers&key=" + id, entry.dump());
     std::this_thread::sleep_for(std::chrono::milliseconds(1500));
   }
--- a/review/standin-3/world.h
+++ b/review/standin-3/world.h
@@ -43,16 +43,21 @@
  public:
   // `tools` holds the stand-ins; `record` is the record of the case.
   World(std::string program, std::string tools, const std::string& record)
-      : program_(std::move(program)), tools_(std::move(tools)), record_(record) {
+      : program_(std::move(program)),
+        tools_(std::move(tools)),
+        record_(record) {
     char name[] = "/tmp/review-3-XXXXXX";
     dir = ::mkdtemp(name);
     begin_ = WallMs();
   }
   ~World() {
-    for (const auto pid : pids_) ::kill(pid, SIGKILL);
-    for (const auto pid : pids_) ::waitpid(pid, nullptr, 0);
+    for (const auto pid : pids_)
+      ::kill(pid, SIGKILL);
+    for (const auto pid : pids_)
+      ::waitpid(pid, nullptr, 0);
     if (!std::getenv("KEEP")) {
-      for (const auto& it : files_) ::unlink(it.c_str());
+      for (const auto& it : files_)
+        ::unlink(it.c_str());
       ::rmdir(dir.c_str());
     } else {
       std::cerr << dir << "\n";
@@ -79,7 +84,8 @@
               const std::string& variable = "") {
     const auto out = File(log);
     std::vector<char*> argv;
-    for (auto& it : words) argv.push_back(it.data());
+    for (auto& it : words)
+      argv.push_back(it.data());
     argv.push_back(nullptr);
     const auto pid = ::fork();
     if (pid == 0) {
@@ -89,7 +95,8 @@
       ::dup2(fd, 2);
       const int null = ::open("/dev/null", O_RDONLY);
       ::dup2(null, 0);
-      if (!variable.empty()) ::putenv(const_cast<char*>(variable.c_str()));
+      if (!variable.empty())
+        ::putenv(const_cast<char*>(variable.c_str()));
       ::execv(argv[0], argv.data());
       ::_exit(127);
     }
@@ -106,7 +113,9 @@
     pid = 0;
   }
 
-  bool IsUp(pid_t pid) { return pid > 0 && ::waitpid(pid, nullptr, WNOHANG) == 0; }
+  bool IsUp(pid_t pid) {
+    return pid > 0 && ::waitpid(pid, nullptr, WNOHANG) == 0;
+  }
 
   void StartPlatform() {
     store = FreePort();
@@ -125,14 +134,14 @@
   void WriteMachines() {
     auto rows = json::array();
     for (const auto& it : machines) {
-      rows.push_back({{"machine", it.name},
-                      {"pool", it.service},
-                      {"state", it.pid ? "up" : "down"},
-                      {"zone", "z1"},
-                      {"labels", {"a", it.rack}},
-                      {"capacity",
-                       {{"cpu", it.cpu}, {"mem_mb", it.mem_mb}, {"gpu", 0}}},
-                      {"id", it.worker}});
+      rows.push_back(
+          {{"machine", it.name},
+           {"pool", it.service},
+           {"state", it.pid ? "up" : "down"},
+           {"zone", "z1"},
+           {"labels", {"a", it.rack}},
+           {"capacity", {{"cpu", it.cpu}, {"mem_mb", it.mem_mb}, {"gpu", 0}}},
+           {"id", it.worker}});
     }
     std::ofstream(machines_ + ".new")
         << json{{"machines", rows}, {"next_token", nullptr}}.dump();
@@ -146,9 +155,11 @@
   // Starts the next life of the machine's minion. `same_id`: under the id that
   // it had.
   void StartWorker(Machine& machine, bool same_id = false) {
-    if (machine.port == 0) machine.port = FreePort();
+    if (machine.port == 0)
+      machine.port = FreePort();
     if (!same_id || machine.worker.empty()) {
-      machine.worker = "i-" + machine.name + "-" + std::to_string(++machine.lives);
+      machine.worker =
+          "i-" + machine.name + "-" + std::to_string(++machine.lives);
     }
     machine.pid = Spawn(
         {tools_ + "/worker", machine.worker, std::to_string(machine.port),
@@ -172,7 +183,9 @@
       node.peer = FreePort();
     }
     const auto settings = File(node.name + ".ini");
-    const auto at = [](int port) { return "127.0.0.1:" + std::to_string(port); };
+    const auto at = [](int port) {
+      return "127.0.0.1:" + std::to_string(port);
+    };
     std::ofstream(settings)
         << "[node]\nid = " << node.name << "\ndata_centre = z1\ncores = 0.25\n"
         << "[listen]\ncaller = " << at(node.caller)
@@ -192,16 +205,19 @@
   bool Start(int node_count, const json& config) {
     StartPlatform();
     PutConfig(config);
-    for (auto& it : machines) StartWorker(it);
+    for (auto& it : machines)
+      StartWorker(it);
     for (int i = 0; i < node_count; ++i) {
       nodes.emplace_back();
       nodes.back().name = "node-" + std::to_string(i + 1);
     }
-    for (auto& it : nodes) StartNode(it);
+    for (auto& it : nodes)
+      StartNode(it);
     for (auto& it : nodes) {
       for (int i = 0;
            Call(it.ready, "GET", "/baobabfront/readiness").status != 200; ++i) {
-        if (i > 500) return false;
+        if (i > 500)
+          return false;
         Sleep(20);
       }
     }
@@ -209,7 +225,8 @@
     for (const auto& it : config.at("routes")) {
       char id[17];
       std::snprintf(id, sizeof(id), "%016x", 0xfeed00 + n++);
-      if (!Run(it.at("path_prefix"), id, 15'000)) return false;
+      if (!Run(it.at("path_prefix"), id, 15'000))
+        return false;
     }
     Sleep(500);
     return true;
@@ -217,16 +234,18 @@
 
   // Hands in a small job and waits until it is completed.
   bool Run(const std::string& prefix, const std::string& id, int ms) {
-    const json spec = {{"spec", "ms=50"},
-                       {"steps", {{{"count", 1}, {"cpu", 100}, {"mem_mb", 64},
-                                   {"estimate_ms", 50}}}}};
+    const json spec = {
+        {"spec", "ms=50"},
+        {"steps",
+         {{{"count", 1}, {"cpu", 100}, {"mem_mb", 64}, {"estimate_ms", 50}}}}};
     const auto until = SteadyMs() + ms;
     bool accepted = false;
     for (int i = 0; SteadyMs() < until; ++i) {
       const auto& node = nodes[static_cast<std::size_t>(i) % nodes.size()];
       if (!accepted) {
-        accepted = Call(node.caller, "POST", prefix + id, spec.dump(), host)
-                       .status == 200;
+        accepted =
+            Call(node.caller, "POST", prefix + id, spec.dump(), host).status ==
+            200;
       } else if (State(node, prefix, id) == "completed") {
         return true;
       }
@@ -246,7 +265,8 @@
       const auto& node = nodes[next_++ % nodes.size()];
       status = Call(node.caller, "POST", prefix + id, spec.dump(), host).status;
       Note("submit " + id + " at " + node.name + ": " + std::to_string(status));
-      if (status == 200 || status == 404 || status == 400) break;
+      if (status == 200 || status == 404 || status == 400)
+        break;
       Sleep(status == 503 || status == 429 ? 1000 : 200);
     }
     return status;
@@ -257,7 +277,8 @@
                     const std::string& prefix,
                     const std::string& id) {
     const auto answer = Call(node.caller, "GET", prefix + id, "", host);
-    if (answer.status != 200) return std::to_string(answer.status);
+    if (answer.status != 200)
+      return std::to_string(answer.status);
     return json::parse(answer.body).value("state", "");
   }
 
@@ -291,8 +312,9 @@
       if (!counted.empty() && it.task.rfind(counted, 0) == 0) {
         ++counts[it.word];
       } else {
-        Note(it.worker + " " + it.born + " " + it.word + " " + it.task + it.rest,
-             it.at);
+        Note(
+            it.worker + " " + it.born + " " + it.word + " " + it.task + it.rest,
+            it.at);
       }
     }
     for (const auto& [word, n] : counts) {
@@ -301,7 +323,8 @@
     }
   }
 
-  void AddMachine(int number, const std::string& service,
+  void AddMachine(int number,
+                  const std::string& service,
                   const std::string& rack) {
     Machine machine;
     machine.name = "m-" + std::to_string(number);
@@ -344,7 +367,9 @@
                       {"stretch", 1.6}});
     list.push_back({{"name", it}, {"enforces_capacity", false}});
   }
-  return {{"version", 7}, {"routes", routes}, {"services", list},
+  return {{"version", 7},
+          {"routes", routes},
+          {"services", list},
           {"limits", json::object()}};
 }
 
