Review: case 11 with eight nodes, inside the share that may be killed

Cause: the script had three nodes, so that the one node that is killed was a third of them, above the site's share of 0.16.

Change: it has eight nodes, as the site; case 12 keeps three, as none of them is disturbed.

No program source is changed.

--- a/review/standin-3/answered_without_run.cpp
+++ b/review/standin-3/answered_without_run.cpp
@@ -26,7 +26,9 @@
                     "r1-" + std::to_string((i + 3) / 4), kMinionAgeMs);
   }
   world.WriteConfig(1);
-  for (int i = 0; i < 3; ++i)
+  // The node that is killed is within the site's share of 0.16.
+  const int node_count = lasts ? 3 : 8;
+  for (int i = 0; i < node_count; ++i)
     world.AddNode();
   if (!world.AwaitReady(25'000))
     return kNotPlayed;
