--- a/review/14/run.sh
+++ b/review/15/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.."
 [ -x target/baobabfront ] && [ -x target/review-3/cases ] || exit 2
 exec timeout -k 5 118 target/review-3/cases steps target/baobabfront \
-  target/review-3 review/14/record.txt
+  target/review-3 review/15/record.txt
