libfleet: verify a kept shard after missed generations

Cause: an owner whose shard is listed again keeps its state, although the generation has risen by more than it has seen, so that another node may have had the shard and stored records there.

Change: after a rise by more than one, the owner fences its shard with the new generation as its token and compares the end of the shard with that after its own last write. If they differ, or the store states none, a new owner loads the shard. Until then callers are asked to wait, and no order but polls under the former token leaves. The planner and the owner of its shard are started anew, since both write there. AppendAnswer carries the end of a shard.

--- a/src/libfleet/fleet_node.cc
+++ b/src/libfleet/fleet_node.cc
@@ -66,7 +66,7 @@
               return;
             }
             ServePeer(
-                request, [this](ShardId it) { return FindLoadedShard(it); },
+                request, [this](ShardId it) { return FindCurrentShard(it); },
                 MakeMembershipCheck(), std::move(respond));
           }),
       join_timer_(ports.loop),
@@ -113,10 +113,10 @@
          (last_busy_at_ == Time() || now - last_busy_at_ >= kBusyBackoff);
 }
 
-ShardOwner* FleetNode::FindLoadedShard(ShardId shard) {
+ShardOwner* FleetNode::FindCurrentShard(ShardId shard) {
   const auto it = shards_.find(shard);
-  return it == shards_.end() || !it->second->IsLoaded() ? nullptr
-                                                        : it->second.get();
+  return it == shards_.end() || !it->second->IsCurrent() ? nullptr
+                                                         : it->second.get();
 }
 
 void FleetNode::PublishedLoop() {
@@ -214,7 +214,7 @@
 void FleetNode::ExchangePlan(ShardId shard,
                              HostPlan plan,
                              std::function<void(PoolUsage)> done) {
-  if (auto* owner = FindLoadedShard(shard)) {
+  if (auto* owner = FindCurrentShard(shard)) {
     if (auto usage = owner->ApplyPlan(std::move(plan))) {
       done(std::move(*usage));
     }
@@ -246,7 +246,7 @@
   boost::asio::post(
       ports_.loop, guard_.Bind([this, cell, offer = std::move(offer),
                                 done = std::move(done)]() mutable {
-        if (auto* owner = FindLoadedShard(cell)) {
+        if (auto* owner = FindCurrentShard(cell)) {
           owner->TakeJob(std::move(offer), std::move(done));
           return;
         }
--- a/src/libfleet/fleet_node.h
+++ b/src/libfleet/fleet_node.h
@@ -131,6 +131,13 @@
   /** Starts the owners of gained shards and stops those of lost ones.
    * `sent_at` is when the renewal was sent. */
   void OnMembership(const Membership& membership, Time sent_at);
+  /** Starts the owner of a shard with the current generation. */
+  void StartShard(ShardId shard);
+  /** Has the owners of kept shards find out whether other nodes have had the
+   * shards since the last renewal. */
+  void VerifyKeptShards();
+  /** Replaces an owner whose state is old by one that loads the shard. */
+  void OnOutdated(ShardId shard);
   /** Stops the owner of a shard and returns the iterator after it. */
   std::map<ShardId, std::shared_ptr<ShardOwner>>::iterator StopShard(
       std::map<ShardId, std::shared_ptr<ShardOwner>>::iterator shard);
@@ -179,8 +186,9 @@
   /** Returns a predicate that is false once another node may own the shards of
    * this one, so that it sends no orders. */
   std::function<bool()> MakeOrderCheck() const;
-  /** Returns the shard if this node owns it and has loaded it, or null. */
-  ShardOwner* FindLoadedShard(ShardId shard);
+  /** Returns the shard if this node owns it and its state is loaded and
+   * current, or null. */
+  ShardOwner* FindCurrentShard(ShardId shard);
   /** Passes a division with more pools to the shards and the planner. */
   void OnDivision(const std::shared_ptr<const PoolDivision>& division);
   /** Returns the median CPU share of the owners that state theirs, in
--- a/src/libfleet/fleet_node_calls.cc
+++ b/src/libfleet/fleet_node_calls.cc
@@ -81,7 +81,7 @@
   const auto listed = owners_.find(*shard);
   const bool replaced = !MakeMembershipCheck()() && listed != owners_.end() &&
                         listed->second.peer_address != config_.peer_address;
-  if (auto* owner = FindLoadedShard(*shard); owner && !replaced) {
+  if (auto* owner = FindCurrentShard(*shard); owner && !replaced) {
     forward->local(*owner, settle);
     if (!*settled) {
       timer->Set(std::max(left, Duration(0)),
--- a/src/libfleet/fleet_node_membership.cc
+++ b/src/libfleet/fleet_node_membership.cc
@@ -213,6 +213,9 @@
     rebalanced_at_ = SteadyNow();
     RefreshOwners();
   }
+  // Each change raises the generation, so that after two or more of them a
+  // shard may have been with another node in between.
+  const bool missed_any = membership.generation > generation_ + 1;
   generation_ = membership.generation;
   const std::set<ShardId> held(membership.shards.begin(),
                                membership.shards.end());
@@ -224,18 +227,9 @@
     it = StopShard(it);
     unconfirmed_release_ = true;
   }
-  const ShardOwner::Ports ports{
-      ports_.loop,
-      ports_.store,
-      ports_.workers,
-      ports_.log,
-      MakeOrderCheck(),
-      guard_.Bind(
-          [this](ShardId it, AppendOutcome cause) { OnFenced(it, cause); }),
-      guard_.Bind([this](ShardId cell, JobOffer offer, auto done) {
-        OfferJob(cell, std::move(offer), std::move(done));
-      }),
-      guard_.Bind([this](ShardId it) { OnFailed(it); })};
+  if (missed_any && !shards_.empty()) {
+    VerifyKeptShards();
+  }
   SetPlannerOwned(held.contains(kPlannerShard) &&
                   !WouldReuseToken(kPlannerShard));
   bool reused = false;
@@ -249,24 +243,70 @@
       reused = reused || sent_at > stopped_owners_.at(it).at;
       continue;
     }
-    auto shard = std::make_shared<ShardOwner>(
-        ports, it, FenceToken(generation_), config_.tuning);
-    shards_.emplace(it, shard);
-    owners_[it] = {config_.peer_address, config_.milli_cores};
-    shard->Start();
-    if (policies_) {
-      shard->SetPolicies(policies_);
-    }
-    shard->SetDivision(keeper_.division());
-    if (worker_list_) {
-      shard->SetWorkers(worker_list_, workers_read_at_);
-    }
+    StartShard(it);
   }
   if (reused) {
     Rejoin();
   }
 }
 
+void FleetNode::StartShard(ShardId id) {
+  const ShardOwner::Ports ports{
+      ports_.loop,
+      ports_.store,
+      ports_.workers,
+      ports_.log,
+      MakeOrderCheck(),
+      guard_.Bind(
+          [this](ShardId it, AppendOutcome cause) { OnFenced(it, cause); }),
+      guard_.Bind([this](ShardId cell, JobOffer offer, auto done) {
+        OfferJob(cell, std::move(offer), std::move(done));
+      }),
+      guard_.Bind([this](ShardId it) { OnFailed(it); }),
+      guard_.Bind([this](ShardId it) { OnOutdated(it); })};
+  auto shard = std::make_shared<ShardOwner>(ports, id, FenceToken(generation_),
+                                            config_.tuning);
+  shards_.emplace(id, shard);
+  owners_[id] = {config_.peer_address, config_.milli_cores};
+  shard->Start();
+  if (policies_) {
+    shard->SetPolicies(policies_);
+  }
+  shard->SetDivision(keeper_.division());
+  if (worker_list_) {
+    shard->SetWorkers(worker_list_, workers_read_at_);
+  }
+}
+
+void FleetNode::VerifyKeptShards() {
+  ports_.log.Write(
+      "generations-missed", "",
+      fmt::format("generation={} shards={}", generation_, shards_.size()));
+  for (auto it = shards_.begin(); it != shards_.end();) {
+    // The planner and the owner both write to the planner's shard, so that its
+    // end says nothing about other nodes. Both load their state again.
+    if (it->first == kPlannerShard || !it->second->HasLoaded()) {
+      it = StopShard(it);
+    } else {
+      it->second->Verify(FenceToken(generation_));
+      ++it;
+    }
+  }
+  SetPlannerOwned(false);
+}
+
+void FleetNode::OnOutdated(ShardId shard) {
+  // Posted, because the caller is a shard that is destroyed here.
+  boost::asio::post(ports_.loop, guard_.Bind([this, shard] {
+    const auto it = shards_.find(shard);
+    if (leaving_ || !participating_ || it == shards_.end()) {
+      return;
+    }
+    StopShard(it);
+    StartShard(shard);
+  }));
+}
+
 void FleetNode::OnFenced(ShardId shard, AppendOutcome cause) {
   ports_.log.Write(
       "shard-fenced", "",
--- a/src/libfleet/planner_owner.cc
+++ b/src/libfleet/planner_owner.cc
@@ -58,10 +58,11 @@
 
 void PlannerOwner::FenceFormerOwners() {
   ports_.store.Fence(kPlannerStream, token_,
-                     [self = shared_from_this()](AppendOutcome outcome) {
+                     [self = shared_from_this()](AppendAnswer result) {
                        if (self->stopped_) {
                          return;
                        }
+                       const auto outcome = result.outcome;
                        if (outcome == AppendOutcome::kStored) {
                          self->Load();
                        } else if (outcome == AppendOutcome::kFenced) {
@@ -161,18 +162,18 @@
 void PlannerOwner::Append() {
   ports_.store.Append(kPlannerStream, token_, sequence_, intent_.records,
                       kAppendTimeout,
-                      [self = shared_from_this()](AppendOutcome outcome) {
+                      [self = shared_from_this()](AppendAnswer result) {
                         if (self->stopped_) {
                           return;
                         }
-                        switch (outcome) {
+                        switch (result.outcome) {
                           case AppendOutcome::kStored:
                             ++self->sequence_;
                             self->Post(IntentStored{self->intent_.commit});
                             break;
                           case AppendOutcome::kFenced:
                           case AppendOutcome::kOutOfSequence:
-                            self->ports_.on_fenced(outcome);
+                            self->ports_.on_fenced(result.outcome);
                             break;
                           default:
                             self->Retry(&PlannerOwner::Append);
--- a/src/libfleet/ports.h
+++ b/src/libfleet/ports.h
@@ -53,6 +53,18 @@
   return kNames[static_cast<int>(outcome)];
 }
 
+/** Outcome of a write, and the position behind the last record of the shard
+ * after it, if the store has told. */
+struct AppendAnswer {
+  // NOLINTNEXTLINE(google-explicit-constructor)
+  AppendAnswer(AppendOutcome outcome,
+               std::optional<std::uint64_t> end = std::nullopt)
+      : outcome(outcome), end(end) {}
+
+  AppendOutcome outcome;
+  std::optional<std::uint64_t> end;
+};
+
 /** Writer of records within a shard. The writers of a shard have separate
  * fencing tokens and sequence numbers. */
 enum class ShardWriter { kJobs, kPlanner };
@@ -86,7 +98,7 @@
   /** Fences the shard against writers with lower tokens. */
   virtual void Fence(const ShardStream& stream,
                      FenceToken token,
-                     std::function<void(AppendOutcome)> done) = 0;
+                     std::function<void(AppendAnswer)> done) = 0;
   /** Reads the newest record of each key. */
   virtual void Load(ShardId shard,
                     Callback<std::vector<StoredRecord>> done) = 0;
@@ -109,7 +121,7 @@
                       std::uint64_t sequence,
                       const std::vector<StoredRecord>& records,
                       Duration timeout,
-                      std::function<void(AppendOutcome)> done) = 0;
+                      std::function<void(AppendAnswer)> done) = 0;
 };
 
 /** Interface to the published configuration and the worker list. */
--- a/src/libfleet/shard_owner.cc
+++ b/src/libfleet/shard_owner.cc
@@ -66,6 +66,11 @@
   }
 };
 
+/** Time for which polls go on although another node may have had the shard. As
+ * long as no renewal of the membership is answered they go on for the same
+ * time; a worker that the other node has polled refuses them. */
+constexpr Duration kMaxDoubtForPolls = std::chrono::milliseconds(4000);
+
 Error ShardMovedError(ShardId shard) {
   return {"own shard", std::to_string(shard.value()), "the shard has moved"};
 }
@@ -122,14 +127,15 @@
 
 void ShardOwner::FenceFormerOwners() {
   ports_.store.Fence({shard_, ShardWriter::kJobs}, token_,
-                     [self = shared_from_this()](AppendOutcome outcome) {
+                     [self = shared_from_this()](AppendAnswer result) {
                        if (self->stopped_) {
                          return;
                        }
-                       if (outcome == AppendOutcome::kStored) {
+                       if (result.outcome == AppendOutcome::kStored) {
+                         self->end_ = result.end;
                          self->Load();
-                       } else if (outcome == AppendOutcome::kFenced) {
-                         self->ports_.on_fenced(self->shard_, outcome);
+                       } else if (result.outcome == AppendOutcome::kFenced) {
+                         self->ports_.on_fenced(self->shard_, result.outcome);
                        } else {
                          self->Retry(&ShardOwner::FenceFormerOwners,
                                      kRetryDelay);
@@ -137,6 +143,76 @@
                      });
 }
 
+void ShardOwner::Verify(FenceToken token) {
+  if (!verified_token_) {
+    doubted_at_ = SteadyNow();
+  }
+  verified_token_ = token;
+  FenceAndCompare();
+}
+
+void ShardOwner::FenceAndCompare() {
+  if (write_in_flight_) {
+    // Continues after the answer, which tells where the shard ends.
+    return;
+  }
+  write_in_flight_ = true;
+  ports_.store.Fence({shard_, ShardWriter::kJobs}, *verified_token_,
+                     [self = shared_from_this(),
+                      token = *verified_token_](AppendAnswer result) {
+                       if (self->stopped_) {
+                         return;
+                       }
+                       self->write_in_flight_ = false;
+                       if (token == self->verified_token_) {
+                         self->FinishVerification(result);
+                       } else {
+                         self->FenceAndCompare();
+                       }
+                     });
+}
+
+void ShardOwner::FinishVerification(AppendAnswer result) {
+  if (result.outcome != AppendOutcome::kStored &&
+      result.outcome != AppendOutcome::kFenced) {
+    Retry(&ShardOwner::FenceAndCompare, kRetryDelay);
+    return;
+  }
+  const bool unchanged = result.outcome == AppendOutcome::kStored && end_ &&
+                         result.end && *end_ == *result.end;
+  ports_.log.Write(
+      "verify-shard", "",
+      fmt::format("shard={} token={} former={} unchanged={} end={} "
+                  "expected_end={} took_ms={}",
+                  shard_.value(), verified_token_->value(), token_.value(),
+                  unchanged ? "yes" : "no",
+                  result.end ? std::to_string(*result.end) : "unknown",
+                  end_ ? std::to_string(*end_) : "unknown",
+                  (SteadyNow() - doubted_at_).count() / 1000));
+  if (result.outcome == AppendOutcome::kFenced) {
+    ports_.on_fenced(shard_, result.outcome);
+    return;
+  }
+  if (!unchanged) {
+    ports_.on_outdated(shard_);
+    return;
+  }
+  token_ = *std::exchange(verified_token_, std::nullopt);
+  sequence_ = 0;
+  if (committing_ || failing_) {
+    Append();
+  }
+}
+
+bool ShardOwner::MaySendOrders() const {
+  return !verified_token_ && ports_.may_send_orders();
+}
+
+bool ShardOwner::MayPoll() const {
+  return ports_.may_send_orders() &&
+         (!verified_token_ || SteadyNow() - doubted_at_ < kMaxDoubtForPolls);
+}
+
 void ShardOwner::Load() {
   ports_.store.Load(shard_, [self = shared_from_this()](
                                 Result<std::vector<StoredRecord>> records) {
@@ -281,6 +357,10 @@
 }
 
 void ShardOwner::Append() {
+  if (verified_token_) {
+    FenceAndCompare();
+    return;
+  }
   if (batches_.empty() && failing_) {
     ports_.on_failed(shard_);
     return;
@@ -290,20 +370,24 @@
         "commit_seconds",
         std::chrono::duration<double>(SteadyNow() - commit_started_at_)
             .count());
+    committing_ = false;
     Post(CommitStored{commit_, std::exchange(rejected_, {})});
     return;
   }
   const auto timeout = kInitialAppendTimeout *
                        (1 << std::min(append_attempts_, kMaxTimeoutDoublings));
   ++append_attempts_;
+  write_in_flight_ = true;
   ports_.store.Append(
       {shard_, ShardWriter::kJobs}, token_, sequence_, batches_.front(),
-      timeout, [self = shared_from_this()](AppendOutcome outcome) {
+      timeout, [self = shared_from_this()](AppendAnswer result) {
         if (self->stopped_) {
           return;
         }
-        switch (outcome) {
+        self->write_in_flight_ = false;
+        switch (result.outcome) {
           case AppendOutcome::kStored:
+            self->end_ = result.end;
             ++self->sequence_;
             self->append_attempts_ = 0;
             self->batches_.pop_front();
@@ -311,7 +395,7 @@
             break;
           case AppendOutcome::kFenced:
           case AppendOutcome::kOutOfSequence:
-            self->ports_.on_fenced(self->shard_, outcome);
+            self->ports_.on_fenced(self->shard_, result.outcome);
             break;
           case AppendOutcome::kRefused:
             self->Retry(&ShardOwner::Append, kRetryDelay);
@@ -362,11 +446,12 @@
       self.batches_ =
           SplitRecords(std::move(it.records), self.max_batch_bytes_);
       self.append_attempts_ = 0;
+      self.committing_ = true;
       self.commit_started_at_ = SteadyNow();
       self.Append();
     }
     void operator()(const PollWorker& it) {
-      if (!self.ports_.may_send_orders()) {
+      if (!self.MayPoll()) {
         PostLater(
             PollFinished{it.worker, it.poll, OrderResult::kNotAllowed, {}});
         return;
@@ -379,7 +464,7 @@
           });
     }
     void operator()(const StartRun& it) {
-      if (!self.ports_.may_send_orders()) {
+      if (!self.MaySendOrders()) {
         PostLater(
             StartFinished{it.worker, it.task, it.run, OrderResult::kNotSent});
         return;
@@ -392,7 +477,7 @@
           });
     }
     void operator()(const StopRun& it) {
-      if (!self.ports_.may_send_orders()) {
+      if (!self.MaySendOrders()) {
         PostLater(StopFinished{it.worker, it.task, it.run,
                                OrderResult::kNotSent, it.incarnation});
         return;
@@ -405,7 +490,7 @@
           });
     }
     void operator()(const ThrottleRun& it) {
-      if (!self.ports_.may_send_orders()) {
+      if (!self.MaySendOrders()) {
         PostLater(ThrottleFinished{it.task, it.run, OrderResult::kNotSent});
         return;
       }
@@ -432,6 +517,10 @@
       }
     }
     void operator()(OfferJob& it) {
+      if (!self.MaySendOrders()) {
+        PostLater(OfferFinished{it.offer.job, it.offer.number, false});
+        return;
+      }
       self.ports_.offer_job(it.cell, it.offer,
                             [post = post, job = it.offer.job,
                              number = it.offer.number](bool stored) {
--- a/src/libfleet/shard_owner.h
+++ b/src/libfleet/shard_owner.h
@@ -56,6 +56,9 @@
     /** Called after an unexpected error, when the state in memory may be
      * incomplete. */
     std::function<void(ShardId)> on_failed;
+    /** Called when another node may have written to the shard, so that the
+     * state in memory may be old. */
+    std::function<void(ShardId)> on_outdated;
   };
 
   using SubmitDone = std::function<void(Result<SubmitAnswer>)>;
@@ -71,8 +74,15 @@
   /** Releases the shard. Pending requests get an error, after which their
    * outcome is unknown. */
   void Stop();
-
-  bool IsLoaded() const { return engine_.IsLoaded() && !stopped_ && !failing_; }
+  /** Finds out whether another node has written to the shard since this one
+   * last did: fences the shard with the new token and compares where it ends.
+   * Until then the owner is not current. */
+  void Verify(FenceToken token);
+
+  bool HasLoaded() const { return engine_.IsLoaded(); }
+  bool IsLoaded() const { return HasLoaded() && !stopped_ && !failing_; }
+  /** Returns whether the state in memory may be used for answers. */
+  bool IsCurrent() const { return IsLoaded() && !verified_token_; }
   FenceToken token() const { return token_; }
   const PoolEngine& engine() const { return engine_; }
 
@@ -103,6 +113,13 @@
   void Retry(void (ShardOwner::*step)(), Duration delay);
   /** Stores the first of `batches_`, and then the next ones. */
   void Append();
+  /** Fences the shard with `verified_token_`, unless a write is in flight. */
+  void FenceAndCompare();
+  void FinishVerification(AppendAnswer result);
+  /** Returns whether orders that change what runs may be sent. */
+  bool MaySendOrders() const;
+  /** Returns whether polls may be sent. */
+  bool MayPoll() const;
   /** Goes on after the store has rejected the first batch for good: stores its
    * records one by one, and leaves out a single one. */
   void LeaveOutRejected();
@@ -115,7 +132,14 @@
 
   const Ports ports_;
   const ShardId shard_;
-  const FenceToken token_;
+  FenceToken token_;
+  /** Token that replaces `token_` once it is known that no other node has
+   * written to the shard; empty while there is no doubt. */
+  std::optional<FenceToken> verified_token_;
+  Time doubted_at_;
+  /** Where the shard ended after the last write of this owner; empty if the
+   * store has not told. */
+  std::optional<std::uint64_t> end_;
   /** Maximum size of the records of one call. */
   const std::size_t max_batch_bytes_;
   PoolEngine engine_;
@@ -135,6 +159,10 @@
   std::vector<std::string> rejected_;
   int append_attempts_ = 0;
   Time commit_started_at_;
+  /** Set from the beginning of a commit until all of it is stored. */
+  bool committing_ = false;
+  /** An append or a fence has not been answered yet. */
+  bool write_in_flight_ = false;
 
   std::uint64_t last_reply_id_ = 0;
   /** Callbacks of the requests that await the engine's answer. */
--- a/tests/fleet_fakes.h
+++ b/tests/fleet_fakes.h
@@ -167,6 +167,16 @@
     });
   }
 
+  /** Gives a shard to a member at once, as the platform may do without any
+   * request. */
+  void Reassign(int shard, const std::string& member) {
+    for (auto& [name, it] : members) {
+      it.shards.erase(shard);
+    }
+    members[member].shards.insert(shard);
+    ++generation;
+  }
+
   /** Ends an outage for all nodes. Memberships did not expire during it. */
   void EndOutage() {
     cut_off.clear();
@@ -216,6 +226,15 @@
   std::size_t assigned_members = 0;
   std::int64_t generation = 0;
   std::map<ShardId, std::map<std::string, std::string>> records;
+  /** Number of records that were ever stored in each shard. */
+  std::map<ShardId, std::uint64_t> ends;
+  /** Whether answers to appends state that number. */
+  bool states_end = true;
+  /** Time until a write to a shard is answered. */
+  Duration write_delay = std::chrono::milliseconds(2);
+  /** Numbers of fences and of reads of all records, of all shards. */
+  int fences = 0;
+  int loads = 0;
   /** Number of a writer's last appends whose repetition is recognized. */
   static constexpr std::uint64_t kRepeatsKnown = 5;
   /** Writer of a stream with the highest token so far. */
@@ -308,12 +327,14 @@
   }
   void Fence(const ShardStream& stream,
              FenceToken token,
-             std::function<void(AppendOutcome)> done) override {
+             std::function<void(AppendAnswer)> done) override {
+    ++platform_.fences;
     Append(stream, token, 0, {}, Duration(0), std::move(done));
   }
   void Load(ShardId shard,
             JobStore::Callback<std::vector<StoredRecord>> done) override {
     Call(done, [this, shard]() -> Result<std::vector<StoredRecord>> {
+      ++platform_.loads;
       std::vector<StoredRecord> records;
       for (const auto& [key, value] : platform_.records[shard]) {
         records.push_back({key, value});
@@ -343,7 +364,7 @@
               std::uint64_t sequence,
               const std::vector<StoredRecord>& records,
               Duration,
-              std::function<void(AppendOutcome)> done) override {
+              std::function<void(AppendAnswer)> done) override {
     if (platform_.cut_off.contains(member_)) {
       After(platform_.failure_delay, [done] { done(AppendOutcome::kUnknown); });
       return;
@@ -368,11 +389,16 @@
     platform_.largest_append = std::max(platform_.largest_append, bytes);
     const auto [outcome, is_new] =
         platform_.Sequence(stream, token.value(), sequence, records.empty());
+    auto& end = platform_.ends[stream.shard];
     if (!is_new) {
-      After(std::chrono::milliseconds(2),
-            [done, result = outcome] { done(result); });
+      // The answer to a repeated append has the end after the first one, but no
+      // test lets another writer append between the two.
+      const auto result =
+          platform_.states_end ? AppendAnswer(outcome, end) : outcome;
+      After(platform_.write_delay, [done, result] { done(result); });
       return;
     }
+    end += records.size();
     for (const auto& it : records) {
       auto& shard = platform_.records[stream.shard];
       if (it.value.empty()) {
@@ -381,8 +407,10 @@
         shard[it.key] = it.value;
       }
     }
-    After(std::chrono::milliseconds(2),
-          [done] { done(AppendOutcome::kStored); });
+    const auto result = platform_.states_end
+                            ? AppendAnswer(AppendOutcome::kStored, end)
+                            : AppendOutcome::kStored;
+    After(platform_.write_delay, [done, result] { done(result); });
   }
 
   void AwaitPublished(FleetFeed::Callback<PublishedConfig> done) override {
--- a/tests/hanging_store_client_test.cc
+++ b/tests/hanging_store_client_test.cc
@@ -70,9 +70,9 @@
     return [&, call](bool it) { succeeded[call] = it; };
   };
   const auto outcome = [&](const std::string& call) {
-    return [&, call](AppendOutcome it) {
-      succeeded[call] =
-          it != AppendOutcome::kUnknown && it != AppendOutcome::kRefused;
+    return [&, call](AppendAnswer it) {
+      succeeded[call] = it.outcome != AppendOutcome::kUnknown &&
+                        it.outcome != AppendOutcome::kRefused;
     };
   };
   const ShardStream stream{ShardId(1)};
