libjobs: look only at the steps that an end frees

Cause: each end of a task, and each task that waits again, passes over all steps of its occurrence, and for each with waiting tasks over all steps once more (the objective). One event could also send the starts or stops of all tasks. Memberships lapsed, and the next owner took over the job.

Change: StepProgress counts open tasks and awaited steps, StepGraph holds what follows from the steps alone; the forecast counts the same way. A pass of the scheduler stops with room or tries instead of sorting a copy of all ready steps. Progress is encoded in one pass. One commit leads to 256 starts at most, one event to as many stops.

Ruled out: a cached objective alone, as each end would still walk and sort all steps.

--- a/src/libjobs/forecast.cc
+++ b/src/libjobs/forecast.cc
@@ -42,15 +42,12 @@
   /** Tasks not done yet, by step. */
   std::vector<int> open;
   std::size_t open_steps = 0;
+  /** Steps that are not done and for which the step waits, by step. */
+  std::vector<int> awaited;
+  /** Steps that wait for the step, by step. */
+  std::vector<std::vector<std::size_t>> dependents;
 };
 
-/** Returns whether all steps before step `i` are done. */
-bool IsReady(const ForecastJob& job, const Progress& progress, std::size_t i) {
-  return std::all_of(
-      job.steps[i].after.begin(), job.steps[i].after.end(),
-      [&](int it) { return progress.open[static_cast<std::size_t>(it)] == 0; });
-}
-
 }  // namespace
 
 Forecast::Forecast(Time now,
@@ -69,17 +66,25 @@
   }
   // Minimum cores of a ready task; with fewer free cores the scan is skipped.
   double min_cores = std::numeric_limits<double>::max();
-  const auto add_ready = [&](std::size_t j) {
-    for (std::size_t i = 0; i < jobs[j]->steps.size(); ++i) {
-      if (progress[j].waiting[i] > 0 && IsReady(*jobs[j], progress[j], i)) {
-        ready.emplace(jobs[j]->priority, jobs[j]->latest_start[i], j, i);
-        min_cores = std::min(min_cores, jobs[j]->steps[i].cores);
-      }
+  const auto add_if_ready = [&](std::size_t j, std::size_t i) {
+    if (progress[j].waiting[i] > 0 && progress[j].awaited[i] == 0) {
+      ready.emplace(jobs[j]->priority, jobs[j]->latest_start[i], j, i);
+      min_cores = std::min(min_cores, jobs[j]->steps[i].cores);
     }
   };
   for (std::size_t j = 0; j < jobs.size(); ++j) {
+    progress[j].dependents.resize(jobs[j]->steps.size());
     for (std::size_t i = 0; i < jobs[j]->steps.size(); ++i) {
       const auto& step = jobs[j]->steps[i];
+      int awaited = 0;
+      for (const int it : step.after) {
+        const auto earlier = static_cast<std::size_t>(it);
+        if (progress[j].open[earlier] > 0) {
+          progress[j].dependents[earlier].push_back(i);
+          ++awaited;
+        }
+      }
+      progress[j].awaited.push_back(awaited);
       const int running = static_cast<int>(step.running_until.size());
       progress[j].waiting.push_back(step.waiting);
       progress[j].open.push_back(step.waiting + running);
@@ -93,17 +98,30 @@
     }
   }
   for (std::size_t j = 0; j < jobs.size(); ++j) {
-    add_ready(j);
+    for (std::size_t i = 0; i < jobs[j]->steps.size(); ++i) {
+      add_if_ready(j, i);
+    }
   }
   Time at = now_;
   double free = free_cores_;
   while (true) {
     if (free >= min_cores) {
       double min_unplaced = std::numeric_limits<double>::max();
+      bool complete = true;
       for (const bool late : {false, true}) {
         for (auto it = ready.begin(); it != ready.end();) {
+          if (free < min_cores) {
+            // No ready task needs less.
+            complete = false;
+            break;
+          }
           const auto [priority, latest, j, i] = *it;
           const auto& step = jobs[j]->steps[i];
+          if (latest < at && !late) {
+            // Those in time follow all late ones of their priority.
+            it = ready.lower_bound({priority, at, 0, 0});
+            continue;
+          }
           if ((latest < at) != late) {
             ++it;
             continue;
@@ -126,7 +144,9 @@
           }
         }
       }
-      min_cores = min_unplaced;
+      if (complete) {
+        min_cores = min_unplaced;
+      }
     }
     if (ends.empty() || ends.top().at > now_ + kHorizon) {
       return done;
@@ -145,7 +165,11 @@
         if (--state.open_steps == 0) {
           done[end.job] = end.at;
         }
-        add_ready(end.job);
+        for (const auto it : state.dependents[end.step]) {
+          if (--state.awaited[it] == 0) {
+            add_if_ready(end.job, it);
+          }
+        }
       }
     }
   }
--- a/src/libjobs/job.cc
+++ b/src/libjobs/job.cc
@@ -9,11 +9,6 @@
   return phase != TaskPhase::kWaiting && phase != TaskPhase::kDone;
 }
 
-bool Job::IsLongRunning() const {
-  return std::any_of(spec.steps.begin(), spec.steps.end(),
-                     [](const auto& it) { return it.long_running; });
-}
-
 const Task* Job::Find(const TaskId& task) const {
   const auto it = occurrences.find(task.occurrence);
   if (it == occurrences.end() || task.step < 0 || task.index < 0 ||
@@ -37,59 +32,52 @@
   for (const auto& it : spec.steps) {
     occurrence.steps.emplace_back(static_cast<std::size_t>(it.count));
   }
+  occurrence.progress = CountProgress(occurrence);
 }
 
-bool Job::IsReady(const Occurrence& occurrence, int step) const {
-  for (const int earlier : Step(step).after) {
-    const auto& tasks = occurrence.steps[static_cast<std::size_t>(earlier)];
-    if (!std::all_of(tasks.begin(), tasks.end(), [](const auto& it) {
-          return it.phase == TaskPhase::kDone;
-        })) {
-      return false;
-    }
+std::vector<int> Job::MarkDone(Occurrence& occurrence,
+                               int step,
+                               Task& task) const {
+  if (task.phase == TaskPhase::kDone) {
+    return {};
   }
-  return true;
+  task.phase = TaskPhase::kDone;
+  return occurrence.progress.FinishTask(Graph(), step);
 }
 
-bool Job::IsFinished(const Occurrence& occurrence) const {
-  return std::all_of(
-      occurrence.steps.begin(), occurrence.steps.end(), [](const auto& tasks) {
-        return std::all_of(tasks.begin(), tasks.end(), [](const auto& it) {
-          return it.phase == TaskPhase::kDone;
-        });
-      });
+StepProgress Job::CountProgress(const Occurrence& occurrence) const {
+  std::vector<int> open_tasks;
+  open_tasks.reserve(occurrence.steps.size());
+  for (const auto& tasks : occurrence.steps) {
+    open_tasks.push_back(static_cast<int>(std::count_if(
+        tasks.begin(), tasks.end(),
+        [](const auto& it) { return it.phase != TaskPhase::kDone; })));
+  }
+  return {spec.steps, Graph(), std::move(open_tasks)};
 }
 
 bool Job::IsStepDone(int step) const {
   return created == OccurrenceCount() &&
          std::all_of(occurrences.begin(), occurrences.end(), [&](auto& it) {
-           const auto& tasks = it.second.steps[static_cast<std::size_t>(step)];
-           return std::all_of(tasks.begin(), tasks.end(), [](auto& task) {
-             return task.phase == TaskPhase::kDone;
-           });
+           return it.second.progress.IsStepDone(step);
          });
 }
 
 Duration Job::Objective() const {
-  const auto& critical_paths = CriticalPaths();
-  const auto longest =
-      critical_paths.empty()
-          ? Duration(0)
-          : *std::max_element(critical_paths.begin(), critical_paths.end());
-  const auto critical_path = static_cast<double>(longest.count());
-  return Duration(static_cast<Duration::rep>(critical_path * stretch)) + target;
+  const auto longest = static_cast<double>(Graph().longest_path.count());
+  return Duration(static_cast<Duration::rep>(longest * stretch)) + target;
 }
 
 Time Job::LatestStart(const Occurrence& occurrence, int step) const {
   return occurrence.due + Objective() -
-         CriticalPaths()[static_cast<std::size_t>(step)];
+         Graph().critical_paths[static_cast<std::size_t>(step)];
 }
 
-const std::vector<Duration>& Job::CriticalPaths() const {
-  if (critical_paths_.empty()) {
-    critical_paths_ = CriticalPathsFrom(spec);
+const StepGraph& Job::Graph() const {
+  if (graph_.critical_paths.size() != spec.steps.size()) {
+    graph_ = StepGraph(spec.steps);
   }
-  return critical_paths_;
+  return graph_;
 }
 
 }  // namespace baobab
--- a/src/libjobs/job.h
+++ b/src/libjobs/job.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "libjobs/job_spec.h"
+#include "libjobs/step_progress.h"
 
 namespace baobab {
 
@@ -138,6 +138,8 @@
 /** One execution of the steps of a job. */
 struct Occurrence {
   std::vector<std::vector<Task>> steps;
+  /** Follows from the phases of the tasks. */
+  StepProgress progress;
   /** Time from which its objective counts. */
   Time due;
 };
@@ -198,7 +200,7 @@
   /** Returns how often the steps run. */
   int OccurrenceCount() const { return spec.repeats > 0 ? spec.repeats : 1; }
   bool IsPeriodic() const { return spec.repeats > 0; }
-  bool IsLongRunning() const;
+  bool IsLongRunning() const { return Graph().is_long_running; }
   const StepSpec& Step(int step) const {
     return spec.steps[static_cast<std::size_t>(step)];
   }
@@ -207,21 +209,23 @@
   const Task* Find(const TaskId& task) const;
   /** Creates the next occurrence, whose objective counts from `due`. */
   void CreateOccurrence(Time due);
-  /** Returns whether all steps that `step` depends on are done. */
-  bool IsReady(const Occurrence& occurrence, int step) const;
-  bool IsFinished(const Occurrence& occurrence) const;
+  /** Marks a task as done, and returns the steps of which the tasks may begin
+   * since. */
+  std::vector<int> MarkDone(Occurrence& occurrence, int step, Task& task) const;
+  /** Returns the progress according to the phases of all tasks. */
+  StepProgress CountProgress(const Occurrence& occurrence) const;
   /** Returns whether all tasks of the step are done in all occurrences. */
   bool IsStepDone(int step) const;
-  /** Returns the time after its due time from which an occurrence is late. */
+  /** Returns the time after its due time from which an occurrence is late; its
+   * cost does not depend on the number of steps. */
   Duration Objective() const;
   /** Returns the latest start of `step` that meets the objective. */
   Time LatestStart(const Occurrence& occurrence, int step) const;
 
  private:
-  /** Returns the critical path from each step; computed on first use, since the
-   * steps do not change. */
-  const std::vector<Duration>& CriticalPaths() const;
-  mutable std::vector<Duration> critical_paths_;
+  /** Computed on first use, since the steps do not change. */
+  const StepGraph& Graph() const;
+  mutable StepGraph graph_;
 };
 
 }  // namespace baobab
--- a/src/libjobs/job_spec.cc
+++ b/src/libjobs/job_spec.cc
@@ -100,12 +100,12 @@
   return longest;
 }
 
-std::vector<Duration> CriticalPathsFrom(const JobSpec& spec) {
+std::vector<Duration> CriticalPathsFrom(const std::vector<StepSpec>& steps) {
   // Steps only depend on earlier ones, so one pass from the end suffices.
-  std::vector<Duration> critical_paths(spec.steps.size());
-  for (std::size_t i = spec.steps.size(); i-- > 0;) {
-    critical_paths[i] += spec.steps[i].estimate;
-    for (const int it : spec.steps[i].after) {
+  std::vector<Duration> critical_paths(steps.size());
+  for (std::size_t i = steps.size(); i-- > 0;) {
+    critical_paths[i] += steps[i].estimate;
+    for (const int it : steps[i].after) {
       auto& earlier = critical_paths[static_cast<std::size_t>(it)];
       earlier = std::max(earlier, critical_paths[i]);
     }
--- a/src/libjobs/job_spec.h
+++ b/src/libjobs/job_spec.h
@@ -103,7 +103,7 @@
 Duration CriticalPathEstimate(const JobSpec& spec);
 
 /** Returns the length of the critical path from the start of each step. */
-std::vector<Duration> CriticalPathsFrom(const JobSpec& spec);
+std::vector<Duration> CriticalPathsFrom(const std::vector<StepSpec>& steps);
 
 /** Returns the estimated work in core-milliseconds, without long-running and
  * background tasks. */
--- a/src/libjobs/pool_engine.cc
+++ b/src/libjobs/pool_engine.cc
@@ -160,13 +160,16 @@
     StoreLeaseWaits();
     StoreSettledPlacements();
     EvacuateWorkers();
-    RetryStops();
+    stops_left_ = true;
     LogWaits();
     HandOverMisplacedJobs();
     OfferLeavingJobs();
     DropExpiredJobs();
     DropExpiredDelegations();
   }
+  if (stops_left_) {
+    RetryStops();
+  }
   MaybePollWorkers();
   schedule_needed_ = true;
 }
@@ -530,6 +533,7 @@
   Log("end-job", job.id,
       fmt::format("end={} why={} age_ms={}", ToString(end), why,
                   wall_ms_ - job.submitted_wall_ms));
+  std::size_t stops = 0;
   for (auto& [number, occurrence] : job.occurrences) {
     for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
       auto& tasks = occurrence.steps[step];
@@ -542,7 +546,11 @@
           task.phase = TaskPhase::kWaiting;
         } else if (task.phase == TaskPhase::kStarting ||
                    task.phase == TaskPhase::kRunning) {
-          OrderStop(id, task);
+          if (++stops > tuning_.max_orders_per_turn) {
+            StopLater(task);
+          } else {
+            OrderStop(id, task);
+          }
         }
       }
     }
@@ -570,36 +578,48 @@
   jobs_.erase(job);
 }
 
-ReadyStep PoolEngine::ReadyKey(const Job& job, int occurrence, int step) const {
-  return {job.priority,
-          !job.Step(step).long_running,
-          job.LatestStart(job.occurrences.at(occurrence), step),
-          job.id,
-          occurrence,
-          step};
+ReadyStep PoolEngine::ReadyKey(const Job& job,
+                               int number,
+                               const Occurrence& occurrence,
+                               int step) {
+  const bool finite = !job.Step(step).long_running;
+  return {job.priority, finite, job.LatestStart(occurrence, step),
+          job.id,       number, step};
+}
+
+ReadyStep PoolEngine::ReadyKey(const Job& job, int number, int step) {
+  return ReadyKey(job, number, job.occurrences.at(number), step);
+}
+
+bool PoolEngine::PlacesTasks(const Job& job) const {
+  return job.end == JobEnd::kOpen && !leaving_.contains(job.id) &&
+         !IsSetAside(job.id);
 }
 
 void PoolEngine::AddReadySteps(Job& job, int occurrence) {
   const auto it = job.occurrences.find(occurrence);
-  if (it == job.occurrences.end() || job.end != JobEnd::kOpen ||
-      leaving_.contains(job.id) || IsSetAside(job.id)) {
+  if (it == job.occurrences.end() || !PlacesTasks(job)) {
     return;
   }
   for (int step = 0; step < static_cast<int>(job.spec.steps.size()); ++step) {
-    auto& tasks = it->second.steps[static_cast<std::size_t>(step)];
-    const bool waits = std::any_of(
-        tasks.begin(), tasks.end(),
-        [](const auto& task) { return task.phase == TaskPhase::kWaiting; });
-    if (waits && job.IsReady(it->second, step)) {
-      for (auto& task : tasks) {
-        if (task.phase == TaskPhase::kWaiting && task.waiting_since == Time()) {
-          task.waiting_since = now_;
-        }
-      }
-      ready_.Add(job.service, ReadyKey(job, occurrence, step));
-      schedule_needed_ = true;
+    AddIfReady(job, occurrence, it->second, step);
+  }
+}
+
+void PoolEngine::AddIfReady(Job& job,
+                            int number,
+                            Occurrence& occurrence,
+                            int step) {
+  if (!HasTasksToPlace(occurrence, step)) {
+    return;
+  }
+  for (auto& task : occurrence.steps[static_cast<std::size_t>(step)]) {
+    if (task.phase == TaskPhase::kWaiting && task.waiting_since == Time()) {
+      task.waiting_since = now_;
     }
   }
+  ready_.Add(job.service, ReadyKey(job, number, occurrence, step));
+  schedule_needed_ = true;
 }
 
 void PoolEngine::FlushCommit() {
@@ -684,11 +704,17 @@
     NoteSubject(id);
     add(ProgressKey(id), EncodeProgress(job, lost_runs_));
     auto digests = ProgressDigests(job);
+    std::set<int> changed;
     for (const auto& [part, digest] : digests) {
       const auto stored = job.stored_parts.find(part);
       if (stored == job.stored_parts.end() || stored->second != digest) {
-        add(ProgressPartKey(id, part),
-            EncodeProgressPart(job, part, lost_runs_));
+        changed.insert(part);
+      }
+    }
+    if (!changed.empty()) {
+      for (auto& [part, value] :
+           EncodeProgressParts(job, changed, lost_runs_)) {
+        add(ProgressPartKey(id, part), std::move(value));
       }
     }
     for (const auto& [part, digest] : job.stored_parts) {
--- a/src/libjobs/pool_engine.h
+++ b/src/libjobs/pool_engine.h
@@ -275,13 +275,21 @@
   void DropJob(std::map<JobId, Job>::iterator job);
   /** Deletes ended jobs after their retention time. */
   void DropExpiredJobs();
+  /** Returns whether tasks of the job are placed by this owner. */
+  bool PlacesTasks(const Job& job) const;
   /** Adds the steps of the occurrence that have tasks to place to `ready_`. */
   void AddReadySteps(Job& job, int occurrence);
+  /** Adds the step to `ready_` if it has tasks to place. */
+  void AddIfReady(Job& job, int number, Occurrence& occurrence, int step);
   /** Returns the entry of the step in `ready_`, with its sort keys. */
-  ReadyStep ReadyKey(const Job& job, int occurrence, int step) const;
+  static ReadyStep ReadyKey(const Job& job,
+                            int number,
+                            const Occurrence& occurrence,
+                            int step);
+  static ReadyStep ReadyKey(const Job& job, int number, int step);
   /** Returns whether the step waits for workers: all steps before it are done
    * and it has waiting tasks. */
-  bool HasTasksToPlace(const Job& job, int occurrence, int step) const;
+  static bool HasTasksToPlace(const Occurrence& occurrence, int step);
   /** Returns why an entry of `ready_` should not be there; empty if it should.
    */
   std::string FaultOfReadyStep(const ServiceId& service,
@@ -379,8 +387,12 @@
   bool MayBeStoppedByFormerOwner(const Task& task) const;
   /** Returns whether a worker could take a task of the step now. */
   bool CanPlace(const Job& job, const StepId& id) const;
-  /** Sends stops again that were not answered in time. */
+  /** Sends stops again that were not answered in time, and those that were put
+   * off. */
   void RetryStops();
+  /** Puts off the stop of the task's run, so that one event does not send too
+   * many. */
+  void StopLater(Task& task);
   /** Sends a stop for the run of the task. */
   void OrderStop(const TaskId& id, Task& task);
 
@@ -506,11 +518,25 @@
   /** Returns the lateness class: 0 for steps that can be in time, 1 for late
    * ones, 2 for those deferred or too late to have any utility. */
   int LatenessOf(const ReadyStep& ready, Time now) const;
-  /** Places waiting tasks of the steps, which are given by lateness class,
-   * until too many steps found no worker. */
+  static int LatenessOf(const Job& job,
+                        const Occurrence& occurrence,
+                        int step,
+                        Time now);
+  /** Places waiting tasks of the service's steps by lateness class, until too
+   * many steps found no worker. Leaves out the steps that lack a host, or, with
+   * `only_lacking`, all others; `lacking` is null if none is known to. */
   void PlaceSteps(const ServiceId& service,
                   Placement& placement,
-                  std::span<const std::vector<ReadyStep>> steps);
+                  const std::set<StepId>* lacking,
+                  bool only_lacking);
+  /** Returns the first step from `at` on that may have the lateness class,
+   * which that at `at` does not have. */
+  std::set<ReadyStep>::const_iterator SkipLateness(
+      const std::set<ReadyStep>& steps,
+      std::set<ReadyStep>::const_iterator at,
+      int lateness) const;
+  /** Returns whether no further tasks are placed until starts are answered. */
+  bool HasStartsToSend() const;
   /** Places waiting tasks of the step; returns false if one found no worker.
    * `allowance` is the number of cores that they may take, and is lowered by
    * those taken. */
@@ -591,6 +617,10 @@
   /** Last sweep over all workers and jobs for expired leases, evacuations,
    * unanswered stops and expired jobs. */
   Time swept_at_;
+  /** Starts that were sent and are not answered. */
+  std::size_t starts_in_flight_ = 0;
+  /** Stops may be due that were put off. */
+  bool stops_left_ = false;
   /** Schedule() is to run after the current event. */
   bool schedule_needed_ = false;
   DemandTracker demand_;
--- a/src/libjobs/pool_engine_consistency.cc
+++ b/src/libjobs/pool_engine_consistency.cc
@@ -27,13 +27,17 @@
       for (const auto& task : TasksWronglyHeldBack(job, number)) {
         found.push_back(fmt::format("late starts of {}", ToString(task)));
       }
-      if (job.IsFinished(occurrence)) {
+      if (occurrence.progress != job.CountProgress(occurrence)) {
+        found.push_back(
+            fmt::format("progress of occurrence {}.{}", id.value(), number));
+      }
+      if (occurrence.progress.IsFinished()) {
         found.push_back(
             fmt::format("finished occurrence {}.{}", id.value(), number));
       }
       for (int step = 0; step < static_cast<int>(job.spec.steps.size());
            ++step) {
-        if (HasTasksToPlace(job, number, step) &&
+        if (HasTasksToPlace(occurrence, step) &&
             !ready_.Contains(job.service, ReadyKey(job, number, step))) {
           found.push_back(fmt::format("step {}.{}.{} waits and is not ready",
                                       id.value(), number, step));
@@ -58,7 +62,7 @@
   if (!job.occurrences.contains(ready.occurrence)) {
     return "no such occurrence";
   }
-  if (!HasTasksToPlace(job, ready.occurrence, ready.step)) {
+  if (!HasTasksToPlace(job.occurrences.at(ready.occurrence), ready.step)) {
     return "no task waits";
   }
   return job.service == service &&
@@ -86,15 +90,12 @@
   return found;
 }
 
-bool PoolEngine::HasTasksToPlace(const Job& job,
-                                 int occurrence,
-                                 int step) const {
-  const auto& open = job.occurrences.at(occurrence);
-  const auto& tasks = open.steps[static_cast<std::size_t>(step)];
-  return std::any_of(
-             tasks.begin(), tasks.end(),
-             [](const auto& it) { return it.phase == TaskPhase::kWaiting; }) &&
-         job.IsReady(open, step);
+bool PoolEngine::HasTasksToPlace(const Occurrence& occurrence, int step) {
+  const auto& tasks = occurrence.steps[static_cast<std::size_t>(step)];
+  return occurrence.progress.IsReady(step) &&
+         std::any_of(tasks.begin(), tasks.end(), [](const auto& it) {
+           return it.phase == TaskPhase::kWaiting;
+         });
 }
 
 }  // namespace baobab
--- a/src/libjobs/pool_engine_demand.cc
+++ b/src/libjobs/pool_engine_demand.cc
@@ -107,7 +107,7 @@
   }
   const auto occurrence = job.occurrences.find(id.occurrence);
   const bool late = occurrence != job.occurrences.end() &&
-                    LatenessOf(ReadyKey(job, id.occurrence, id.step), now) > 0;
+                    LatenessOf(job, occurrence->second, id.step, now) > 0;
   (late ? service.late : service.used) += cores;
 }
 
@@ -167,7 +167,7 @@
     double widest = 0;
     for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
       const int step = static_cast<int>(i);
-      if (LatenessOf(ReadyKey(job, number, step), now_) > 0) {
+      if (LatenessOf(job, occurrence, step, now_) > 0) {
         continue;
       }
       const double each =
--- a/src/libjobs/pool_engine_room.cc
+++ b/src/libjobs/pool_engine_room.cc
@@ -80,8 +80,8 @@
   std::map<ServiceId, MissingHosts> missing;
   for (const auto& [step, n] : tasks) {
     const Job& job = jobs_.at(step.job);
-    const bool late =
-        LatenessOf(ReadyKey(job, step.occurrence, step.step), now_) > 0;
+    const bool late = LatenessOf(job, job.occurrences.at(step.occurrence),
+                                 step.step, now_) > 0;
     int& hosts = late ? missing[job.service].late : missing[job.service].hosts;
     // The maximum, not the sum: tasks of different steps may share a host.
     hosts = std::max(hosts, HostsFor(job.Step(step.step), n));
--- a/src/libjobs/pool_engine_set_aside.cc
+++ b/src/libjobs/pool_engine_set_aside.cc
@@ -44,7 +44,7 @@
       for (auto& it : tasks) {
         if (job.spec.steps[step].gang && done != tasks.end() &&
             it.phase == TaskPhase::kWaiting && it.run == done->run) {
-          it.phase = TaskPhase::kDone;
+          job.MarkDone(occurrence, static_cast<int>(step), it);
         }
         if (it.phase == TaskPhase::kWaiting &&
             !job.spec.steps[step].long_running &&
@@ -54,7 +54,7 @@
         }
       }
     }
-    if (job.IsFinished(occurrence)) {
+    if (occurrence.progress.IsFinished()) {
       finished.push_back(number);
     }
   }
--- a/src/libjobs/pool_engine_tasks.cc
+++ b/src/libjobs/pool_engine_tasks.cc
@@ -38,8 +38,9 @@
   task.waiting_since = std::max(now_, task.not_before);
   task.stop_answered = false;
   task.confirmed = false;
-  if (job.end == JobEnd::kOpen) {
-    AddReadySteps(job, id.occurrence);
+  const auto occurrence = job.occurrences.find(id.occurrence);
+  if (occurrence != job.occurrences.end() && PlacesTasks(job)) {
+    AddIfReady(job, id.occurrence, occurrence->second, id.step);
   }
 }
 
@@ -54,8 +55,8 @@
     task.checkpoint = checkpoint;
   }
   const auto& spec = job.Step(id.step);
-  auto& siblings = job.occurrences.at(id.occurrence)
-                       .steps[static_cast<std::size_t>(id.step)];
+  auto& occurrence = job.occurrences.at(id.occurrence);
+  auto& siblings = occurrence.steps[static_cast<std::size_t>(id.step)];
   if (spec.gang && kind != EndKind::kDone &&
       std::any_of(siblings.begin(), siblings.end(), [&](const auto& it) {
         return it.phase == TaskPhase::kDone && it.run == task.run;
@@ -68,9 +69,11 @@
     return;
   }
   if (IsSetAside(job.id)) {
-    task.phase = kind == EndKind::kDone && !spec.long_running
-                     ? TaskPhase::kDone
-                     : TaskPhase::kWaiting;
+    if (kind == EndKind::kDone && !spec.long_running) {
+      job.MarkDone(occurrence, id.step, task);
+    } else {
+      task.phase = TaskPhase::kWaiting;
+    }
     task.failures += kind == EndKind::kFailed ? 1 : 0;
     return;
   }
@@ -111,24 +114,29 @@
 
 void PoolEngine::FinishTask(Job& job, const TaskId& id, Task& task) {
   const bool was_to_be_placed = task.phase == TaskPhase::kWaiting;
-  task.phase = TaskPhase::kDone;
   auto& occurrence = job.occurrences.at(id.occurrence);
+  auto freed = job.MarkDone(occurrence, id.step, task);
   const bool gang = job.Step(id.step).gang;
   if (gang) {
     for (auto& it : occurrence.steps[static_cast<std::size_t>(id.step)]) {
       if (it.phase == TaskPhase::kWaiting && it.run == task.run) {
-        it.phase = TaskPhase::kDone;
+        const auto further = job.MarkDone(occurrence, id.step, it);
+        freed.insert(freed.end(), further.begin(), further.end());
       }
     }
   }
-  if ((gang || was_to_be_placed) &&
-      !HasTasksToPlace(job, id.occurrence, id.step)) {
+  if ((gang || was_to_be_placed) && !HasTasksToPlace(occurrence, id.step)) {
     // Tasks that were lost before they were known to be done were to be placed
     // again.
-    ready_.Remove(job.service, ReadyKey(job, id.occurrence, id.step));
+    ready_.Remove(job.service,
+                  ReadyKey(job, id.occurrence, occurrence, id.step));
   }
-  if (!job.IsFinished(occurrence)) {
-    AddReadySteps(job, id.occurrence);
+  if (!occurrence.progress.IsFinished()) {
+    if (PlacesTasks(job)) {
+      for (const int step : freed) {
+        AddIfReady(job, id.occurrence, occurrence, step);
+      }
+    }
     return;
   }
   ++job.finished;
@@ -143,64 +151,111 @@
     if (steps.empty()) {
       continue;
     }
-    // Work that can no longer meet its objective goes after work that can;
-    // otherwise a queue with a backlog would make each of its jobs late. Work
-    // that is too late to have any utility goes last. The steps are copied,
-    // since placing one changes the set.
-    std::vector<ReadyStep> by_lateness[kDeferred + 1];
-    // Tried last, so that they do not use up the tries of steps with room.
-    std::vector<ReadyStep> without_host[kDeferred + 1];
     const auto* lacking =
         steps.size() > kMaxMisfits ? &StepsLackingHosts(service) : nullptr;
-    for (const auto& it : steps) {
-      NoteSubject(it.job, it.occurrence, it.step);
-      const bool lacks =
-          lacking && lacking->contains({it.job, it.occurrence, it.step});
-      (lacks ? without_host : by_lateness)[LatenessOf(it, now_)].push_back(it);
-    }
     Placement placement(workers_, service, now_);
-    PlaceSteps(service, placement, by_lateness);
-    PlaceSteps(service, placement, without_host);
+    PlaceSteps(service, placement, lacking, false);
+    if (lacking && !lacking->empty()) {
+      // Tried last, so that they do not use up the tries of steps with room.
+      PlaceSteps(service, placement, lacking, true);
+    }
   }
 }
 
 void PoolEngine::PlaceSteps(const ServiceId& service,
                             Placement& placement,
-                            std::span<const std::vector<ReadyStep>> steps) {
+                            const std::set<StepId>* lacking,
+                            bool only_lacking) {
+  const auto& steps = ready_.by_service().at(service);
   double allowance = std::numeric_limits<double>::max();
   std::size_t misfits = 0;
+  // Work that can no longer meet its objective goes after work that can;
+  // otherwise a queue with a backlog would make each of its jobs late. Work
+  // that is too late to have any utility goes last.
   for (const int lateness : {0, 1, kDeferred}) {
-    const auto& late = steps[static_cast<std::size_t>(lateness)];
-    if (lateness == kDeferred && !late.empty()) {
-      allowance = CoresForLateWork(service);
-    }
-    for (const auto& it : late) {
+    bool any = false;
+    for (auto it = steps.begin(); it != steps.end();) {
+      NoteSubject(it->job, it->occurrence, it->step);
+      if (LatenessOf(*it, now_) != lateness) {
+        it = SkipLateness(steps, it, lateness);
+        continue;
+      }
+      if (lacking && lacking->contains({it->job, it->occurrence, it->step}) !=
+                         only_lacking) {
+        ++it;
+        continue;
+      }
+      if (lateness == kDeferred && !std::exchange(any, true)) {
+        allowance = CoresForLateWork(service);
+      }
       if (misfits >= kMaxMisfits || allowance <= 0) {
         return;
       }
-      NoteSubject(it.job, it.occurrence, it.step);
-      misfits += PlaceStep(service, placement, it, allowance) ? 0 : 1;
+      if (HasStartsToSend()) {
+        schedule_needed_ = true;
+        return;
+      }
+      // A copy, since placing a step changes the set.
+      const ReadyStep ready = *it;
+      misfits += PlaceStep(service, placement, ready, allowance) ? 0 : 1;
       if (lateness == kDeferred) {
         late_work_cores_[service].cores = allowance;
       }
+      it = steps.upper_bound(ready);
     }
   }
 }
 
+std::set<ReadyStep>::const_iterator PoolEngine::SkipLateness(
+    const std::set<ReadyStep>& steps,
+    std::set<ReadyStep>::const_iterator at,
+    int lateness) const {
+  if (lateness == 0 && at->finite && at->due < now_) {
+    // Those in time follow all that are due already.
+    return steps.lower_bound({at->priority, true, now_, JobId(), 0, 0});
+  }
+  const auto next = std::next(at);
+  if (next == steps.end() || next->due != at->due || next->job != at->job ||
+      next->occurrence != at->occurrence) {
+    return next;
+  }
+  // All steps of an occurrence that are due at the same time have one class.
+  ReadyStep last = *at;
+  last.step = std::numeric_limits<int>::max();
+  return steps.upper_bound(last);
+}
+
+bool PoolEngine::HasStartsToSend() const {
+  const auto in_commit = in_flight_ ? in_flight_->placed.size() : 0;
+  return staged_.placed.size() >= tuning_.max_orders_per_turn ||
+         starts_in_flight_ + in_commit + staged_.placed.size() >=
+             tuning_.max_starts_in_flight;
+}
+
 int PoolEngine::LatenessOf(const ReadyStep& ready, Time now) const {
   const auto found = jobs_.find(ready.job);
-  if (!ready.finite || found == jobs_.end()) {
+  return !ready.finite || found == jobs_.end()
+             ? 0
+             : LatenessOf(found->second,
+                          found->second.occurrences.at(ready.occurrence),
+                          ready.step, now);
+}
+
+int PoolEngine::LatenessOf(const Job& job,
+                           const Occurrence& occurrence,
+                           int step,
+                           Time now) {
+  if (job.Step(step).long_running) {
     return 0;
   }
-  const Job& job = found->second;
   if (job.deferred) {
     return kDeferred;
   }
-  if (ready.due >= now) {
+  if (job.LatestStart(occurrence, step) >= now) {
     return 0;
   }
-  const Time due = job.occurrences.at(ready.occurrence).due;
-  return now < due + job.Objective() * kMaxLateFactor ? 1 : kDeferred;
+  return now < occurrence.due + job.Objective() * kMaxLateFactor ? 1
+                                                                 : kDeferred;
 }
 
 bool PoolEngine::PlaceStep(const ServiceId& service,
@@ -236,6 +291,11 @@
       all = false;
       continue;
     }
+    if (HasStartsToSend()) {
+      schedule_needed_ = true;
+      all = false;
+      break;
+    }
     if (allowance < cores) {
       all = false;
       fits = false;
@@ -458,6 +518,7 @@
                      worker.Free().cpu_milli,
                      (task->placed_at - task->waiting_since).count() / 1000,
                      (now_ - task->placed_at).count() / 1000));
+  ++starts_in_flight_;
   effects_.push_back(StartRun{task->worker, worker.entry.address, id, run,
                               job.spec.payload, lease_until, task->checkpoint,
                               std::move(ticket)});
@@ -510,6 +571,7 @@
 }
 
 void PoolEngine::Handle(const StartFinished& event) {
+  starts_in_flight_ -= starts_in_flight_ > 0 ? 1 : 0;
   const auto found = jobs_.find(event.task.job);
   Task* task = found == jobs_.end() ? nullptr : found->second.Find(event.task);
   const auto known = workers_.find(event.worker);
--- a/src/libjobs/pool_engine_workers.cc
+++ b/src/libjobs/pool_engine_workers.cc
@@ -695,6 +695,8 @@
 }
 
 void PoolEngine::RetryStops() {
+  stops_left_ = false;
+  std::size_t stops = 0;
   for (auto& [worker_id, worker] : workers_) {
     ForgetLateStarts(worker);
     ExcludeLateStarts(worker);
@@ -703,12 +705,23 @@
       Task* task = found == jobs_.end() ? nullptr : found->second.Find(id);
       if (task && task->phase == TaskPhase::kStopping && !task->stop_answered &&
           now_ - task->stop_sent_at >= tuning_.stop_retry_delay) {
+        if (++stops > tuning_.max_orders_per_turn) {
+          stops_left_ = true;
+          return;
+        }
         OrderStop(id, *task);
       }
     }
   }
 }
 
+void PoolEngine::StopLater(Task& task) {
+  task.phase = TaskPhase::kStopping;
+  task.stop_answered = false;
+  task.stop_sent_at = Time();
+  stops_left_ = true;
+}
+
 void PoolEngine::OrderStop(const TaskId& id, Task& task) {
   task.phase = TaskPhase::kStopping;
   task.stop_answered = false;
--- a/src/libjobs/pool_tuning.h
+++ b/src/libjobs/pool_tuning.h
@@ -78,6 +78,13 @@
   std::int64_t RetentionMs() const {
     return status_retention.count() / 1000 * 5 / 4;
   }
+  /** Maximum number of starts that one commit leads to, and of stops in one
+   * event; gangs may exceed it. The owner answers nobody while it sends them,
+   * and its membership must not expire meanwhile. */
+  std::size_t max_orders_per_turn = 256;
+  /** Number of starts without an answer, or about to be sent, from which no
+   * further tasks are placed. */
+  std::size_t max_starts_in_flight = 1024;
   /** Minimum time between two commits; limits the store calls of a shard. */
   Duration min_commit_interval = std::chrono::milliseconds(8);
   /** Age of an unanswered commit from which the store counts as unavailable, so
--- a/src/libjobs/stored_job.cc
+++ b/src/libjobs/stored_job.cc
@@ -95,25 +95,43 @@
   return tasks;
 }
 
-/** Calls `visit` for each task that has a row in the progress of the job, with
- * its id and its position among all tasks. */
+/** Calls `visit` for each task of the step that has a row in the progress of
+ * the job, with its id and its position among all tasks. `first` is the id of
+ * the first task, at `position`. */
 template <typename F>
-void ForEachRow(const Job& job, const F& visit) {
+void ForEachRowOfStep(const Job& job,
+                      const std::vector<Task>& tasks,
+                      const TaskId& first,
+                      std::int64_t position,
+                      const F& visit) {
+  for (std::size_t i = 0; i < tasks.size(); ++i, ++position) {
+    const Task& it = tasks[i];
+    // For an ended job, only runs that are still to be stopped matter.
+    if (it.run.value() != 0 &&
+        (job.end == JobEnd::kOpen || HoldsResources(it.phase))) {
+      visit(
+          TaskId{first.job, first.occurrence, first.step, static_cast<int>(i)},
+          it, position);
+    }
+  }
+}
+
+/** The same for each task of the job, without the steps of which
+ * `leaves_out(first position, position after the last)` returns true. */
+template <typename P, typename F>
+void ForEachRowBut(const Job& job, const P& leaves_out, const F& visit) {
   const auto per_occurrence = TasksPerOccurrence(job);
   for (const auto& [number, occurrence] : job.occurrences) {
     auto position = number * per_occurrence;
     for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
       const auto& tasks = occurrence.steps[step];
-      for (std::size_t i = 0; i < tasks.size(); ++i, ++position) {
-        const Task& it = tasks[i];
-        // For an ended job, only runs that are still to be stopped matter.
-        if (it.run.value() != 0 &&
-            (job.end == JobEnd::kOpen || HoldsResources(it.phase))) {
-          visit(TaskId{job.id, number, static_cast<int>(step),
-                       static_cast<int>(i)},
-                it, position);
-        }
+      const auto end = position + static_cast<std::int64_t>(tasks.size());
+      if (!leaves_out(position, end)) {
+        ForEachRowOfStep(job, tasks,
+                         TaskId{job.id, number, static_cast<int>(step), 0},
+                         position, visit);
       }
+      position = end;
     }
   }
 }
@@ -385,35 +403,83 @@
   }
   Json rows = Json::array();
   if (!HasProgressParts(job)) {
-    ForEachRow(job, [&](const TaskId& id, const Task& it, std::int64_t) {
-      rows.push_back(RowOf(id, it, lost_runs));
-    });
+    ForEachRowBut(
+        job, [](std::int64_t, std::int64_t) { return false; },
+        [&](const TaskId& id, const Task& it, std::int64_t) {
+          rows.push_back(RowOf(id, it, lost_runs));
+        });
   }
   return Pack(Json::array({kFormatVersion, static_cast<int>(job.end),
                            job.ended_wall_ms, job.begun, job.created,
                            std::move(open), std::move(rows), job.hand_overs}));
 }
 
-std::string EncodeProgressPart(const Job& job,
-                               int part,
-                               const LostRuns& lost_runs) {
-  Json rows = Json::array();
-  ForEachRow(job, [&](const TaskId& id, const Task& it, std::int64_t position) {
-    if (position / kTasksPerRecord == part) {
-      rows.push_back(RowOf(id, it, lost_runs));
-    }
-  });
-  return Pack(Json::array({kFormatVersion, std::move(rows)}));
+std::map<int, std::string> EncodeProgressParts(const Job& job,
+                                               const std::set<int>& parts,
+                                               const LostRuns& lost_runs) {
+  std::map<int, Json> rows;
+  for (const int it : parts) {
+    rows[it] = Json::array();
+  }
+  const auto leaves_out = [&](std::int64_t begin, std::int64_t end) {
+    const auto next =
+        parts.lower_bound(static_cast<int>(begin / kTasksPerRecord));
+    return next == parts.end() || *next > (end - 1) / kTasksPerRecord;
+  };
+  ForEachRowBut(job, leaves_out,
+                [&](const TaskId& id, const Task& it, std::int64_t position) {
+                  const auto part =
+                      rows.find(static_cast<int>(position / kTasksPerRecord));
+                  if (part != rows.end()) {
+                    part->second.push_back(RowOf(id, it, lost_runs));
+                  }
+                });
+  std::map<int, std::string> encoded;
+  for (auto& [number, of_part] : rows) {
+    encoded[number] = Pack(Json::array({kFormatVersion, std::move(of_part)}));
+  }
+  return encoded;
 }
 
 std::map<int, std::uint64_t> ProgressDigests(const Job& job) {
   std::map<int, std::uint64_t> digests;
-  if (HasProgressParts(job)) {
-    ForEachRow(
-        job, [&](const TaskId& id, const Task& it, std::int64_t position) {
-          auto& digest = digests[static_cast<int>(position / kTasksPerRecord)];
-          digest = AddToDigest(digest, id, it);
-        });
+  if (!HasProgressParts(job)) {
+    return digests;
+  }
+  auto last = digests.end();
+  const auto digest_of = [&](std::int64_t position) -> std::uint64_t& {
+    const auto part = static_cast<int>(position / kTasksPerRecord);
+    if (last == digests.end() || last->first != part) {
+      last = digests.try_emplace(part).first;
+    }
+    return last->second;
+  };
+  const auto per_occurrence = TasksPerOccurrence(job);
+  for (const auto& [number, occurrence] : job.occurrences) {
+    auto position = number * per_occurrence;
+    for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+      const auto& tasks = occurrence.steps[step];
+      const auto end = position + static_cast<std::int64_t>(tasks.size());
+      const int step_number = static_cast<int>(step);
+      if (job.end == JobEnd::kOpen &&
+          occurrence.progress.IsStepDone(step_number)) {
+        // The rows of its tasks do not change any more.
+        const std::int64_t numbers[] = {number, step_number};
+        for (auto it = position; it < end;
+             it = (it / kTasksPerRecord + 1) * kTasksPerRecord) {
+          auto& digest = digest_of(it);
+          digest = XXH64(numbers, sizeof(numbers), digest);
+        }
+      } else {
+        ForEachRowOfStep(
+            job, tasks, TaskId{job.id, number, step_number, 0}, position,
+            [&](const TaskId& id, const Task& it, std::int64_t at) {
+              auto& digest = digest_of(at);
+              digest = AddToDigest(digest, id, it);
+            });
+      }
+      position = end;
+    }
   }
   return digests;
 }
@@ -421,9 +487,12 @@
 std::vector<StoredRecord> EncodeJob(const Job& job, const LostRuns& lost_runs) {
   std::vector<StoredRecord> records = {
       {ProgressKey(job.id), EncodeProgress(job, lost_runs)}};
+  std::set<int> parts;
   for (const auto& [part, digest] : ProgressDigests(job)) {
-    records.push_back({ProgressPartKey(job.id, part),
-                       EncodeProgressPart(job, part, lost_runs)});
+    parts.insert(part);
+  }
+  for (auto& [part, value] : EncodeProgressParts(job, parts, lost_runs)) {
+    records.push_back({ProgressPartKey(job.id, part), std::move(value)});
   }
   records.push_back({AcceptanceKey(job.id), EncodeAcceptance(job)});
   return records;
@@ -461,6 +530,11 @@
       ApplyProgressPart(it->second, part->second, json, loaded.lost_runs);
     }
   });
+  for (auto& [id, job] : loaded.jobs) {
+    for (auto& [number, occurrence] : job.occurrences) {
+      occurrence.progress = job.CountProgress(occurrence);
+    }
+  }
   decode('d', false, [&](const JobId& id, const Json& json) {
     loaded.delegations.insert_or_assign(
         id, Delegation{ShardId(json.at(1).get<int>()),
--- a/src/libjobs/stored_job.h
+++ b/src/libjobs/stored_job.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -60,11 +61,11 @@
  * jobs. */
 std::string EncodeAcceptance(const Job& job);
 std::string EncodeProgress(const Job& job, const LostRuns& lost_runs = {});
-std::string EncodeProgressPart(const Job& job,
-                               int part,
-                               const LostRuns& lost_runs = {});
+std::map<int, std::string> EncodeProgressParts(const Job& job,
+                                               const std::set<int>& parts,
+                                               const LostRuns& lost_runs = {});
 /** Returns the parts of the progress that have rows, with a digest of what
- * EncodeProgressPart() depends on; empty if it has no parts. */
+ * EncodeProgressParts() depends on; empty if it has no parts. */
 std::map<int, std::uint64_t> ProgressDigests(const Job& job);
 /** Returns all records of the job, its acceptance last. */
 std::vector<StoredRecord> EncodeJob(const Job& job, const LostRuns& lost_runs);
--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -2,6 +2,7 @@
 #define TESTS_JOB_WORLD_H_
 
 #include <algorithm>
+#include <ctime>
 #include <functional>
 #include <map>
 #include <memory>
@@ -526,6 +527,11 @@
   int max_attempts = 3;
   /** Checks the state of the engine after each event. */
   bool checks_consistency = true;
+  /** Processor time of the engine, in all and in its longest turn, and the most
+   * starts and stops that one event has led to. */
+  std::clock_t engine_clocks = 0;
+  std::clock_t longest_turn_clocks = 0;
+  std::ptrdiff_t most_orders = 0;
   bool store_up = true;
   Duration commit_delay = std::chrono::milliseconds(6);
   /** Time from a commit until the owner learns of it. */
@@ -616,7 +622,17 @@
     if (owner != engine && !(former_runs && owner == former)) {
       return;
     }
+    const auto begin = std::clock();
     auto effects = owner->Apply({now, WallMs(), std::move(body)});
+    const auto taken = std::clock() - begin;
+    engine_clocks += taken;
+    longest_turn_clocks = std::max(longest_turn_clocks, taken);
+    most_orders =
+        std::max(most_orders,
+                 std::count_if(effects.begin(), effects.end(), [](auto& it) {
+                   return std::holds_alternative<StartRun>(it) ||
+                          std::holds_alternative<StopRun>(it);
+                 }));
     if (checks_consistency) {
       for (const auto& it : owner->FindInconsistencies()) {
         AddViolation(it);
