--- a/tests/many_steps_test.cc
+++ b/tests/many_steps_test.cc
@@ -164,6 +164,23 @@
                     ShapeCase{"Layers", Layers, 500, 4000}),
     [](const auto& it) { return std::string(it.param.name); });
 
+// Guards against a job whose steps have no estimates that is refused each time
+// it comes, since the forecast counts time for them and the objective none.
+TEST(ManyStepsTest, ChainWithoutEstimatesIsAccepted) {
+  JobWorld world;
+  world.checks_consistency = false;
+  world.AddWorker("w0", 64);
+  world.TakeOver();
+  world.Advance(milliseconds(300));
+  auto spec = Chain(6000);
+  for (auto& it : spec.steps) {
+    it.estimate = milliseconds(0);
+  }
+  world.Submit("chain", spec);
+  world.Advance(milliseconds(300));
+  EXPECT_EQ(world.verdicts[JobId("chain")], SubmitVerdict::kAccepted);
+}
+
 // Guards against a cancel that sends the stops of all tasks of a job in one
 // event, and against stops that are put off and never sent.
 TEST(ManyStepsTest, CancelStopsTasksInTurns) {
--- a/tests/store_client_test.cc
+++ b/tests/store_client_test.cc
@@ -157,6 +157,46 @@
   EXPECT_EQ(ReadWorkers(), std::nullopt);
 }
 
+struct EndCase {
+  const char* body;
+  std::optional<std::uint64_t> end;
+};
+
+void PrintTo(const EndCase& it, std::ostream* out) {
+  *out << it.body;
+}
+
+class StatedEndTest : public StoreClientTest,
+                      public testing::WithParamInterface<EndCase> {};
+
+// Guards against an answer without a usable end of the shard that passes for
+// one with an end, so that an old state is taken for the current one.
+TEST_P(StatedEndTest, IsReadFromTheAnswer) {
+  answers.emplace_back(GetParam().body);
+  std::optional<AppendAnswer> answer;
+  store->Fence({ShardId(1)}, FenceToken(3),
+               [&](const AppendAnswer& it) { answer = it; });
+  const auto limit = std::chrono::steady_clock::now() + milliseconds(2000);
+  while (!answer && std::chrono::steady_clock::now() < limit) {
+    loop.run_one_for(milliseconds(100));
+  }
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->outcome, AppendOutcome::kStored);
+  EXPECT_EQ(answer->end, GetParam().end);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Answers,
+    StatedEndTest,
+    testing::Values(EndCase{R"({"offset":9,"end_offset":9})", 9},
+                    EndCase{R"({"end_offset":0})", 0},
+                    EndCase{R"({"offset":9})", std::nullopt},
+                    EndCase{R"({"end_offset":"9"})", std::nullopt},
+                    EndCase{R"({"end_offset":-1})", std::nullopt},
+                    EndCase{R"({"end_offset":1.5})", std::nullopt},
+                    EndCase{"[9]", std::nullopt},
+                    EndCase{"", std::nullopt}));
+
 // Guards against a list of workers that is used before the records that one
 // answer could not hold are read: a worker that registered again seems gone.
 TEST_F(StoreClientTest, ReadsToTheEndOfTheTopic) {
