--- a/src/libfleet/shard_owner.cc
+++ b/src/libfleet/shard_owner.cc
@@ -66,9 +66,9 @@
   }
 };
 
-/** Time for which polls go on although another node may have had the shard. As
- * long as no renewal of the membership is answered they go on for the same
- * time; a worker that the other node has polled refuses them. */
+/** Time for which polls go on although another node may have had the shard, the
+ * same as without an answer to renewals of the membership. They keep runs from
+ * losing their leases; a worker that the other node has polled refuses them. */
 constexpr Duration kMaxDoubtForPolls = std::chrono::milliseconds(4000);
 
 Error ShardMovedError(ShardId shard) {
@@ -144,10 +144,10 @@
 }
 
 void ShardOwner::Verify(FenceToken token) {
-  if (!verified_token_) {
+  if (!unverified_token_) {
     doubted_at_ = SteadyNow();
   }
-  verified_token_ = token;
+  unverified_token_ = token;
   FenceAndCompare();
 }
 
@@ -157,14 +157,14 @@
     return;
   }
   write_in_flight_ = true;
-  ports_.store.Fence({shard_, ShardWriter::kJobs}, *verified_token_,
+  ports_.store.Fence({shard_, ShardWriter::kJobs}, *unverified_token_,
                      [self = shared_from_this(),
-                      token = *verified_token_](AppendAnswer result) {
+                      token = *unverified_token_](AppendAnswer result) {
                        if (self->stopped_) {
                          return;
                        }
                        self->write_in_flight_ = false;
-                       if (token == self->verified_token_) {
+                       if (token == self->unverified_token_) {
                          self->FinishVerification(result);
                        } else {
                          self->FenceAndCompare();
@@ -184,7 +184,7 @@
       "verify-shard", "",
       fmt::format("shard={} token={} former={} unchanged={} end={} "
                   "expected_end={} took_ms={}",
-                  shard_.value(), verified_token_->value(), token_.value(),
+                  shard_.value(), unverified_token_->value(), token_.value(),
                   unchanged ? "yes" : "no",
                   result.end ? std::to_string(*result.end) : "unknown",
                   end_ ? std::to_string(*end_) : "unknown",
@@ -197,7 +197,7 @@
     ports_.on_outdated(shard_);
     return;
   }
-  token_ = *std::exchange(verified_token_, std::nullopt);
+  token_ = *std::exchange(unverified_token_, std::nullopt);
   sequence_ = 0;
   if (committing_ || failing_) {
     Append();
@@ -205,12 +205,12 @@
 }
 
 bool ShardOwner::MaySendOrders() const {
-  return !verified_token_ && ports_.may_send_orders();
+  return !unverified_token_ && ports_.may_send_orders();
 }
 
 bool ShardOwner::MayPoll() const {
   return ports_.may_send_orders() &&
-         (!verified_token_ || SteadyNow() - doubted_at_ < kMaxDoubtForPolls);
+         (!unverified_token_ || SteadyNow() - doubted_at_ < kMaxDoubtForPolls);
 }
 
 void ShardOwner::Load() {
@@ -357,7 +357,7 @@
 }
 
 void ShardOwner::Append() {
-  if (verified_token_) {
+  if (unverified_token_) {
     FenceAndCompare();
     return;
   }
--- a/src/libfleet/shard_owner.h
+++ b/src/libfleet/shard_owner.h
@@ -82,7 +82,7 @@
   bool HasLoaded() const { return engine_.IsLoaded(); }
   bool IsLoaded() const { return HasLoaded() && !stopped_ && !failing_; }
   /** Returns whether the state in memory may be used for answers. */
-  bool IsCurrent() const { return IsLoaded() && !verified_token_; }
+  bool IsCurrent() const { return IsLoaded() && !unverified_token_; }
   FenceToken token() const { return token_; }
   const PoolEngine& engine() const { return engine_; }
 
@@ -113,7 +113,7 @@
   void Retry(void (ShardOwner::*step)(), Duration delay);
   /** Stores the first of `batches_`, and then the next ones. */
   void Append();
-  /** Fences the shard with `verified_token_`, unless a write is in flight. */
+  /** Fences the shard with `unverified_token_`, unless a write is in flight. */
   void FenceAndCompare();
   void FinishVerification(AppendAnswer result);
   /** Returns whether orders that change what runs may be sent. */
@@ -133,9 +133,9 @@
   const Ports ports_;
   const ShardId shard_;
   FenceToken token_;
-  /** Token that replaces `token_` once it is known that no other node has
-   * written to the shard; empty while there is no doubt. */
-  std::optional<FenceToken> verified_token_;
+  /** Token that replaces `token_` once it is verified that no other node has
+   * written to the shard; empty while there is no doubt of that. */
+  std::optional<FenceToken> unverified_token_;
   Time doubted_at_;
   /** Where the shard ended after the last write of this owner; empty if the
    * store has not told. */
